--- a/src/wheelslip/errors.py
+++ b/src/wheelslip/errors.py
@@ -43,6 +43,7 @@
     CLAIM_LOST = "claim_lost"
     ANSWER_NOT_KEPT = "answer_not_kept"
     ENGINE_LOST = "engine_lost"
+    DEADLINE_PASSED = "deadline_passed"
     CONFIGURATION_INVALID = "configuration_invalid"
     CONFIGURATION_CONFLICT = "configuration_conflict"
     CONFIGURATION_STORE_UNAVAILABLE = "configuration_store_unavailable"
@@ -135,6 +136,9 @@
     ErrorKind.ENGINE_LOST: ErrorAnswer(
         502, _MAY, True, 1, "The engine was lost after the request was sent."
     ),
+    ErrorKind.DEADLINE_PASSED: ErrorAnswer(
+        504, _MAY, True, None, "The deadline passed after the request was sent to an engine."
+    ),
     ErrorKind.CONFIGURATION_INVALID: ErrorAnswer(
         400, _NOT_RUN, False, None, "A declaration failed its checks; nothing was applied."
     ),
--- /dev/null
+++ b/src/wheelslip/forwarding/model.py
@@ -0,0 +1,258 @@
+"""Typed records that forwarding shares: routes, services, workers, requests.
+
+All are immutable; a change of configuration or of a worker makes a new record.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+
+class RouteKind(enum.Enum):
+    """What a route's requests allow."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class SplitPart:
+    """One service of a route and its share of the requests."""
+
+    service: str
+    weight: int
+
+
+@dataclass(frozen=True)
+class Route:
+    """How requests of one host and path prefix are handled.
+
+    :ivar timeout_seconds: longest time a request may be held.
+    :ivar target_seconds: time within which an answer has its full worth.
+    :ivar max_attempts: most workers that may run one request.
+    :ivar resumable: a stream may go on at another worker after its last whole event.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_seconds: float
+    target_seconds: float
+    priority: int
+    split: tuple[SplitPart, ...]
+    max_attempts: int
+    public: bool
+    session_affinity: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+
+@dataclass(frozen=True)
+class EngineProfile:
+    """What the configuration tells of a service's model engines.
+
+    :ivar cache_tokens: tokens of KV cache one worker can keep.
+    :ivar token_bytes: bytes of KV cache a token takes.
+    :ivar link_bytes_per_second: bandwidth of a worker's cache moves.
+    """
+
+    capacity: int
+    cache_tokens: int
+    token_bytes: int
+    link_bytes_per_second: float
+
+
+@dataclass(frozen=True)
+class Service:
+    """A group of workers of one kind; ``engine`` is set for model engines."""
+
+    name: str
+    max_connections: int
+    engine: EngineProfile | None = None
+
+
+@dataclass(frozen=True)
+class CacheStore:
+    """A store of kept KV cache and the bandwidth of its link."""
+
+    name: str
+    address: str
+    zone: str
+    link_bytes_per_second: float
+
+
+@dataclass(frozen=True)
+class Tenant:
+    """A tenant; an isolated one shares no cached state with others."""
+
+    name: str
+    priority: int | None
+    isolated: bool
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or rest."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
+@dataclass(frozen=True)
+class RoutingConfiguration:
+    """One whole configuration; ``version`` only rises.
+
+    :ivar routes: by host, longest path prefix first.
+    :ivar tenants_by_key: tenant by API key; empty when callers need no key.
+    :ivar isolated_tenants: names in order; part of the salt of shared cache.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    cache_stores: tuple[CacheStore, ...]
+    tenants_by_key: dict[str, Tenant]
+    keys_required: bool
+    isolated_tenants: tuple[str, ...]
+    limits: CallerLimits
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of the longest prefix, or ``None``."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+class WorkerState(enum.Enum):
+    """Whether a worker takes new requests."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True)
+class WorkerInfo:
+    """One incarnation of a worker, as it told the registry.
+
+    :ivar weights: version of each model's weights.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: WorkerState
+    capacity: int
+    weights: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class NamedWeights:
+    """The operator wants this version of a model's weights."""
+
+    model: str
+    version: int
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """One part of a prompt: an id shared between requests, and its tokens."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class RequestMetadata:
+    """What a caller told about a request beside its method, target and body.
+
+    :ivar deadline_seconds: how long the caller waits; ``None`` when not told.
+    :ivar api_key: the caller's key; ``None`` without one.
+    :ivar last_event_id: the event after which a stream goes on.
+    """
+
+    request_id: str
+    deadline_seconds: float | None
+    api_key: str | None
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    prompt: tuple[PromptPart, ...]
+    last_event_id: int | None
+
+
+Headers = list[tuple[bytes, bytes]]
+"""Header names as they were sent, and values."""
+
+
+@dataclass(frozen=True)
+class ForwardedRequest:
+    """One caller's attempt, whole, as it was received.
+
+    :ivar target: path and query, unchanged.
+    :ivar arrived: on the steady clock, when the head had been read.
+    """
+
+    method: str
+    target: bytes
+    host: str
+    headers: Headers
+    body: bytes
+    metadata: RequestMetadata
+    arrived: float
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.decode("latin-1").partition("?")[0]
+
+
+@dataclass(frozen=True)
+class CachePlan:
+    """Where a worker looks for kept KV cache, and under which salt."""
+
+    salt: str
+    fetch_from: str = ""
+    save_to: str = ""
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """What a node adds to a request for one worker.
+
+    :ivar remaining_seconds: time left of the request's deadline.
+    :ivar weights_version: precondition on the worker's weights; ``None`` for none.
+    """
+
+    worker: WorkerInfo
+    remaining_seconds: float
+    priority: int | None
+    tenant: str | None
+    weights_version: int | None
+    cache: CachePlan | None
+    last_event_id: int | None
+
+
+@dataclass(frozen=True)
+class AnswerMetadata:
+    """What a worker's answer tells beside its status and body.
+
+    :ivar not_executed: the worker proves that it did not run the request.
+    :ivar keep_alive_seconds: how long the worker keeps an idle connection.
+    """
+
+    request_id: str | None
+    signed: bool
+    not_executed: bool
+    instance: str | None
+    weights_version: int | None
+    keep_alive_seconds: float | None
+    closes: bool
--- /dev/null
+++ b/src/wheelslip/forwarding/node.py
@@ -0,0 +1,190 @@
+"""One forwarding node: wiring, tasks, reload and planned stop."""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import time
+from collections.abc import Callable, Coroutine
+
+from wheelslip.events import LogEvent, configure_logging, log_event
+from wheelslip.forwarding.forwarder import Forwarder
+from wheelslip.forwarding.holder import HolderLease
+from wheelslip.forwarding.interface import (
+    KeyValueStore,
+    RegistryDialect,
+    RequestDialect,
+    WorkerControl,
+)
+from wheelslip.forwarding.placement import WorkerPlacement
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.registry_sync import RegistrySync
+from wheelslip.forwarding.rollout import ROLLOUT_KEY, WeightsRollout, apply_record
+from wheelslip.forwarding.server import READY_AGE_SHARE, CallerServer, ReadinessServer
+from wheelslip.forwarding.settings import (
+    BoundsSection,
+    ForwardingSettings,
+    load_forwarding_settings,
+    parse_address,
+)
+from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.settings import SettingsError
+
+LAME_DUCK_SECONDS = 2.6
+"""Time between failing readiness and closing: two questions a second apart must miss."""
+
+STOP_MARGIN_SECONDS = 0.4
+STOP_POLL_SECONDS = 0.05
+SETTINGS_POLL_SECONDS = 1.0
+TASK_RESTART_SECONDS = 0.2
+
+
+class ForwardingNode:
+    """All roles of one machine, in one process.
+
+    :param settings_path: a TOML file, read again when it changes and on SIGHUP.
+    :param make_store: builds the store client from a function that gives its address.
+    """
+
+    def __init__(
+        self,
+        settings_path: str,
+        requests: RequestDialect,
+        documents: RegistryDialect,
+        make_store: Callable[[Callable[[], str]], KeyValueStore],
+        control: WorkerControl,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._path = settings_path
+        self._settings = load_forwarding_settings(settings_path)
+        self._settings_stamp = _stamp(settings_path)
+        self._clock = clock
+        random_source = random.Random()
+        store = make_store(lambda: self._settings.store.address)
+        self._registry = Registry(documents, self.bounds, clock)
+        zone = self._settings.node.zone
+        self._placement = WorkerPlacement(self._registry, zone, clock, random_source)
+        self._pool = WorkerPool(clock)
+        self._registry.on_worker_gone = self._forget_worker
+        self._registry.on_own_entry = self._take_own_entry
+        self._sync = RegistrySync(store, self._registry, clock, random_source)
+        self._forwarder = Forwarder(
+            requests, self._registry, self._placement, self._pool, self.bounds, clock
+        )
+        self._lease = HolderLease(
+            store,
+            self._registry,
+            self._settings.node.name,
+            self.bounds,
+            lambda: self._settings.store.min_lease_ms / 1000,
+            clock,
+            random_source,
+        )
+        self._rollout = WeightsRollout(
+            store, control, self._registry, self._placement, self._lease, self.bounds, clock
+        )
+        self._callers = CallerServer(self._forwarder, self._registry, clock)
+        self._readiness = ReadinessServer(self.is_ready, clock)
+        self._tasks: list[asyncio.Task] = []
+        self._stop_requested = asyncio.Event()
+
+    @property
+    def settings(self) -> ForwardingSettings:
+        """The settings in force."""
+        return self._settings
+
+    def bounds(self) -> BoundsSection:
+        """Return the bounds in force."""
+        return self._settings.bounds
+
+    def is_ready(self) -> bool:
+        """Whether this node wants new connections."""
+        oldest = READY_AGE_SHARE * self.bounds().key_revocation_ms / 1000
+        known = self._registry.configuration is not None
+        return known and self._registry.age() < oldest and not self._callers.stopping
+
+    def _forget_worker(self, worker_id: str) -> None:
+        self._pool.forget(worker_id)
+        self._placement.forget(worker_id)
+
+    def _take_own_entry(self, key: str) -> None:
+        if key == ROLLOUT_KEY:
+            apply_record(self._registry)
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        node = self._settings.node
+        configure_logging(node.name, node.zone)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._readiness.listen(*parse_address(node.readiness))
+        await self._callers.listen(*parse_address(node.callers))
+        for name, work in (
+            ("registry", self._sync.run),
+            ("lease", self._lease.run),
+            ("rollout", self._rollout.run),
+            ("pool", self._pool.sweep),
+            ("callers", self._callers.sweep),
+            ("settings", self._watch_settings),
+        ):
+            self._tasks.append(loop.create_task(self._keep_running(name, work)))
+        log_event(LogEvent.NODE_STARTED, callers=node.callers, peers="")
+        await self._stop_requested.wait()
+        await self._stop()
+
+    async def _keep_running(self, name: str, work: Callable[[], Coroutine]) -> None:
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:
+                log_event(LogEvent.TASK_FAILED, task=name, reason=repr(error))
+                await asyncio.sleep(TASK_RESTART_SECONDS)
+
+    async def _stop(self) -> None:
+        began = self._clock()
+        give_up_at = began + self.bounds().stop_grace_seconds - STOP_MARGIN_SECONDS
+        log_event(LogEvent.NODE_STOP_REQUESTED, running=self._callers.busy)
+        self._callers.stopping = True
+        giving_up = asyncio.get_running_loop().create_task(self._lease.give_up())
+        closes_at = min(began + LAME_DUCK_SECONDS, give_up_at)
+        while self._clock() < closes_at or self._callers.busy:
+            if self._clock() >= give_up_at:
+                log_event(LogEvent.NODE_STOP_CUT, cut=self._callers.busy)
+                break
+            if self._clock() >= closes_at:
+                self._callers.close()
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        self._callers.close()
+        await asyncio.sleep(STOP_POLL_SECONDS)
+        giving_up.cancel()
+        for task in self._tasks:
+            task.cancel()
+        log_event(LogEvent.NODE_STOPPED)
+
+    # Settings
+
+    def _reload(self) -> None:
+        self._settings_stamp = _stamp(self._path)
+        try:
+            self._settings = load_forwarding_settings(self._path)
+        except SettingsError as error:
+            log_event(LogEvent.SETTINGS_REFUSED, reason=str(error))
+            return
+        log_event(LogEvent.SETTINGS_RELOADED)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_SECONDS)
+            if _stamp(self._path) != self._settings_stamp:
+                self._reload()
+
+
+def _stamp(path: str) -> tuple[int, int] | None:
+    with contextlib.suppress(OSError):
+        status = os.stat(path)
+        return status.st_mtime_ns, status.st_size
+    return None
--- /dev/null
+++ b/src/wheelslip/forwarding/placement.py
@@ -0,0 +1,220 @@
+"""Choice of the worker for one request, from loads, holdings and the registry view.
+
+Cost of a worker, in seconds until the first token::
+
+    prompt tokens under way / prefill rate + running * cost of a step
+    + tokens to read / prefill rate + tokens to move / link rate
+
+Nodes agree on a home for each shared prompt by rendezvous hashing, so that a home is likely
+to keep it although this node did not send it there.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wheelslip.forwarding.model import EngineProfile, ForwardedRequest
+from wheelslip.forwarding.registry import Registry, Worker
+from wheelslip.routing import rendezvous
+from wheelslip.routing.holdings import Chain, WorkerHoldings, chain_of
+
+PREFILL_TOKENS_PER_SECOND = 30_000.0
+"""First guess of how fast a worker reads a prompt; only the ratio of costs depends on it."""
+
+RUNNING_SECONDS = 0.004
+"""Cost of each request this node has at a worker."""
+
+HOME_KEEPS_SHARE = 0.9
+"""Part of a shared prompt that its home is believed to keep from other nodes' requests."""
+
+OTHER_ZONE_SECONDS = 0.003
+SUSPECT_SECONDS = 2.0
+"""A worker that could not be reached is avoided this long."""
+
+FAILURE_WEIGHT = 0.3
+FAILURE_COST_SECONDS = 1.0
+"""Cost of a worker that fails all of its requests."""
+
+
+@dataclass
+class WorkerLoad:
+    """What this node has at a worker and how it fared there.
+
+    :ivar prompt_tokens: of requests without a first token yet.
+    :ivar failure: share of failures, exponentially weighted.
+    """
+
+    running: int = 0
+    prompt_tokens: int = 0
+    failure: float = 0.0
+    suspect_until: float = 0.0
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A chosen worker and what the choice rests on."""
+
+    worker: Worker
+    weights_version: int | None = None
+    chain: Chain = ()
+    salt: str = ""
+    read_tokens: int = 0
+    cached_tokens: int = 0
+    home: Worker | None = None
+
+
+class WorkerPlacement:
+    """Chooses workers and keeps what this node knows of each."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        zone: str,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ):
+        self._registry = registry
+        self._zone = zone
+        self._clock = clock
+        self._random = random_source
+        self._loads: dict[str, WorkerLoad] = {}
+        self._holdings: dict[str, WorkerHoldings] = {}
+
+    def load(self, worker_id: str) -> WorkerLoad:
+        """Return the load of a worker, new when there is none."""
+        return self._loads.setdefault(worker_id, WorkerLoad())
+
+    def forget(self, worker_id: str) -> None:
+        """A worker is gone."""
+        self._loads.pop(worker_id, None)
+        self._holdings.pop(worker_id, None)
+
+    def choose(
+        self, request: ForwardedRequest, service: str, wall: str, excluded: frozenset[str]
+    ) -> Placement | None:
+        """Return the best worker now, or ``None`` when no worker may take the request."""
+        candidates = [
+            one for one in self._registry.workers_of(service) if one.info.id not in excluded
+        ]
+        configuration = self._registry.configuration
+        profile = configuration.services.get(service) if configuration else None
+        if profile is None or profile.engine is None:
+            return self._choose_plain(candidates)
+        return self._choose_engine(request, candidates, profile.engine, wall)
+
+    def _choose_plain(self, candidates: list[Worker]) -> Placement | None:
+        candidates = self._without_suspects(candidates)
+        if not candidates:
+            return None
+        return Placement(min(candidates, key=self._plain_cost))
+
+    def _plain_cost(self, worker: Worker) -> tuple[float, float]:
+        load = self.load(worker.info.id)
+        share = (load.running + 1) / max(1, worker.info.capacity)
+        other_zone = worker.info.zone != self._zone
+        return share + 2 * load.failure + 0.05 * other_zone, self._random.random()
+
+    def _without_suspects(self, candidates: list[Worker]) -> list[Worker]:
+        """Leave out workers not reached lately, unless there are no others."""
+        now = self._clock()
+        sound = [one for one in candidates if self.load(one.info.id).suspect_until <= now]
+        return sound or candidates
+
+    def _choose_engine(
+        self,
+        request: ForwardedRequest,
+        candidates: list[Worker],
+        engine: EngineProfile,
+        wall: str,
+    ) -> Placement | None:
+        model = request.metadata.model
+        required = self._registry.required_weights(model)
+        candidates = [one for one in candidates if one.weights.get(model, 0) >= required]
+        loading = self._registry.loading_now()
+        candidates = [one for one in candidates if one.info.id not in loading] or candidates
+        candidates = self._without_suspects(candidates)
+        if not candidates:
+            return None
+        home = self._home(request, candidates)
+        placements = [self._placement(request, one, home, engine, wall) for one in candidates]
+        return min(placements, key=lambda one: self._engine_cost(one, engine))
+
+    def _home(self, request: ForwardedRequest, candidates: list[Worker]) -> Worker | None:
+        parts = request.metadata.prompt
+        if not parts:
+            return None
+        shared = parts[-2] if len(parts) > 1 else parts[-1]
+        by_id = {one.info.id: one for one in candidates}
+        return by_id[rendezvous.owner(shared.id, by_id)]
+
+    def _placement(
+        self,
+        request: ForwardedRequest,
+        worker: Worker,
+        home: Worker | None,
+        engine: EngineProfile,
+        wall: str,
+    ) -> Placement:
+        metadata = request.metadata
+        version = worker.weights.get(metadata.model)
+        salt = f"{metadata.model}:{version}:{wall}"
+        parts = tuple((part.id, part.tokens) for part in metadata.prompt)
+        chain = chain_of(salt, parts)
+        shared_tokens = sum(tokens for _, tokens in chain[:-1])
+        cached = self._holding(worker.info.id, engine).cached_tokens(chain)
+        if worker is home:
+            cached = max(cached, int(HOME_KEEPS_SHARE * shared_tokens))
+        read = max(0, metadata.prompt_tokens - max(cached, shared_tokens))
+        return Placement(worker, version, chain, salt, read, cached, home)
+
+    def _holding(self, worker_id: str, engine: EngineProfile) -> WorkerHoldings:
+        if worker_id not in self._holdings:
+            self._holdings[worker_id] = WorkerHoldings(engine.cache_tokens)
+        return self._holdings[worker_id]
+
+    def _engine_cost(self, placement: Placement, engine: EngineProfile) -> float:
+        worker = placement.worker
+        load = self.load(worker.info.id)
+        shared_tokens = sum(tokens for _, tokens in placement.chain[:-1])
+        moved = max(0, shared_tokens - placement.cached_tokens)
+        cost = (load.prompt_tokens + placement.read_tokens) / PREFILL_TOKENS_PER_SECOND
+        cost += load.running * RUNNING_SECONDS
+        cost += 2 * moved * engine.token_bytes / max(1.0, engine.link_bytes_per_second)
+        cost += FAILURE_COST_SECONDS * load.failure
+        if worker.info.zone != self._zone:
+            cost += OTHER_ZONE_SECONDS
+        if worker is placement.home:
+            cost -= OTHER_ZONE_SECONDS
+        return cost
+
+    # Feedback
+
+    def begin(self, placement: Placement) -> None:
+        """A request is sent to a worker."""
+        load = self.load(placement.worker.info.id)
+        load.running += 1
+        load.prompt_tokens += placement.read_tokens
+
+    def first_token(self, placement: Placement) -> None:
+        """The worker has read the prompt and keeps it."""
+        load = self.load(placement.worker.info.id)
+        load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
+        holdings = self._holdings.get(placement.worker.info.id)
+        if holdings is not None and placement.chain:
+            holdings.record(placement.chain)
+
+    def end(self, placement: Placement, had_first_token: bool) -> None:
+        """A request is no longer at a worker."""
+        load = self.load(placement.worker.info.id)
+        load.running = max(0, load.running - 1)
+        if not had_first_token:
+            load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
+
+    def note_outcome(self, worker_id: str, failed: bool) -> None:
+        """Learn how reliable a worker is."""
+        load = self.load(worker_id)
+        load.failure += FAILURE_WEIGHT * (float(failed) - load.failure)
+
+    def suspect(self, worker_id: str) -> None:
+        """A worker could not be reached."""
+        self.load(worker_id).suspect_until = self._clock() + SUSPECT_SECONDS
--- /dev/null
+++ b/src/wheelslip/forwarding/registry.py
@@ -0,0 +1,293 @@
+"""What this node knows of the deployment: configuration, workers, named weights.
+
+The view is fed by ``registry_sync`` and read by everything else. It never falls back: a key
+is changed only by a higher revision, and the configuration only by a higher version.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wheelslip.events import LogEvent, log_event
+from wheelslip.forwarding.interface import RegistryDialect
+from wheelslip.forwarding.model import (
+    NamedWeights,
+    RoutingConfiguration,
+    WorkerInfo,
+    WorkerState,
+)
+from wheelslip.forwarding.settings import BoundsSection
+
+WEIGHTS_MARGIN_SECONDS = 1.0
+"""Requests stop going to older weights this long before the bound, since a request may wait
+at its worker before it begins."""
+
+DOUBT_HEARTBEATS = 3
+"""A worker whose entry vanished around an outage has this many heartbeats to write it again."""
+
+LOADING_RECORD_SECONDS = 6.0
+"""A record of loading workers is void after this: its holder may have died."""
+
+
+@dataclass
+class Worker:
+    """One worker and what this node learned of it beyond its entry.
+
+    :ivar weights: as its entry, its answers and the rollout told, the highest of each.
+    :ivar doubtful_until: the entry vanished around an outage; set while it may return.
+    :ivar replaced: another process answered at its address.
+    """
+
+    info: WorkerInfo
+    weights: dict[str, int]
+    doubtful_until: float | None = None
+    replaced: bool = False
+
+
+@dataclass
+class _Named:
+    version: int
+    since: float
+
+
+class Registry:
+    """The view of one node.
+
+    :param clock: steady clock in seconds.
+    """
+
+    def __init__(
+        self,
+        dialect: RegistryDialect,
+        bounds: Callable[[], BoundsSection],
+        clock: Callable[[], float],
+    ):
+        self._dialect = dialect
+        self._bounds = bounds
+        self._clock = clock
+        self._started = clock()
+        self._revisions: dict[str, int] = {}
+        self._own: dict[str, tuple[bytes, int]] = {}
+        self._named: dict[str, list[_Named]] = {}
+        self._confirmed_at: float | None = None
+        self._trouble_until = clock()
+        self._changed = asyncio.Event()
+        self.configuration: RoutingConfiguration | None = None
+        self.workers: dict[str, Worker] = {}
+        self.loading: frozenset[str] = frozenset()
+        self.loading_since = clock()
+        self.on_own_entry: Callable[[str], None] = lambda key: None
+        self.on_worker_gone: Callable[[str], None] = lambda worker_id: None
+
+    # Freshness
+
+    def confirm(self, sent_at: float) -> None:
+        """The store answered a call that was sent at ``sent_at``: the view was current then."""
+        self._confirmed_at = max(sent_at, self._confirmed_at or sent_at)
+
+    def note_trouble(self) -> None:
+        """The store did not answer as it should just now."""
+        self._trouble_until = self._clock()
+
+    def age(self) -> float:
+        """Return the seconds since the view was last confirmed; infinite before the first."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return self._clock() - self._confirmed_at
+
+    def recently_troubled(self) -> bool:
+        """Whether the store had trouble within the contact time."""
+        return self._clock() - self._trouble_until < self._bounds().contact_ms / 1000
+
+    # Changes
+
+    async def changed(self) -> None:
+        """Wait for the next change of the view."""
+        await self._changed.wait()
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake those that wait for a change."""
+        self._announce()
+
+    def apply(self, key: str, value: bytes | None, revision: int) -> None:
+        """Take one change of the store; older ones than known are passed over."""
+        if revision <= self._revisions.get(key, 0):
+            return
+        self._revisions[key] = revision
+        if value is None:
+            self._remove(key)
+        else:
+            self._put(key, value, revision)
+        self._announce()
+
+    def replace_all(self, entries: dict[str, tuple[bytes, int]], at: int) -> None:
+        """Take a whole listing: what is not in it is gone as of revision ``at``."""
+        for key in list(self._revisions):
+            if key not in entries and self._is_present(key):
+                self.apply(key, None, max(at, self._revisions[key] + 1))
+        for key, (value, revision) in entries.items():
+            self.apply(key, value, revision)
+
+    def _is_present(self, key: str) -> bool:
+        worker_id = self._dialect.worker_id(key)
+        return key in self._own or (worker_id is not None and worker_id in self.workers)
+
+    def _put(self, key: str, value: bytes, revision: int) -> None:
+        try:
+            document = self._dialect.decode(key, value)
+        except ValueError as error:
+            log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason=str(error))
+            return
+        if isinstance(document, RoutingConfiguration):
+            self._take_configuration(document)
+        elif isinstance(document, WorkerInfo):
+            self._take_worker(document)
+        elif isinstance(document, NamedWeights):
+            self._take_named(document)
+        else:
+            self._own[key] = (value, revision)
+            self.on_own_entry(key)
+
+    def _take_configuration(self, document: RoutingConfiguration) -> None:
+        current = self.configuration
+        if current is not None and document.version <= current.version:
+            return
+        self.configuration = document
+        log_event(LogEvent.CONFIGURATION_IN_FORCE, revision=document.version)
+
+    def _take_worker(self, info: WorkerInfo) -> None:
+        known = self.workers.get(info.id)
+        if known is None:
+            self.workers[info.id] = Worker(info, dict(info.weights))
+            log_event(LogEvent.ENGINE_UP, engine=info.id, incarnation=info.id, zone=info.zone)
+            return
+        if info.state is WorkerState.DRAINING and known.info.state is WorkerState.READY:
+            log_event(LogEvent.ENGINE_LEAVING, engine=info.id, incarnation=info.id, zone=info.zone)
+        known.info = info
+        known.doubtful_until = None
+        for model, version in info.weights.items():
+            known.weights[model] = max(version, known.weights.get(model, 0))
+
+    def _take_named(self, named: NamedWeights) -> None:
+        versions = self._named.setdefault(named.model, [])
+        if not versions or named.version > versions[-1].version:
+            versions.append(_Named(named.version, self._clock()))
+
+    def _remove(self, key: str) -> None:
+        self._own.pop(key, None)
+        worker_id = self._dialect.worker_id(key)
+        worker = self.workers.get(worker_id) if worker_id else None
+        if worker is None:
+            return
+        if self.recently_troubled() and worker.info.state is WorkerState.READY:
+            # An entry that vanishes around an outage is no proof that its worker is gone.
+            heartbeats = DOUBT_HEARTBEATS * self._bounds().heartbeat_ms / 1000
+            worker.doubtful_until = self._clock() + heartbeats
+            return
+        self._drop_worker(worker_id)
+
+    def expire_doubtful(self) -> None:
+        """Drop workers that did not come back although the store has been well."""
+        for worker_id, worker in list(self.workers.items()):
+            until = worker.doubtful_until
+            if until is None:
+                continue
+            if self.recently_troubled():
+                worker.doubtful_until = max(
+                    until, self._clock() + self._bounds().heartbeat_ms / 1000
+                )
+            elif self._clock() >= until:
+                self._drop_worker(worker_id)
+                self._announce()
+
+    def _drop_worker(self, worker_id: str) -> None:
+        worker = self.workers.pop(worker_id)
+        log_event(
+            LogEvent.ENGINE_DOWN, engine=worker_id, incarnation=worker_id, zone=worker.info.zone
+        )
+        self.on_worker_gone(worker_id)
+
+    # Reading
+
+    def own_entry(self, key: str) -> tuple[bytes, int] | None:
+        """Return value and revision of one of the system's own keys."""
+        return self._own.get(key)
+
+    def workers_of(self, service: str) -> list[Worker]:
+        """Return the workers of a service that take new requests."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.info.service == service
+            and worker.info.state is WorkerState.READY
+            and not worker.replaced
+        ]
+
+    def takes_orders(self, worker: Worker) -> bool:
+        """Whether a worker is worth an order: it serves and is not known to be gone."""
+        ready = worker.info.state is WorkerState.READY
+        return ready and not worker.replaced and worker.doubtful_until is None
+
+    # Weights
+
+    def loading_now(self) -> frozenset[str]:
+        """Return the workers that load; a record that has not changed for long is void."""
+        if self._clock() - self.loading_since > LOADING_RECORD_SECONDS:
+            return frozenset()
+        return self.loading
+
+    def take_rollout(self, loading: frozenset[str], weights: dict[str, dict[str, int]]) -> None:
+        """Take what the holder of the rollout tells: who loads, and versions it has seen."""
+        self.loading = loading
+        self.loading_since = self._clock()
+        for worker_id, versions in weights.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                continue
+            for model, version in versions.items():
+                worker.weights[model] = max(version, worker.weights.get(model, 0))
+
+    def note_weights(self, worker_id: str, model: str, version: int) -> None:
+        """A worker said itself which version it has; its word goes before its entry."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.weights.get(model) != version:
+            worker.weights[model] = version
+            self._announce()
+
+    def models(self) -> list[str]:
+        """Return the models for which weights have been named."""
+        return list(self._named)
+
+    def newest_weights(self, model: str) -> int | None:
+        """Return the newest version named for a model."""
+        versions = self._named.get(model)
+        return versions[-1].version if versions else None
+
+    def pending_since(self, model: str, version: int) -> float | None:
+        """Return when the first version above ``version`` was seen named."""
+        for named in self._named.get(model, ()):
+            if named.version > version:
+                return named.since
+        return None
+
+    def required_weights(self, model: str) -> int:
+        """Return the lowest version on which a request may begin now.
+
+        The bound counts stretches without disruption, so it begins anew after trouble with
+        the store; a node that has just started is not judged before the contact time.
+        """
+        bound = self._bounds().weights_deadline_ms / 1000 - WEIGHTS_MARGIN_SECONDS
+        now = self._clock()
+        required = 0
+        for named in self._named.get(model, ()):
+            if named.since - self._started < 1.0:
+                begins = self._started + self._bounds().contact_ms / 1000 - bound
+            else:
+                begins = max(named.since, self._trouble_until)
+            if now >= begins + bound:
+                required = named.version
+        return required
--- /dev/null
+++ b/src/wheelslip/forwarding/rollout.py
@@ -0,0 +1,236 @@
+"""Rollout of named weights by the holder of the lease, and the record that tells all nodes.
+
+The record names the workers that are loading, so that nodes send elsewhere, and the versions
+that the holder has seen there, which it knows before their entries say so. It is a hint:
+every request carries its version as a precondition.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from wheelslip.events import LogEvent, log_event
+from wheelslip.forwarding.holder import HOLDER_KEY, HolderLease
+from wheelslip.forwarding.interface import (
+    KeyValueStore,
+    WeightsOrder,
+    WorkerControl,
+    WorkerUnreachable,
+)
+from wheelslip.forwarding.placement import WorkerPlacement
+from wheelslip.forwarding.registry import Registry, Worker
+from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
+from wheelslip.weights.schedule import INITIAL_LOAD_SECONDS, WorkerWeights, next_loads
+
+ROLLOUT_KEY = "wheelslip/rollout"
+STEP_SECONDS = 0.1
+REPORT_SECONDS = 0.25
+"""Pause between reports of a worker that loads; reports are some hundred ms old."""
+
+REPEAT_ORDER_SECONDS = 2.5
+"""An order that shows no effect for this long is given again, with the same expected
+sequence: whichever is carried out first makes the other void."""
+
+UNREACHABLE_PAUSE_SECONDS = 1.0
+LOAD_SMOOTHING = 0.3
+
+_ACCEPTED = (200, 202)
+_UNDER_WAY = 409
+_LOWER_TOKEN = 412
+
+
+class RolloutRecord(msgspec.Struct):
+    """What the holder tells all nodes.
+
+    :ivar loading: worker ids that are out of service for loading.
+    :ivar weights: version of each model by worker id.
+    """
+
+    loading: list[str] = []
+    weights: dict[str, dict[str, int]] = {}
+
+
+def apply_record(registry: Registry) -> None:
+    """Take the record in the store into the registry view."""
+    entry = registry.own_entry(ROLLOUT_KEY)
+    if entry is None:
+        return
+    try:
+        record = msgspec.json.decode(entry[0], type=RolloutRecord)
+    except msgspec.MsgspecError as error:
+        log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=ROLLOUT_KEY, reason=str(error))
+        return
+    registry.take_rollout(frozenset(record.loading), record.weights)
+
+
+@dataclass
+class _Load:
+    worker: Worker
+    model: str
+    version: int
+    began: float
+    ordered_at: float = 0.0
+    expected_sequence: int | None = None
+
+
+class WeightsRollout:
+    """The task that orders workers while this node holds the lease."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        control: WorkerControl,
+        registry: Registry,
+        placement: WorkerPlacement,
+        lease: HolderLease,
+        bounds: Callable[[], BoundsSection],
+        clock: Callable[[], float],
+    ):
+        self._store = store
+        self._control = control
+        self._registry = registry
+        self._placement = placement
+        self._lease = lease
+        self._bounds = bounds
+        self._clock = clock
+        self._loads: dict[str, _Load] = {}
+        self._paused_until: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._load_seconds = INITIAL_LOAD_SECONDS
+        self._published: RolloutRecord | None = None
+
+    async def run(self) -> None:
+        """Reconcile for ever; each step looks only at what is known now."""
+        while True:
+            await asyncio.sleep(STEP_SECONDS)
+            try:
+                await self._step()
+            except KeyValueError as error:
+                log_event(LogEvent.LEASE_CALL_FAILED, reason=str(error))
+
+    async def _step(self) -> None:
+        if self._lease.fencing_token() is None:
+            self._published = None
+            return
+        started = []
+        for model in self._registry.models():
+            started += self._start_loads(model)
+        await self._publish()
+        for load in started:
+            task = asyncio.get_running_loop().create_task(self._carry_out(load))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _start_loads(self, model: str) -> list[_Load]:
+        newest = self._registry.newest_weights(model)
+        workers = self._workers(model)
+        states = [self._state(one, model) for one in workers]
+        by_id = {one.info.id: one for one in workers}
+        now = self._clock()
+        started = []
+        for worker_id in next_loads(states, now, self._load_seconds):
+            if self._paused_until.get(worker_id, 0.0) > now:
+                continue
+            load = _Load(by_id[worker_id], model, newest, now)
+            self._loads[worker_id] = load
+            started.append(load)
+        return started
+
+    def _workers(self, model: str) -> list[Worker]:
+        return [
+            one
+            for one in self._registry.workers.values()
+            if model in one.weights and self._registry.takes_orders(one)
+        ]
+
+    def _state(self, worker: Worker, model: str) -> WorkerWeights:
+        version = worker.weights[model]
+        since = self._registry.pending_since(model, version)
+        due = None
+        if since is not None:
+            due = since + self._bounds().weights_deadline_ms / 1000
+        worker_id = worker.info.id
+        running = self._placement.load(worker_id).running
+        return WorkerWeights(worker_id, version, due, worker_id in self._loads, running)
+
+    async def _publish(self) -> None:
+        token = self._lease.fencing_token()
+        record = self._record()
+        if token is None or record == self._published:
+            return
+        put = Put(ROLLOUT_KEY, msgspec.json.encode(record))
+        await self._store.transact(Transaction({HOLDER_KEY: token}, (put,)))
+        self._published = record
+
+    def _record(self) -> RolloutRecord:
+        weights = {
+            worker.info.id: {
+                model: worker.weights[model]
+                for model in self._registry.models()
+                if model in worker.weights
+            }
+            for worker in self._registry.workers.values()
+        }
+        weights = {worker_id: models for worker_id, models in weights.items() if models}
+        return RolloutRecord(sorted(self._loads), weights)
+
+    async def _carry_out(self, load: _Load) -> None:
+        worker_id = load.worker.info.id
+        try:
+            while not await self._load_step(load):
+                await asyncio.sleep(REPORT_SECONDS)
+        except WorkerUnreachable as error:
+            self._paused_until[worker_id] = self._clock() + UNREACHABLE_PAUSE_SECONDS
+            log_event(LogEvent.ORDER_REFUSED, engine=worker_id, reason=str(error))
+        finally:
+            self._loads.pop(worker_id, None)
+
+    async def _load_step(self, load: _Load) -> bool:
+        """Look at a worker and order it if that shows need; return whether it is done.
+
+        :raises WorkerUnreachable: when the worker gives no report.
+        """
+        report = await self._control.report(load.worker.info)
+        version = report.weights.get(load.model, 0)
+        if version >= load.version and not report.busy:
+            self._finish(load, version)
+            return True
+        if load.worker.info.id not in self._registry.workers:
+            return True
+        now = self._clock()
+        waiting = load.ordered_at and now - load.ordered_at < REPEAT_ORDER_SECONDS
+        if report.busy or waiting:
+            return False
+        token = self._lease.fencing_token()
+        if token is None:
+            return True
+        load.ordered_at = now
+        return await self._order(load, report.sequence, token)
+
+    async def _order(self, load: _Load, sequence: int, token: int) -> bool:
+        worker = load.worker.info
+        order = WeightsOrder(
+            worker, load.model, load.version, self._lease.identity, token, sequence
+        )
+        fields = {"engine": worker.id, "order": f"{load.model} {load.version}"}
+        fields |= {"fencing_token": token, "sequence": sequence}
+        try:
+            status = await self._control.order_weights(order)
+        except WorkerUnreachable as error:
+            # It may have been taken; the worker's next report tells.
+            log_event(LogEvent.ORDER_REFUSED, reason=str(error), **fields)
+            return False
+        event = LogEvent.ORDER_GIVEN if status in _ACCEPTED else LogEvent.ORDER_REFUSED
+        log_event(event, reason=f"status {status}", **fields)
+        if status == _UNDER_WAY:
+            load.ordered_at = 0.0
+        return status not in (*_ACCEPTED, _UNDER_WAY)
+
+    def _finish(self, load: _Load, version: int) -> None:
+        if load.ordered_at:
+            took = self._clock() - load.began
+            self._load_seconds += LOAD_SMOOTHING * (took - self._load_seconds)
+        self._registry.note_weights(load.worker.info.id, load.model, version)
--- /dev/null
+++ b/src/wheelslip/forwarding/server.py
@@ -0,0 +1,103 @@
+"""The addresses that callers and the platform's front connect to, and the planned stop."""
+
+import asyncio
+from collections.abc import Callable
+
+from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
+from wheelslip.forwarding.forwarder import Forwarder
+from wheelslip.forwarding.model import CallerLimits
+from wheelslip.forwarding.registry import Registry
+
+BACKLOG = 512
+SWEEP_SECONDS = 1.0
+READY_AGE_SHARE = 0.55
+"""A node is ready while its view is younger than this share of the key revocation bound."""
+
+
+class CallerServer:
+    """Accepts callers' connections and hands their requests to the forwarder."""
+
+    def __init__(self, forwarder: Forwarder, registry: Registry, clock: Callable[[], float]):
+        self.clock = clock
+        self.stopping = False
+        self._forwarder = forwarder
+        self._registry = registry
+        self._connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        configuration = self._registry.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Count a connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Forget a connection."""
+        self._connections.discard(connection)
+
+    async def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Answer a request."""
+        await self._forwarder.handle(request, connection)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), host, port, backlog=BACKLOG
+        )
+
+    @property
+    def busy(self) -> int:
+        """Requests that are being answered."""
+        return sum(one.busy for one in self._connections)
+
+    async def sweep(self) -> None:
+        """Close connections that rest or dawdle too long, for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = self.clock()
+            for connection in list(self._connections):
+                connection.check_timeouts(now)
+
+    def close_idle(self) -> None:
+        """Close connections between requests."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def close(self) -> None:
+        """Accept nothing more and close all idle connections."""
+        if self._server is not None:
+            self._server.close()
+        self.close_idle()
+
+
+class ReadinessServer:
+    """Answers whether this node wants new connections: 200 or 503 on any path."""
+
+    def __init__(self, is_ready: Callable[[], bool], clock: Callable[[], float]):
+        self.clock = clock
+        self.stopping = False
+        self._is_ready = is_ready
+
+    def limits(self) -> CallerLimits:
+        """Return fixed limits."""
+        return CallerLimits()
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Nothing is counted here."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Nothing is counted here."""
+
+    async def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Answer a readiness question."""
+        connection.start(200 if self._is_ready() else 503, [(b"Content-Length", b"0")])
+        connection.end()
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to accept questions."""
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: CallerConnection(self), host, port)
--- /dev/null
+++ b/src/wheelslip/forwarding/settings.py
@@ -0,0 +1,107 @@
+"""Checked settings of a forwarding node: one TOML file, read again on reload."""
+
+import pathlib
+import tomllib
+
+import msgspec
+
+from wheelslip.settings import (
+    Address,
+    NonEmptyText,
+    PositiveFloat,
+    PositiveInt,
+    SettingsError,
+    check_address,
+    key_and_reason,
+)
+
+
+class NodeSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Who this node is and where it listens.
+
+    ``metrics`` is optional: without it no metrics are served.
+    """
+
+    name: NonEmptyText
+    zone: NonEmptyText
+    callers: str
+    readiness: str
+    metrics: str = ""
+
+
+class StoreSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The key-value service that holds configuration, workers and leases."""
+
+    address: str
+    min_lease_ms: PositiveInt = 1000
+
+
+class LimitsSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Bounds of the machine."""
+
+    memory_megabytes: PositiveInt = 300
+    max_descriptors: PositiveInt = 1024
+
+
+class BoundsSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Bounds in time and number that the deployment promises its users.
+
+    :ivar contact_ms: a disruption counts until this long after its end.
+    :ivar worker_drain_ms: a leaving worker gets nothing new after this.
+    :ivar stop_grace_seconds: time from SIGTERM to SIGKILL.
+    :ivar key_revocation_ms: a revoked key must not be served later than this.
+    :ivar retry_ratio: retries of all nodes together, as a share of requests.
+    :ivar retry_window_seconds: the window over which ``retry_ratio`` is counted.
+    :ivar holder_lease_ms: two holders must not give orders within this of each other.
+    :ivar thaw_slack_ms: orders delayed by less than this are excused.
+    :ivar weights_deadline_ms: no request begins on older weights later than this.
+    :ivar heartbeat_ms: how often a worker renews its entry.
+    """
+
+    contact_ms: PositiveInt = 3000
+    worker_drain_ms: PositiveInt = 2000
+    stop_grace_seconds: PositiveFloat = 8.0
+    key_revocation_ms: PositiveInt = 5000
+    retry_ratio: PositiveFloat = 0.2
+    retry_window_seconds: PositiveFloat = 10.0
+    holder_lease_ms: PositiveInt = 3000
+    thaw_slack_ms: PositiveInt = 300
+    weights_deadline_ms: PositiveInt = 8000
+    heartbeat_ms: PositiveInt = 1200
+
+
+class ForwardingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """All settings of a forwarding node."""
+
+    node: NodeSection
+    store: StoreSection
+    limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
+    bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
+
+
+def load_forwarding_settings(path: str) -> ForwardingSettings:
+    """Read and check a settings file.
+
+    :raises SettingsError: naming file, key and reason.
+    """
+    try:
+        text = pathlib.Path(path).read_text()
+        settings = msgspec.convert(tomllib.loads(text), ForwardingSettings)
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: is not TOML: {error}") from error
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {key_and_reason(error)}") from error
+    check_address(path, "node.callers", settings.node.callers)
+    check_address(path, "node.readiness", settings.node.readiness)
+    if settings.node.metrics:
+        check_address(path, "node.metrics", settings.node.metrics)
+    check_address(path, "store.address", settings.store.address)
+    return settings
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return the host and port of a checked address."""
+    address = Address.parse(text)
+    return address.host, address.port
--- a/src/wheelslip/keyvalue/claims.py
+++ b/src/wheelslip/keyvalue/claims.py
@@ -15,8 +15,8 @@
 import msgspec
 
 from wheelslip.events import LogEvent, log_event
-from wheelslip.keyvalue.client import (
-    KeyValueClient,
+from wheelslip.keyvalue.client import KeyValueClient
+from wheelslip.keyvalue.model import (
     KeyValueError,
     KeyValueOutcomeUnknown,
     KeyValueUnavailable,
--- a/src/wheelslip/keyvalue/lease.py
+++ b/src/wheelslip/keyvalue/lease.py
@@ -2,12 +2,8 @@
 
 import time
 
-from wheelslip.keyvalue.client import (
-    KeyValueClient,
-    KeyValueError,
-    Put,
-    Transaction,
-)
+from wheelslip.keyvalue.client import KeyValueClient
+from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
 
 LEASE_PREFIX = "/wheelslip/leases/"
 
--- a/src/wheelslip/operators/api.py
+++ b/src/wheelslip/operators/api.py
@@ -18,7 +18,7 @@
     error_response,
     json_response,
 )
-from wheelslip.keyvalue.client import KeyValueError
+from wheelslip.keyvalue.model import KeyValueError
 from wheelslip.operators.configuration import ConfigurationState, check_objects
 from wheelslip.operators.declarations import ObjectKey
 from wheelslip.operators.store import ConfigurationStore, WriteOutcome
--- a/src/wheelslip/operators/store.py
+++ b/src/wheelslip/operators/store.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from wheelslip.events import LogEvent, log_event
-from wheelslip.keyvalue.client import (
+from wheelslip.keyvalue.client import KeyValueClient
+from wheelslip.keyvalue.model import (
     Delete,
-    KeyValueClient,
     KeyValueOutcomeUnknown,
     KeyValueUnavailable,
     Put,
--- a/src/wheelslip/operators/task.py
+++ b/src/wheelslip/operators/task.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from wheelslip.events import LogEvent, log_event
-from wheelslip.keyvalue.client import KeyValueError
+from wheelslip.keyvalue.model import KeyValueError
 from wheelslip.operators.configuration import (
     NO_REVISION,
     Configuration,
--- /dev/null
+++ b/src/wheelslip/platform/registry.py
@@ -0,0 +1,210 @@
+"""Keys and documents of the platform's store (PROTOCOL, "Service discovery", "The operator's
+API") and their translation to the product's records."""
+
+import msgspec
+
+from wheelslip.forwarding.model import (
+    CacheStore,
+    CallerLimits,
+    EngineProfile,
+    NamedWeights,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    Service,
+    SplitPart,
+    Tenant,
+    WorkerInfo,
+    WorkerState,
+)
+
+CONFIGURATION_KEY = "op/config"
+WEIGHTS_PREFIX = "op/version/"
+WORKER_PREFIX = "servers/"
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    name: str = ""
+    timeout_ms: float = 60_000
+    target_latency_ms: float = 1000
+    priority: int = 5
+    service: str = ""
+    split: list[_Part] = []
+    max_attempts: int = 1
+    public: bool = False
+    session_affinity: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    capacity: int = 1
+    kv_capacity: int = 100_000
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 1000
+    backend_engine: _Engine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+    link_mbps: float = 0.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 60_000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _ModelWeights(msgspec.Struct):
+    name: str
+    version: int = 1
+
+
+class _Worker(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    capacity: int = 1
+    state: str = "ready"
+    model_ids: list[_ModelWeights] = []
+
+
+class _NamedVersion(msgspec.Struct):
+    model_id: str
+    version: int
+
+
+class PlatformRegistry:
+    """The dialect of the store's keys and documents."""
+
+    def worker_id(self, key: str) -> str | None:
+        """Return the worker that a key stands for."""
+        return key.removeprefix(WORKER_PREFIX) if key.startswith(WORKER_PREFIX) else None
+
+    def decode(
+        self, key: str, value: bytes
+    ) -> RoutingConfiguration | WorkerInfo | NamedWeights | None:
+        """Return the typed content of one key.
+
+        :raises ValueError: when the document cannot be read.
+        """
+        try:
+            if key == CONFIGURATION_KEY:
+                return _configuration(msgspec.json.decode(value, type=_Configuration))
+            if key.startswith(WEIGHTS_PREFIX):
+                named = msgspec.json.decode(value, type=_NamedVersion)
+                return NamedWeights(named.model_id, named.version)
+            if key.startswith(WORKER_PREFIX):
+                document = msgspec.json.decode(value, type=_Worker)
+                return _worker(key.removeprefix(WORKER_PREFIX), document)
+        except (msgspec.MsgspecError, KeyError) as error:
+            raise ValueError(f"{key}: {error}") from error
+        return None
+
+
+def _worker(worker_id: str, document: _Worker) -> WorkerInfo:
+    return WorkerInfo(
+        id=worker_id,
+        service=document.service,
+        address=document.address,
+        zone=document.zone,
+        state=WorkerState.READY if document.state == "ready" else WorkerState.DRAINING,
+        capacity=document.capacity,
+        weights={one.name: one.version for one in document.model_ids},
+    )
+
+
+def _configuration(document: _Configuration) -> RoutingConfiguration:
+    by_host: dict[str, list[Route]] = {}
+    for one in document.routes:
+        by_host.setdefault(one.host.lower(), []).append(_route(one))
+    for routes in by_host.values():
+        routes.sort(key=lambda route: -len(route.path_prefix))
+    tenants = {
+        key: Tenant(one.name, one.priority, one.isolated)
+        for one in document.tenants
+        for key in one.api_keys
+    }
+    return RoutingConfiguration(
+        version=document.version,
+        routes={host: tuple(routes) for host, routes in by_host.items()},
+        services={one.name: _service(one) for one in document.services},
+        cache_stores=tuple(_store(one) for one in document.services if one.kv_store_addr),
+        tenants_by_key=tenants,
+        keys_required=bool(document.tenants),
+        isolated_tenants=tuple(sorted(one.name for one in document.tenants if one.isolated)),
+        limits=CallerLimits(
+            max_header_bytes=document.limits.max_header_bytes,
+            max_body_bytes=document.limits.max_body_bytes,
+            header_seconds=document.limits.header_timeout_ms / 1000,
+            idle_seconds=document.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(one: _Route) -> Route:
+    parts = one.split or [_Part(one.service)]
+    return Route(
+        name=one.name,
+        host=one.host,
+        path_prefix=one.path_prefix,
+        kind=_KINDS[one.kind],
+        timeout_seconds=one.timeout_ms / 1000,
+        target_seconds=one.target_latency_ms / 1000,
+        priority=one.priority,
+        split=tuple(SplitPart(part.service, part.weight) for part in parts),
+        max_attempts=one.max_attempts,
+        public=one.public,
+        session_affinity=one.session_affinity,
+        resumable=one.resumable,
+    )
+
+
+def _service(one: _Service) -> Service:
+    engine = one.backend_engine
+    if engine is None:
+        return Service(one.name, one.max_conns)
+    profile = EngineProfile(
+        engine.capacity,
+        engine.kv_capacity,
+        engine.kv_token_bytes,
+        engine.link_mbps * 1e6 / 8,
+    )
+    return Service(one.name, one.max_conns, profile)
+
+
+def _store(one: _Service) -> CacheStore:
+    return CacheStore(one.name, one.kv_store_addr, one.zone, one.link_mbps * 1e6 / 8)
--- /dev/null
+++ b/src/wheelslip/routing/holdings.py
@@ -0,0 +1,49 @@
+"""What each worker is believed to keep of prompts, from this node's own requests.
+
+A hint only: salts and preconditions at the worker decide what may be used.
+"""
+
+from collections import OrderedDict
+
+Chain = tuple[tuple[int, int], ...]
+"""Parts of a prompt in order: (key over all parts so far, tokens of this part)."""
+
+
+def chain_of(salt: str, parts: tuple[tuple[str, int], ...]) -> Chain:
+    """Return the chain of a prompt under a salt.
+
+    :param parts: id and tokens of each part, in order.
+    """
+    key = hash(salt)
+    chain = []
+    for part_id, tokens in parts:
+        key = hash((key, part_id))
+        chain.append((key, tokens))
+    return tuple(chain)
+
+
+class WorkerHoldings:
+    """Least recently used parts of one worker, within its memory."""
+
+    def __init__(self, capacity_tokens: int):
+        self._capacity = capacity_tokens
+        self._parts: OrderedDict[int, int] = OrderedDict()
+        self._tokens = 0
+
+    def record(self, chain: Chain) -> None:
+        """The worker has just read these parts; the last are the first to give way."""
+        for key, tokens in reversed(chain):
+            self._tokens += tokens - self._parts.pop(key, 0)
+            self._parts[key] = tokens
+        while self._tokens > self._capacity and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
+    def cached_tokens(self, chain: Chain) -> int:
+        """Return how many tokens from the beginning are believed kept."""
+        total = 0
+        for key, tokens in chain:
+            if key not in self._parts:
+                break
+            total += tokens
+        return total
--- /dev/null
+++ b/src/wheelslip/routing/split.py
@@ -0,0 +1,23 @@
+"""Smooth weighted round robin over the parts of a route."""
+
+
+class SmoothSplit:
+    """Chooses names so that each gets its share of any run of choices."""
+
+    def __init__(self):
+        self._credit: dict[str, float] = {}
+
+    def choose(self, weights: dict[str, int]) -> str | None:
+        """Return the next name; names of weight 0 are never chosen.
+
+        :param weights: name to weight; a change of names keeps the credit of the others.
+        """
+        weights = {name: weight for name, weight in weights.items() if weight > 0}
+        if not weights:
+            return None
+        self._credit = {name: self._credit.get(name, 0.0) for name in weights}
+        for name, weight in weights.items():
+            self._credit[name] += weight
+        chosen = max(weights, key=lambda name: (self._credit[name], name))
+        self._credit[chosen] -= sum(weights.values())
+        return chosen
--- a/src/wheelslip/settings.py
+++ b/src/wheelslip/settings.py
@@ -116,7 +116,7 @@
     try:
         settings = msgspec.convert(document, Settings)
     except msgspec.ValidationError as error:
-        raise SettingsError(f"{path}: {_key_and_reason(error)}") from error
+        raise SettingsError(f"{path}: {key_and_reason(error)}") from error
     _check_addresses(path, settings)
     return settings
 
@@ -128,7 +128,8 @@
     document[section][key] = value
 
 
-def _key_and_reason(error: msgspec.ValidationError) -> str:
+def key_and_reason(error: msgspec.ValidationError) -> str:
+    """Return the dotted key that failed a check, and why."""
     reason, _, path = str(error).partition(" - at ")
     key = path.strip("`$.") or "(top level)"
     return f"{key}: {reason}"
@@ -136,14 +137,18 @@
 
 def _check_addresses(path: str, settings: Settings) -> None:
     for section, key in _ADDRESS_KEYS:
-        _check_address(path, f"{section}.{key}", getattr(getattr(settings, section), key))
+        check_address(path, f"{section}.{key}", getattr(getattr(settings, section), key))
     if settings.node.advertised:
-        _check_address(path, "node.advertised", settings.node.advertised)
+        check_address(path, "node.advertised", settings.node.advertised)
     for position, seed in enumerate(settings.node.seeds):
-        _check_address(path, f"node.seeds[{position}]", seed)
+        check_address(path, f"node.seeds[{position}]", seed)
 
 
-def _check_address(path: str, key: str, text: str) -> None:
+def check_address(path: str, key: str, text: str) -> None:
+    """Check that a setting is ``IP:PORT``.
+
+    :raises SettingsError: naming file, key and reason.
+    """
     try:
         Address.parse(text)
     except ValueError as error:
