--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import h11
+import xxhash
 
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogEvent, log_event
@@ -132,6 +134,19 @@
             self._give_up(WheelslipError(kind, "deadline reached"), request_id, caller)
         except WheelslipError as error:
             self._give_up(error, request_id, caller)
+        except Exception as error:
+            log_event(LogEvent.REQUEST_FAULT, request=request_id, reason=repr(error))
+            fault = WheelslipError(ErrorKind.INTERNAL_ERROR, "a fault in wheelslip")
+            self._give_up(fault, request_id, caller)
+
+    def refuse(
+        self, error: WheelslipError, received: ReceivedRequest, caller: CallerConnection
+    ) -> None:
+        """Answer a request that is not taken."""
+        request_id = None
+        with contextlib.suppress(ValueError):
+            request_id = self._dialect.decode_request(received.headers).request_id
+        self._give_up(error, request_id, caller)
 
     def _give_up(
         self, error: WheelslipError, request_id: str | None, caller: CallerConnection
@@ -375,8 +390,7 @@
         """Learn weights and identity of a worker from its answer."""
         worker = placement.worker
         if answer.instance is not None and answer.instance != worker.info.id:
-            worker.replaced = True
-            self._registry.notify()
+            self._registry.mark_replaced(worker.info.id)
             return
         if answer.weights_version is not None and job.request.metadata.model:
             self._registry.note_weights(
@@ -564,9 +578,10 @@
 def _wall(configuration: RoutingConfiguration, tenant: Tenant | None) -> str:
     """Return the text that keeps the cached state of isolated tenants apart.
 
-    The shared text names all isolated tenants, so that nothing made while a tenant still
-    shared is used after it has become isolated.
+    The shared text covers the names of all isolated tenants, so that nothing made while a
+    tenant still shared is used after it has become isolated. Names are hashed, since they
+    may hold what no header may.
     """
     if tenant is not None and tenant.isolated:
-        return f"tenant {tenant.name}"
-    return "shared without " + ",".join(configuration.isolated_tenants)
+        return "t" + xxhash.xxh3_64_hexdigest(tenant.name.encode())
+    return "s" + xxhash.xxh3_64_hexdigest("\0".join(configuration.isolated_tenants).encode())
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -156,7 +156,9 @@
                 log_event(LogEvent.NODE_STOP_CUT, cut=self._callers.busy)
                 break
             if self._clock() >= closes_at:
-                self._callers.close()
+                # What comes now might outlast the grace: it is refused as not run.
+                self._callers.refuses_new = True
+                self._callers.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
         self._callers.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -25,6 +25,9 @@
 DOUBT_HEARTBEATS = 3
 """A worker whose entry vanished around an outage has this many heartbeats to write it again."""
 
+TROUBLE_NOTICE_SECONDS = 1.0
+"""Longest time by which this node notices the end of the store's trouble too late."""
+
 LOADING_RECORD_SECONDS = 6.0
 """A record of loading workers is void after this: its holder may have died."""
 
@@ -70,7 +73,7 @@
         self._own: dict[str, tuple[bytes, int]] = {}
         self._named: dict[str, list[_Named]] = {}
         self._confirmed_at: float | None = None
-        self._trouble_until = clock()
+        self._trouble_until = float("-inf")
         self._changed = asyncio.Event()
         self.configuration: RoutingConfiguration | None = None
         self.workers: dict[str, Worker] = {}
@@ -96,8 +99,12 @@
         return self._clock() - self._confirmed_at
 
     def recently_troubled(self) -> bool:
-        """Whether the store had trouble within the contact time."""
-        return self._clock() - self._trouble_until < self._bounds().contact_ms / 1000
+        """Whether the store had trouble of which the deployment still takes account.
+
+        Trouble is noticed later than it ends, so the contact time is shortened.
+        """
+        seconds = self._bounds().contact_ms / 1000 - TROUBLE_NOTICE_SECONDS
+        return self._clock() - self._trouble_until < seconds
 
     # Changes
 
@@ -109,10 +116,6 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def notify(self) -> None:
-        """Wake those that wait for a change."""
-        self._announce()
-
     def apply(self, key: str, value: bytes | None, revision: int) -> None:
         """Take one change of the store; older ones than known are passed over."""
         if revision <= self._revisions.get(key, 0):
@@ -227,6 +230,13 @@
             and not worker.replaced
         ]
 
+    def mark_replaced(self, worker_id: str) -> None:
+        """Another incarnation answered at a worker's address."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.replaced = True
+            self._announce()
+
     def takes_orders(self, worker: Worker) -> bool:
         """Whether a worker is worth an order: it serves and is not known to be gone."""
         ready = worker.info.state is WorkerState.READY
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -39,7 +39,7 @@
 
 _ACCEPTED = (200, 202)
 _UNDER_WAY = 409
-_LOWER_TOKEN = 412
+_OTHER_INCARNATION = 421
 
 
 class RolloutRecord(msgspec.Struct):
@@ -194,6 +194,7 @@
         :raises WorkerUnreachable: when the worker gives no report.
         """
         report = await self._control.report(load.worker.info)
+        load.version = self._registry.newest_weights(load.model) or load.version
         version = report.weights.get(load.model, 0)
         if version >= load.version and not report.busy:
             self._finish(load, version)
@@ -227,6 +228,8 @@
         log_event(event, reason=f"status {status}", **fields)
         if status == _UNDER_WAY:
             load.ordered_at = 0.0
+        if status == _OTHER_INCARNATION:
+            self._registry.mark_replaced(worker.id)
         return status not in (*_ACCEPTED, _UNDER_WAY)
 
     def _finish(self, load: _Load, version: int) -> None:
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.model import CallerLimits
@@ -20,6 +21,7 @@
     def __init__(self, forwarder: Forwarder, registry: Registry, clock: Callable[[], float]):
         self.clock = clock
         self.stopping = False
+        self.refuses_new = False
         self._forwarder = forwarder
         self._registry = registry
         self._connections: set[CallerConnection] = set()
@@ -40,6 +42,10 @@
 
     async def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
         """Answer a request."""
+        if self.refuses_new:
+            error = WheelslipError(ErrorKind.NODE_STOPPING, "the node is stopping", 0.05)
+            self._forwarder.refuse(error, request, connection)
+            return
         await self._forwarder.handle(request, connection)
 
     async def listen(self, host: str, port: int) -> None:
