--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -87,7 +87,6 @@
         self._callers = CallerServer(self._forwarder, self._registry, clock)
         self._readiness = ReadinessServer(self.is_ready, clock)
         self._tasks: list[asyncio.Task] = []
-        self._stop_requested = asyncio.Event()
 
     @property
     def settings(self) -> ForwardingSettings:
@@ -98,6 +97,10 @@
         """Return the bounds in force."""
         return self._settings.bounds
 
+    def known_workers(self) -> set[str]:
+        """Return the ids of the workers in view."""
+        return set(self._registry.workers)
+
     def is_ready(self) -> bool:
         """Whether this node wants new connections."""
         oldest = READY_AGE_SHARE * self.bounds().key_revocation_ms / 1000
@@ -113,13 +116,22 @@
             apply_record(self._registry)
 
     async def run(self) -> None:
-        """Serve until a planned stop is complete."""
+        """Serve until a signal asks for a planned stop and that is complete."""
         node = self._settings.node
         configure_logging(node.name, node.zone)
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        stop_requested = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
+        await stop_requested.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Listen and start all tasks."""
+        node = self._settings.node
+        loop = asyncio.get_running_loop()
         await self._readiness.listen(*parse_address(node.readiness))
         await self._callers.listen(*parse_address(node.callers))
         for name, work in (
@@ -132,8 +144,6 @@
         ):
             self._tasks.append(loop.create_task(self._keep_running(name, work)))
         log_event(LogEvent.NODE_STARTED, callers=node.callers, peers="")
-        await self._stop_requested.wait()
-        await self._stop()
 
     async def _keep_running(self, name: str, work: Callable[[], Coroutine]) -> None:
         while True:
@@ -144,7 +154,8 @@
                 log_event(LogEvent.TASK_FAILED, task=name, reason=repr(error))
                 await asyncio.sleep(TASK_RESTART_SECONDS)
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
+        """Finish what runs, within the grace time, and end."""
         began = self._clock()
         give_up_at = began + self.bounds().stop_grace_seconds - STOP_MARGIN_SECONDS
         log_event(LogEvent.NODE_STOP_REQUESTED, running=self._callers.busy)
@@ -161,6 +172,7 @@
                 self._callers.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
         self._callers.close()
+        self._readiness.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         giving_up.cancel()
         for task in self._tasks:
@@ -169,7 +181,8 @@
 
     # Settings
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
+        """Read the settings again; bad ones leave the old ones in force."""
         self._settings_stamp = _stamp(self._path)
         try:
             self._settings = load_forwarding_settings(self._path)
@@ -182,7 +195,7 @@
         while True:
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
             if _stamp(self._path) != self._settings_stamp:
-                self._reload()
+                self.reload()
 
 
 def _stamp(path: str) -> tuple[int, int] | None:
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -87,6 +87,7 @@
         self.clock = clock
         self.stopping = False
         self._is_ready = is_ready
+        self._server: asyncio.Server | None = None
 
     def limits(self) -> CallerLimits:
         """Return fixed limits."""
@@ -106,4 +107,9 @@
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept questions."""
         loop = asyncio.get_running_loop()
-        await loop.create_server(lambda: CallerConnection(self), host, port)
+        self._server = await loop.create_server(lambda: CallerConnection(self), host, port)
+
+    def close(self) -> None:
+        """Accept nothing more."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,241 @@
+"""Stand-in of a model or plain worker, after the published PROTOCOL page.
+
+It runs one request for a fixed time, streams numbered events, takes orders, and misbehaves
+as told: :class:`WorkerFaults`. What it ran is kept in :attr:`PlatformWorker.runs`.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from standins.asyncio_http import Exchange, StandInRequest, StandInServer
+
+
+@dataclass
+class WorkerFaults:
+    """How a worker misbehaves; all off by default.
+
+    :ivar shed: answer 503 not executed to this many requests.
+    :ivar lose_answer: run this many requests and break the connection off.
+    :ivar break_after: break a stream off in the middle of the event after this id.
+    :ivar surplus_after: send a second answer after a whole one.
+    :ivar foreign_first: send another request's answer before one's own.
+    :ivar unframed: answer without a length and end with the connection.
+    :ivar early_status: answer so before the body was read, and keep the connection.
+    :ivar unsigned: leave the signature out.
+    :ivar ignore_orders: take orders without an answer.
+    :ivar status: answer plain requests so, as the worker's own failure.
+    """
+
+    shed: int = 0
+    lose_answer: int = 0
+    break_after: int | None = None
+    surplus_after: bool = False
+    foreign_first: bool = False
+    unframed: bool = False
+    unsigned: bool = False
+    ignore_orders: int = 0
+    status: int = 200
+
+
+@dataclass
+class Run:
+    """One request that began to run."""
+
+    request_id: str
+    request: StandInRequest
+    version: int
+    closed_early: bool = False
+    ended: bool = False
+
+
+@dataclass
+class PlatformWorker:
+    """One incarnation.
+
+    :ivar seconds: how long a request runs; a stream pauses that long before each event.
+    :ivar load_seconds: how long new weights take.
+    """
+
+    id: str
+    model: str = ""
+    version: int = 1
+    events: int = 4
+    seconds: float = 0.0
+    load_seconds: float = 0.05
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    named_versions: set[int] = field(default_factory=lambda: {1})
+
+    def __post_init__(self):
+        self.server = StandInServer(self._handle)
+        self.runs: list[Run] = []
+        self.orders: list[dict] = []
+        self.sequence = 0
+        self.highest_fence = 0
+        self.busy = False
+        self._loading: set[asyncio.Task] = set()
+
+    def entry(self, service: str, zone: str, state: str = "ready", capacity: int = 8) -> bytes:
+        """Return the worker's entry in the store."""
+        document = {
+            "service": service,
+            "address": self.server.address,
+            "zone": zone,
+            "version": "v1",
+            "capacity": capacity,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": 1,
+        }
+        if self.model:
+            document["model_ids"] = [{"name": self.model, "version": self.version}]
+        return json.dumps(document).encode()
+
+    async def _handle(self, request: StandInRequest, exchange: Exchange) -> None:
+        expected = request.headers.get("wheelslip-expect-instance", self.id)
+        version = request.headers.get("wheelslip-expect-version", str(self.version))
+        if expected != self.id or (self.model and version != str(self.version)):
+            self._answer(exchange, request, 421, b"")
+        elif request.path == "/report":
+            self._report(exchange)
+        elif request.path == "/order":
+            self._order(json.loads(request.body), exchange)
+        elif self.faults.shed or self.busy:
+            self.faults.shed = max(0, self.faults.shed - 1)
+            self._answer(exchange, request, 503, b"", [("Wheelslip-Not-Executed", "1")])
+        else:
+            await self._run(request, exchange)
+
+    async def _run(self, request: StandInRequest, exchange: Exchange) -> None:
+        run = Run(request.headers.get("wheelslip-request-id", ""), request, self.version)
+        self.runs.append(run)
+        if self.faults.lose_answer:
+            self.faults.lose_answer -= 1
+            exchange.reset()
+            return
+        exchange.watch_for_close()
+        if self.model:
+            await self._stream(run, exchange)
+        else:
+            await self._plain(run, exchange)
+        await exchange.stop_watching()
+        run.ended = True
+
+    async def _wait(self, run: Run, exchange: Exchange) -> bool:
+        """Work for a while; return whether the caller is still there."""
+        try:
+            async with asyncio.timeout(self.seconds or 0.001):
+                await exchange.closed.wait()
+        except TimeoutError:
+            return True
+        run.closed_early = True
+        return False
+
+    def _headers(self, request_id: str) -> list[tuple[str, str]]:
+        headers = [("Wheelslip-Request-Id", request_id), ("Keep-Alive", "timeout=5")]
+        if not self.faults.unsigned:
+            headers.append(("Wheelslip-Response-Signature", f"sig-{self.id}-{request_id}"))
+        if self.model:
+            headers.append(("Wheelslip-Weight-Versions", str(self.version)))
+        return headers
+
+    async def _plain(self, run: Run, exchange: Exchange) -> None:
+        if not await self._wait(run, exchange):
+            return
+        body = f"answer of {self.id} to {run.request_id}".encode()
+        if self.faults.foreign_first:
+            foreign = b"not yours"
+            exchange.raw(_raw_answer(200, [*self._headers("another")], foreign))
+        if self.faults.unframed:
+            head = _raw_head(200, self._headers(run.request_id))
+            exchange.raw(head + body)
+            exchange.close()
+            return
+        exchange.answer(self.faults.status, self._headers(run.request_id), body)
+        if self.faults.surplus_after:
+            exchange.raw(_raw_answer(200, self._headers("another"), b"surplus"))
+
+    async def _stream(self, run: Run, exchange: Exchange) -> None:
+        first = int(run.request.headers.get("last-event-id", "0")) + 1
+        headers = [*self._headers(run.request_id), ("Content-Type", "text/event-stream")]
+        exchange.start(200, [*headers, ("Transfer-Encoding", "chunked")])
+        for number in range(first, self.events + 1):
+            if not await self._wait(run, exchange):
+                return
+            if self.faults.break_after is not None and number > self.faults.break_after:
+                exchange.data(f"id: {number}\ndata: t".encode())
+                await asyncio.sleep(0.02)
+                exchange.reset()
+                return
+            exchange.data(f"id: {number}\ndata: token {number}\n\n".encode())
+        exchange.end()
+
+    def _answer(
+        self,
+        exchange: Exchange,
+        request: StandInRequest,
+        status: int,
+        body: bytes,
+        extra: list[tuple[str, str]] | None = None,
+    ) -> None:
+        request_id = request.headers.get("wheelslip-request-id", "")
+        headers = [("Wheelslip-Request-Id", request_id), ("Wheelslip-Instance-Id", self.id)]
+        if self.model:
+            headers.append(("Wheelslip-Weight-Versions", str(self.version)))
+        exchange.answer(status, [*headers, *(extra or [])], body)
+
+    def _report(self, exchange: Exchange) -> None:
+        document = {
+            "phase": "unified",
+            "model_ids": [{"name": self.model, "version": self.version, "lora_adapters": []}],
+            "busy": self.busy,
+            "sequence": self.sequence,
+            "queued": 0,
+            "active": 0,
+            "kv_used": 0,
+            "kv_total": 1,
+            "open_handles": 0,
+        }
+        exchange.answer(200, [("Content-Type", "application/json")], json.dumps(document).encode())
+
+    def _order(self, order: dict, exchange: Exchange) -> None:
+        status = self._take_order(order)
+        if self.faults.ignore_orders:
+            self.faults.ignore_orders -= 1
+            exchange.reset()
+            return
+        exchange.answer(status, [], b"")
+
+    def _take_order(self, order: dict) -> int:
+        if "holder" not in order or "fence" not in order:
+            return 400
+        if order["fence"] < self.highest_fence:
+            return 412
+        self.highest_fence = order["fence"]
+        if self.busy or order.get("expected_rev", self.sequence) != self.sequence:
+            return 409
+        if order["version"] not in self.named_versions:
+            return 400
+        self.orders.append(order)
+        if order["version"] == self.version:
+            return 200
+        self.sequence += 1
+        self.busy = True
+        task = asyncio.get_running_loop().create_task(self._load(order["version"]))
+        self._loading.add(task)
+        task.add_done_callback(self._loading.discard)
+        return 202
+
+    async def _load(self, version: int) -> None:
+        await asyncio.sleep(self.load_seconds)
+        self.version = version
+        self.busy = False
+
+
+def _raw_head(status: int, headers: list[tuple[str, str]]) -> bytes:
+    lines = [f"HTTP/1.1 {status} OK", *[f"{name}: {value}" for name, value in headers]]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _raw_answer(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    return _raw_head(status, [*headers, ("Content-Length", str(len(body)))]) + body
--- /dev/null
+++ b/tests/probe/forwarding/site.py
@@ -0,0 +1,221 @@
+"""A site in one event loop: store and workers as stand-ins, forwarding nodes, callers.
+
+Sockets are real (loopback); configuration and workers are written to the store as operators
+and workers do it.
+"""
+
+import asyncio
+import json
+import pathlib
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from standins.platform_store import PlatformStoreModel, PlatformStoreServer
+from standins.platform_worker import PlatformWorker
+from wheelslip.forwarding.node import ForwardingNode
+from wheelslip.platform.headers import PlatformHeaders
+from wheelslip.platform.registry import PlatformRegistry
+from wheelslip.platform.store import PlatformStore
+from wheelslip.platform.workers import PlatformWorkers
+
+HOST = "site.example"
+KEY = "key-1"
+PATIENCE_SECONDS = 20.0
+PLAIN = {"host": HOST, "path_prefix": "/plain/", "kind": "non_idempotent", "service": "plain"}
+SAFE = {"host": HOST, "path_prefix": "/safe/", "kind": "idempotent", "service": "plain"}
+STREAM = {"host": HOST, "path_prefix": "/stream/", "kind": "streaming", "service": "engines"}
+RESUMED = STREAM | {"path_prefix": "/resumed/", "resumable": True, "max_attempts": 2}
+ENGINES = {"name": "engines", "backend_engine": {"capacity": 8, "kv_capacity": 100000}}
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version: int = 1, routes=None, keys=(KEY,), **changes) -> dict:
+    document = {
+        "version": version,
+        "routes": [
+            {"name": f"r{number}", "timeout_ms": 5000, "target_latency_ms": 1000}
+            | {"priority": 1, "max_attempts": 2 if one["kind"] == "idempotent" else 1}
+            | one
+            for number, one in enumerate(routes or [PLAIN, SAFE, STREAM, RESUMED])
+        ],
+        "services": [{"name": "plain"}, ENGINES],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "tenant-1", "api_keys": list(keys)}],
+    }
+    return document | changes
+
+
+async def until(condition: Callable[[], object], what: str) -> None:
+    """Wait for a condition; fail by name after a generous time."""
+    give_up_at = time.monotonic() + PATIENCE_SECONDS
+    while not condition():
+        assert time.monotonic() < give_up_at, f"did not come true: {what}"
+        await asyncio.sleep(0.01)
+
+
+@dataclass
+class Answer:
+    """What a caller got; ``complete`` is false when the connection broke first."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool = True
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+        self.parser = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def connect(cls, address: str) -> "Caller":
+        host, _, port = address.partition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def send(self, path: str, request_id: str, body: bytes = b"x", key: str = KEY, **headers):
+        named = {
+            "Host": HOST,
+            "Wheelslip-Request-Id": request_id,
+            "Authorization": f"Token {key}",
+            "Content-Length": str(len(body)),
+        }
+        named |= {name.replace("_", "-"): str(value) for name, value in headers.items()}
+        request = h11.Request(method="POST", target=path, headers=list(named.items()))
+        data = self.parser.send(request)
+        if body:
+            data += self.parser.send(h11.Data(data=body))
+        self.writer.write(data + self.parser.send(h11.EndOfMessage()))
+
+    async def answer(self) -> Answer:
+        got = None
+        while True:
+            try:
+                event = self.parser.next_event()
+            except h11.RemoteProtocolError:
+                if got is None:
+                    raise
+                got.complete = False
+                return got
+            if event is h11.NEED_DATA:
+                try:
+                    data = await self.reader.read(65536)
+                except OSError:
+                    assert got is not None, "connection reset before an answer"
+                    got.complete = False
+                    return got
+                self.parser.receive_data(data)
+            elif isinstance(event, h11.Response):
+                headers = {name.decode(): value.decode() for name, value in event.headers}
+                got = Answer(event.status_code, headers, b"")
+            elif isinstance(event, h11.Data):
+                got.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                if self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
+                    self.parser.start_next_cycle()
+                return got
+            else:
+                raise AssertionError("connection closed before an answer")
+
+    def leave(self) -> None:
+        self.writer.transport.abort()
+
+
+class Site:
+    """Store, workers and nodes."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.model = PlatformStoreModel(time.monotonic)
+        self.store = PlatformStoreServer(self.model)
+        self.workers: dict[str, PlatformWorker] = {}
+        self.nodes: dict[str, ForwardingNode] = {}
+        self.addresses: dict[str, str] = {}
+        self.readiness: dict[str, str] = {}
+
+    async def start(self) -> "Site":
+        await self.store.server.start()
+        return self
+
+    def configure(self, document: dict | None = None) -> None:
+        text = json.dumps(document or configuration())
+        self.model.put("op/config", text.encode())
+
+    def name_weights(self, model: str, version: int) -> None:
+        for worker in self.workers.values():
+            worker.named_versions.add(version)
+        document = {"model_id": model, "version": version}
+        self.model.put(f"op/version/{model}", json.dumps(document).encode())
+
+    async def add_worker(self, worker: PlatformWorker, service: str) -> PlatformWorker:
+        await worker.server.start()
+        self.workers[worker.id] = worker
+        self.enter(worker, service)
+        return worker
+
+    def enter(self, worker: PlatformWorker, service: str, state: str = "ready") -> None:
+        self.model.put(f"servers/{worker.id}", worker.entry(service, "z1", state))
+
+    def settings(self, name: str, **bounds) -> pathlib.Path:
+        lines = [f"{key} = {json.dumps(value)}" for key, value in bounds.items()]
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f'[node]\nname = "{name}"\nzone = "z1"\n'
+            f'callers = "{self.addresses[name]}"\nreadiness = "{self.readiness[name]}"\n'
+            f'[store]\naddress = "{self.store.server.address}"\n[bounds]\n' + "\n".join(lines)
+        )
+        return path
+
+    async def add_node(self, name: str = "n1", **bounds) -> ForwardingNode:
+        self.addresses[name] = f"127.0.0.1:{free_port()}"
+        self.readiness[name] = f"127.0.0.1:{free_port()}"
+        node = ForwardingNode(
+            str(self.settings(name, **bounds)),
+            PlatformHeaders(),
+            PlatformRegistry(),
+            PlatformStore,
+            PlatformWorkers(),
+        )
+        await node.start()
+        self.nodes[name] = node
+        return node
+
+    async def ready(self, name: str = "n1") -> None:
+        expected = set(self.workers)
+        node = self.nodes[name]
+        await until(lambda: node.is_ready() and expected <= node.known_workers(), "node ready")
+
+    async def caller(self, name: str = "n1") -> Caller:
+        return await Caller.connect(self.addresses[name])
+
+    async def ask(self, path: str, request_id: str, name: str = "n1", **options) -> Answer:
+        caller = await self.caller(name)
+        caller.send(path, request_id, **options)
+        try:
+            return await asyncio.wait_for(caller.answer(), PATIENCE_SECONDS)
+        finally:
+            caller.leave()
+
+    def runs(self, request_id: str) -> list:
+        return [
+            run
+            for worker in self.workers.values()
+            for run in worker.runs
+            if run.request_id == request_id
+        ]
--- /dev/null
+++ b/tests/probe/forwarding/test_path.py
@@ -0,0 +1,152 @@
+"""The path of a forwarded request, and what reaches a worker."""
+
+import asyncio
+
+from standins.platform_worker import PlatformWorker, WorkerFaults
+from tests.probe.forwarding.site import configuration, until
+
+LLM = {"Wheelslip_Model_Id": "m", "Wheelslip_Token_Usage": "300,20"}
+PROMPT = LLM | {"Wheelslip_Prefix_Hash": "aa:100,bb:100,cc:100"}
+
+
+async def plain_site(site, **worker):
+    site.configure()
+    one = await site.add_worker(PlatformWorker("i-1", **worker), "plain")
+    await site.add_node()
+    await site.ready()
+    return one
+
+
+async def engine_site(site, count=1, **worker):
+    site.configure()
+    engines = [PlatformWorker(f"i-{n}", model="m", **worker) for n in range(1, count + 1)]
+    for engine in engines:
+        await site.add_worker(engine, "engines")
+    await site.add_node()
+    await site.ready()
+    return engines
+
+
+async def test_method_path_query_and_body_reach_the_worker_unchanged(site):
+    worker = await plain_site(site)
+    answer = await site.ask("/plain/a%20b?q=1&q=2", "r1", body=b"\x00\xffbody")
+    assert answer.status == 200 and answer.body == b"answer of i-1 to r1"
+    assert answer.headers["wheelslip-response-signature"] == "sig-i-1-r1"
+    (run,) = worker.runs
+    assert (run.request.method, run.request.body) == ("POST", b"\x00\xffbody")
+    assert run.request.target == b"/plain/a%20b?q=1&q=2"
+    assert run.request.headers["wheelslip-tenant-id"] == "tenant-1"
+    assert "authorization" not in run.request.headers
+    assert 0 < int(run.request.headers["wheelslip-deadline-ms"]) <= 5000
+
+
+async def test_a_streamed_answer_comes_whole(site):
+    await engine_site(site, events=5)
+    answer = await site.ask("/stream/x", "r1", **PROMPT)
+    assert answer.status == 200 and answer.complete
+    assert answer.body.count(b"data: token") == 5
+
+
+async def test_unknown_route_and_key(site):
+    worker = await plain_site(site)
+    assert (await site.ask("/nowhere/", "r1")).status == 404
+    assert (await site.ask("/plain/", "r2", key="wrong")).status == 401
+    assert worker.runs == []
+
+
+async def test_a_node_without_a_configuration_answers_503_and_is_not_ready(site):
+    node = await site.add_node()
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+    assert not node.is_ready()
+
+
+async def test_salt_changes_with_version_and_wall(site):
+    document = configuration()
+    document["tenants"].append({"name": "apart", "api_keys": ["k2"], "isolated": True})
+    site.configure(document)
+    engine = await site.add_worker(PlatformWorker("i-1", model="m"), "engines")
+    await site.add_node()
+    await site.ready()
+    for number, key in enumerate(("key-1", "k2", "key-1")):
+        await site.ask("/stream/x", f"r{number}", key=key, **PROMPT)
+    salts = [run.request.headers["wheelslip-cache-salt"] for run in engine.runs]
+    assert salts[0] == salts[2] != salts[1]
+    assert {run.request.headers["wheelslip-expect-version"] for run in engine.runs} == {"1"}
+
+
+async def test_a_callers_close_is_seen_while_the_worker_is_silent(site):
+    worker = await plain_site(site, seconds=30)
+    caller = await site.caller()
+    caller.send("/plain/", "r1")
+    await until(lambda: worker.runs, "request runs")
+    caller.leave()
+    await until(lambda: worker.runs[0].closed_early, "worker's connection closed")
+
+
+async def test_a_callers_close_ends_a_stream(site):
+    (engine,) = await engine_site(site, events=1000, seconds=0.05)
+    caller = await site.caller()
+    caller.send("/stream/x", "r1", **PROMPT)
+    await until(lambda: engine.runs, "request runs")
+    await caller.reader.read(1)
+    caller.leave()
+    await until(lambda: engine.runs[0].closed_early, "worker's connection closed")
+
+
+async def test_requests_on_one_connection_are_answered_in_order(site):
+    await plain_site(site)
+    caller = await site.caller()
+    for number in range(3):
+        caller.send("/plain/", f"r{number}")
+        answer = await caller.answer()
+        assert answer.body == f"answer of i-1 to r{number}".encode()
+
+
+async def test_two_framings_of_one_body_are_refused(site):
+    worker = await plain_site(site)
+    caller = await site.caller()
+    caller.writer.write(
+        b"POST /plain/ HTTP/1.1\r\nHost: site.example\r\nWheelslip-Request-Id: r1\r\n"
+        b"Authorization: Token key-1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0\r\n\r\nPOST /plain/ HTTP/1.1\r\nHost: site.example\r\n\r\n"
+    )
+    data = await asyncio.wait_for(caller.reader.read(), 10)
+    assert data.startswith(b"HTTP/1.1 400") and data.count(b"HTTP/1.1") == 1
+    assert worker.runs == []
+
+
+async def test_a_chunked_body_reaches_the_worker(site):
+    worker = await plain_site(site)
+    caller = await site.caller()
+    caller.writer.write(
+        b"POST /plain/ HTTP/1.1\r\nHost: site.example\r\nWheelslip-Request-Id: r1\r\n"
+        b"Authorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    assert b"200" in await asyncio.wait_for(caller.reader.readline(), 10)
+    assert worker.runs[0].request.body == b"abcde"
+
+
+async def test_a_body_over_the_limit_is_refused(site):
+    worker = await plain_site(site)
+    answer = await site.ask("/plain/", "r1", body=b"x" * 100_001)
+    assert answer.status == 413 and worker.runs == []
+
+
+async def test_route_timeout_ends_a_request(site):
+    document = configuration()
+    for route in document["routes"]:
+        route["timeout_ms"] = 300
+    site.configure(document)
+    await site.add_worker(PlatformWorker("i-1", seconds=30), "plain")
+    await site.add_node()
+    await site.ready()
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 504 and "retry-after" not in answer.headers
+
+
+async def test_an_answer_without_length_comes_whole(site):
+    await plain_site(site, faults=WorkerFaults(unframed=True))
+    answer = await site.ask("/plain/", "r1")
+    assert answer.body == b"answer of i-1 to r1" and answer.complete
--- /dev/null
+++ b/tests/unit/forwarding/test_platform_headers.py
@@ -0,0 +1,114 @@
+"""The platform's headers, both ways."""
+
+import pytest
+
+from wheelslip.forwarding.model import CachePlan, Dispatch, ForwardedRequest, WorkerInfo
+from wheelslip.forwarding.model import WorkerState as State
+from wheelslip.platform.headers import PlatformHeaders
+
+DIALECT = PlatformHeaders()
+WORKER = WorkerInfo("i-1", "svc", "127.0.0.1:9", "zone", State.READY, 4, {"m": 3})
+SENT = [
+    (b"Host", b"h.example"),
+    (b"Wheelslip-Request-Id", b"r1"),
+    (b"Wheelslip-Deadline-Ms", b"5000"),
+    (b"Wheelslip-Model-Id", b"m"),
+    (b"Wheelslip-Token-Usage", b"1460,80"),
+    (b"Wheelslip-Prefix-Hash", b"5c:800,91:410,e4:250"),
+    (b"Authorization", b"Token secret"),
+    (b"X-Other", b"kept"),
+]
+
+
+def request(extra=()):
+    headers = [*SENT, *extra]
+    metadata = DIALECT.decode_request(headers)
+    return ForwardedRequest("POST", b"/a/b?c", "h.example", headers, b"x", metadata, 0.0)
+
+
+def dispatch(**changes):
+    values = {
+        "worker": WORKER,
+        "remaining_seconds": 1.25,
+        "priority": 2,
+        "tenant": "t1",
+        "weights_version": 3,
+        "cache": CachePlan("salt", "10.0.0.1:1", "10.0.0.2:2"),
+        "last_event_id": None,
+    }
+    return Dispatch(**(values | changes))
+
+
+def test_what_the_caller_told_is_read():
+    metadata = request().metadata
+    assert (metadata.request_id, metadata.deadline_seconds) == ("r1", 5.0)
+    assert (metadata.api_key, metadata.model) == ("secret", "m")
+    assert (metadata.prompt_tokens, metadata.output_tokens) == (1460, 80)
+    assert [(part.id, part.tokens) for part in metadata.prompt] == [
+        ("5c", 800),
+        ("91", 410),
+        ("e4", 250),
+    ]
+
+
+def test_a_deadline_that_is_no_number_names_its_header():
+    with pytest.raises(ValueError, match="Wheelslip-Deadline-Ms"):
+        DIALECT.decode_request([(b"Wheelslip-Deadline-Ms", b"soon")])
+
+
+def test_the_key_stays_and_the_tenant_goes_on():
+    headers = dict(DIALECT.worker_headers(request(), dispatch()))
+    assert b"Authorization" not in headers
+    assert headers[b"Wheelslip-Tenant-Id"] == b"t1"
+    assert headers[b"Wheelslip-Expect-Instance"] == b"i-1"
+    assert headers[b"Wheelslip-Expect-Version"] == b"3"
+    assert headers[b"Wheelslip-Deadline-Ms"] == b"1250"
+    assert headers[b"X-Other"] == b"kept"
+    assert headers[b"Wheelslip-Prefix-Hash"] == b"5c:800,91:410,e4:250"
+
+
+FORGED = [
+    (b"wheelslip-tenant-id", b"other"),
+    (b"Wheelslip-Expect-Instance", b"i-9"),
+    (b"Wheelslip-Cache-Salt", b"theirs"),
+    (b"Wheelslip-Kv-Fetch", b"10.9.9.9:1"),
+    (b"Wheelslip-Kv-Save", b"10.9.9.9:1"),
+    (b"Wheelslip-Kv-Hold", b"7"),
+    (b"Wheelslip-Kv-Backup", b"10.9.9.9:1"),
+    (b"Wheelslip-Request-Priority", b"0"),
+    (b"Wheelslip-Expect-Version", b"1"),
+]
+
+
+def test_what_only_the_system_sets_is_not_taken_from_a_caller():
+    plain = dispatch(tenant=None, cache=None, priority=None, weights_version=None)
+    headers = DIALECT.worker_headers(request(FORGED), plain)
+    names = [name.lower() for name, _ in headers]
+    for name, value in FORGED:
+        assert (name, value) not in headers
+        assert names.count(name.lower()) == (name.lower() == b"wheelslip-expect-instance")
+
+
+def test_headers_of_one_connection_go_no_further():
+    extra = [
+        (b"Connection", b"close, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"Keep-Alive", b"timeout=5"),
+    ]
+    names = {name.lower() for name, _ in DIALECT.worker_headers(request(extra), dispatch())}
+    assert not names & {b"connection", b"x-hop", b"transfer-encoding", b"keep-alive"}
+
+
+def test_an_answer_is_read():
+    answer = DIALECT.decode_answer(
+        [
+            (b"wheelslip-request-id", b"r1"),
+            (b"wheelslip-not-executed", b"1"),
+            (b"wheelslip-weight-versions", b"4"),
+            (b"keep-alive", b"timeout=5"),
+            (b"connection", b"close"),
+        ]
+    )
+    assert answer.request_id == "r1" and answer.not_executed and not answer.signed
+    assert answer.weights_version == 4 and answer.keep_alive_seconds == 5.0 and answer.closes
