--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -101,6 +101,24 @@
         """Return the ids of the workers in view."""
         return set(self._registry.workers)
 
+    def takes_new_work(self, worker_id: str) -> bool:
+        """Whether a worker in view gets new requests."""
+        worker = self._registry.workers.get(worker_id)
+        return worker is not None and worker in self._registry.workers_of(worker.info.service)
+
+    def configuration_version(self) -> int | None:
+        """Return the version of the configuration in force."""
+        configuration = self._registry.configuration
+        return configuration.version if configuration else None
+
+    def refuses_new(self) -> bool:
+        """Whether the stop has come so far that new requests are refused."""
+        return self._callers.refuses_new
+
+    def view_age(self) -> float:
+        """Return the seconds since the view was last confirmed."""
+        return self._registry.age()
+
     def is_ready(self) -> bool:
         """Whether this node wants new connections."""
         oldest = READY_AGE_SHARE * self.bounds().key_revocation_ms / 1000
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -9,6 +9,7 @@
 to keep it although this node did not send it there.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,6 +33,9 @@
 """A worker that could not be reached is avoided this long."""
 
 FAILURE_WEIGHT = 0.3
+FAILURE_MEMORY_SECONDS = 2.0
+"""Time constant in which failures are forgotten, so that an avoided worker is tried again."""
+
 FAILURE_COST_SECONDS = 1.0
 """Cost of a worker that fails all of its requests."""
 
@@ -47,8 +51,13 @@
     running: int = 0
     prompt_tokens: int = 0
     failure: float = 0.0
+    failure_at: float = 0.0
     suspect_until: float = 0.0
 
+    def recent_failure(self, now: float) -> float:
+        """Return the share of failures, faded by its age."""
+        return self.failure * math.exp((self.failure_at - now) / FAILURE_MEMORY_SECONDS)
+
 
 @dataclass(frozen=True)
 class Placement:
@@ -112,7 +121,9 @@
         load = self.load(worker.info.id)
         share = (load.running + 1) / max(1, worker.info.capacity)
         other_zone = worker.info.zone != self._zone
-        return share + 2 * load.failure + 0.05 * other_zone, self._random.random()
+        return share + 2 * load.recent_failure(
+            self._clock()
+        ) + 0.05 * other_zone, self._random.random()
 
     def _without_suspects(self, candidates: list[Worker]) -> list[Worker]:
         """Leave out workers not reached lately, unless there are no others."""
@@ -180,7 +191,7 @@
         cost = (load.prompt_tokens + placement.read_tokens) / PREFILL_TOKENS_PER_SECOND
         cost += load.running * RUNNING_SECONDS
         cost += 2 * moved * engine.token_bytes / max(1.0, engine.link_bytes_per_second)
-        cost += FAILURE_COST_SECONDS * load.failure
+        cost += FAILURE_COST_SECONDS * load.recent_failure(self._clock())
         if worker.info.zone != self._zone:
             cost += OTHER_ZONE_SECONDS
         if worker is placement.home:
@@ -213,7 +224,10 @@
     def note_outcome(self, worker_id: str, failed: bool) -> None:
         """Learn how reliable a worker is."""
         load = self.load(worker_id)
-        load.failure += FAILURE_WEIGHT * (float(failed) - load.failure)
+        now = self._clock()
+        faded = load.recent_failure(now)
+        load.failure = faded + FAILURE_WEIGHT * (float(failed) - faded)
+        load.failure_at = now
 
     def suspect(self, worker_id: str) -> None:
         """A worker could not be reached."""
--- /dev/null
+++ b/tests/probe/forwarding/test_failures.py
@@ -0,0 +1,161 @@
+"""Attempts that fail: what is repeated, what never, and what the caller is told."""
+
+from standins.platform_worker import PlatformWorker, WorkerFaults
+from tests.probe.forwarding.site import until
+from tests.probe.forwarding.test_path import PROMPT
+
+
+async def plain_pair(site, faults: WorkerFaults):
+    """Two plain workers with the same faults, and enough traffic to have a retry budget."""
+    site.configure()
+    pair = [PlatformWorker(f"i-{number}") for number in (1, 2)]
+    for worker in pair:
+        await site.add_worker(worker, "plain")
+    await site.add_node()
+    await site.ready()
+    for number in range(20):
+        await site.ask("/plain/", f"before-{number}")
+    for worker in pair:
+        worker.faults = faults
+    return pair
+
+
+async def engines(site, count, **worker):
+    site.configure()
+    fleet = [PlatformWorker(f"i-{number}", model="m", **worker) for number in range(count)]
+    for engine in fleet:
+        await site.add_worker(engine, "engines")
+    await site.add_node()
+    await site.ready()
+    for number in range(20):
+        await site.ask("/stream/x", f"before-{number}", **PROMPT)
+    return fleet
+
+
+async def test_a_lost_answer_of_what_may_not_be_repeated_runs_once_and_is_not_called_not_run(site):
+    await plain_pair(site, WorkerFaults(lose_answer=9))
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 502 and "retry-after" in answer.headers
+    assert len(site.runs("r1")) == 1
+
+
+async def test_a_lost_answer_of_what_may_be_repeated_is_asked_elsewhere(site):
+    pair = await plain_pair(site, WorkerFaults())
+    for worker in pair:
+        worker.faults = WorkerFaults(lose_answer=1)
+    answer = await site.ask("/safe/", "r1")
+    runs = site.runs("r1")
+    # Two attempts are the most; both lose their answer here.
+    assert len(runs) == 2 and answer.status == 502
+    assert len({run.request.headers["wheelslip-expect-instance"] for run in runs}) == 2
+
+
+async def test_a_request_that_every_worker_turned_away_is_told_as_not_run(site):
+    await plain_pair(site, WorkerFaults(shed=99))
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+    assert site.runs("r1") == []
+
+
+async def test_one_refusal_is_made_good_by_another_worker(site):
+    pair = await plain_pair(site, WorkerFaults())
+    pair[0].faults = WorkerFaults(shed=99)
+    for number in range(4):
+        answer = await site.ask("/plain/", f"r{number}")
+        assert answer.status == 200
+        assert len(site.runs(f"r{number}")) == 1
+
+
+async def test_repeats_stop_with_the_budget(site):
+    faults = WorkerFaults(shed=10_000)
+    await plain_pair(site, faults)
+    for number in range(40):
+        assert (await site.ask("/plain/", f"r{number}")).status == 503
+    assert 40 <= 10_000 - faults.shed <= 40 + 0.2 * 60
+
+
+async def test_a_failure_of_a_worker_is_passed_on_with_its_signature(site):
+    await plain_pair(site, WorkerFaults(status=500))
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 500
+    assert answer.headers["wheelslip-response-signature"].endswith("-r1")
+    assert len(site.runs("r1")) == 1
+
+
+async def test_a_success_without_a_signature_is_not_passed_on(site):
+    await plain_pair(site, WorkerFaults(unsigned=True))
+    assert (await site.ask("/plain/", "r1")).status == 502
+
+
+async def test_an_answer_to_another_request_reaches_nobody(site):
+    await plain_pair(site, WorkerFaults(foreign_first=True))
+    for number in range(3):
+        answer = await site.ask("/plain/", f"r{number}")
+        assert answer.body.endswith(f"to r{number}".encode())
+
+
+async def test_bytes_after_a_whole_answer_reach_nobody(site):
+    await plain_pair(site, WorkerFaults(surplus_after=True))
+    caller = await site.caller()
+    for number in range(5):
+        caller.send("/plain/", f"r{number}")
+        answer = await caller.answer()
+        assert answer.body.endswith(f"to r{number}".encode())
+
+
+async def test_another_incarnation_at_an_address_runs_nothing_and_is_passed_over(site):
+    pair = await plain_pair(site, WorkerFaults())
+    pair[0].id = "i-replaced"
+    for number in range(4):
+        assert (await site.ask("/plain/", f"r{number}")).status == 200
+    assert not [run for run in pair[0].runs if run.request_id.startswith("r")]
+
+
+async def test_a_broken_stream_goes_on_elsewhere_without_a_gap_or_a_repeat(site):
+    fleet = await engines(site, 2, events=6)
+    for engine in fleet:
+        engine.faults = WorkerFaults(break_after=3)
+    first = {engine.id: len(engine.runs) for engine in fleet}
+    caller = await site.caller()
+    caller.send("/resumed/x", "r1", **PROMPT)
+    await until(lambda: any(len(one.runs) > first[one.id] for one in fleet), "first attempt")
+    for engine in fleet:
+        if len(engine.runs) == first[engine.id]:
+            engine.faults = WorkerFaults()
+    answer = await caller.answer()
+    assert answer.complete
+    ids = [int(line[4:]) for line in answer.body.split(b"\n") if line.startswith(b"id: ")]
+    assert ids == [1, 2, 3, 4, 5, 6]
+    resumed_after = [run.request.headers.get("last-event-id") for run in site.runs("r1")]
+    assert sorted(resumed_after, key=str) == ["3", None]
+
+
+async def test_a_broken_stream_that_may_not_go_on_does_not_look_complete(site):
+    fleet = await engines(site, 2, events=6)
+    for engine in fleet:
+        engine.faults = WorkerFaults(break_after=3)
+    answer = await site.ask("/stream/x", "r1", **PROMPT)
+    assert answer.status == 200 and not answer.complete
+    assert answer.body.count(b"id: ") == 3 and not answer.body.endswith(b"data: t")
+    assert len(site.runs("r1")) == 1
+
+
+async def test_a_worker_that_cannot_be_reached_costs_no_attempt(site):
+    pair = await plain_pair(site, WorkerFaults())
+    await pair[0].server.stop()
+    for number in range(6):
+        assert (await site.ask("/plain/", f"r{number}")).status == 200
+
+
+async def test_a_draining_or_vanished_worker_gets_nothing_new(site):
+    pair = await plain_pair(site, WorkerFaults())
+    site.enter(pair[0], "plain", state="draining")
+    await until(lambda: True, "change written")
+    seen = len(pair[0].runs)
+    node = site.nodes["n1"]
+    await until(lambda: not node.takes_new_work("i-1"), "draining seen")
+    site.model.remove("servers/i-1")
+    await until(lambda: "i-1" not in node.known_workers(), "vanished seen")
+    for number in range(5):
+        assert (await site.ask("/plain/", f"r{number}")).status == 200
+    assert len(pair[0].runs) == seen
--- /dev/null
+++ b/tests/probe/forwarding/test_planned_stop.py
@@ -0,0 +1,66 @@
+"""A planned stop finishes what runs and takes nothing that it could not finish."""
+
+import asyncio
+import contextlib
+
+import h11
+
+from standins.platform_worker import PlatformWorker
+from tests.probe.forwarding.site import until
+
+
+async def slow_site(site, seconds, **bounds):
+    site.configure()
+    worker = await site.add_worker(PlatformWorker("i-1", seconds=seconds), "plain")
+    node = await site.add_node(**bounds)
+    await site.ready()
+    return node, worker
+
+
+async def test_running_requests_finish_and_readiness_fails_at_once(site):
+    node, worker = await slow_site(site, seconds=3.2)
+    caller = await site.caller()
+    caller.send("/plain/", "r1")
+    await until(lambda: worker.runs, "request runs")
+    stopping = asyncio.create_task(node.stop())
+    await until(lambda: not node.is_ready(), "not ready")
+    answer = await caller.answer()
+    assert answer.status == 200 and answer.headers["connection"] == "close"
+    await stopping
+
+
+async def test_a_kept_connection_is_served_while_callers_move_away(site):
+    node, worker = await slow_site(site, seconds=0.0)
+    caller = await site.caller()
+    stopping = asyncio.create_task(node.stop())
+    await until(lambda: not node.is_ready(), "not ready")
+    caller.send("/plain/", "r1")
+    answer = await caller.answer()
+    assert answer.status == 200 and answer.headers["connection"] == "close"
+    await stopping
+
+
+async def test_what_comes_late_in_a_stop_is_refused_as_not_run(site):
+    node, worker = await slow_site(site, seconds=4.0)
+    caller, late = await site.caller(), await site.caller()
+    caller.send("/plain/", "r1")
+    await until(lambda: worker.runs, "request runs")
+    stopping = asyncio.create_task(node.stop())
+    await until(lambda: node.refuses_new(), "new requests are refused")
+    with contextlib.suppress(AssertionError, OSError, h11.RemoteProtocolError):
+        late.send("/plain/", "r2")
+        assert (await late.answer()).status == 503
+    assert site.runs("r2") == []
+    assert (await caller.answer()).status == 200
+    await stopping
+
+
+async def test_settings_are_read_again_and_bad_ones_leave_the_old_in_force(site):
+    node, _ = await slow_site(site, seconds=0.0)
+    path = site.settings("n1", retry_ratio=0.4)
+    node.reload()
+    assert node.bounds().retry_ratio == 0.4
+    path.write_text('[node]\nname = ""\n')
+    node.reload()
+    assert node.bounds().retry_ratio == 0.4
+    assert (await site.ask("/plain/", "r1")).status == 200
--- /dev/null
+++ b/tests/probe/forwarding/test_store.py
@@ -0,0 +1,102 @@
+"""The view of the store: changes, outages, lost history, keys that cannot be confirmed."""
+
+import asyncio
+
+from standins.platform_worker import PlatformWorker
+from tests.probe.forwarding.site import PLAIN, configuration, until
+
+
+async def small_site(site, **bounds):
+    site.configure()
+    await site.add_worker(PlatformWorker("i-1"), "plain")
+    node = await site.add_node(**bounds)
+    await site.ready()
+    return node
+
+
+async def test_a_new_configuration_takes_effect_and_an_older_one_never(site):
+    node = await small_site(site)
+    site.configure(configuration(7, routes=[PLAIN | {"path_prefix": "/new/"}]))
+    await until(lambda: node.configuration_version() == 7, "version 7 in force")
+    assert (await site.ask("/new/", "r1")).status == 200
+    assert (await site.ask("/plain/", "r2")).status == 404
+    site.configure(configuration(3))
+    site.configure(configuration(8, routes=[PLAIN]))
+    await until(lambda: node.configuration_version() == 8, "version 8 in force")
+    assert (await site.ask("/plain/", "r3")).status == 200
+
+
+async def test_a_revoked_key_is_refused(site):
+    node = await small_site(site)
+    site.configure(configuration(2, keys=["key-2"]))
+    await until(lambda: node.configuration_version() == 2, "version 2 in force")
+    assert (await site.ask("/plain/", "r1")).status == 401
+    assert (await site.ask("/plain/", "r2", key="key-2")).status == 200
+
+
+async def test_history_forgotten_while_a_change_was_made(site):
+    node = await small_site(site)
+    site.store.refuse = 503
+    await asyncio.sleep(0.1)
+    site.configure(configuration(5, keys=["key-2"]))
+    site.model.remove("servers/i-1")
+    site.model.compact()
+    site.store.refuse = 0
+    await until(lambda: node.configuration_version() == 5, "version 5 in force")
+    assert (await site.ask("/plain/", "r1")).status == 401
+
+
+async def test_without_the_store_keys_are_refused_in_time_and_never_with_401_or_404(site):
+    node = await small_site(site, key_revocation_ms=1500)
+    site.store.refuse = 503
+    site.store.server.reset_all()
+    await until(lambda: not node.is_ready(), "not ready")
+    await asyncio.sleep(1.5)
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 503 and "retry-after" in answer.headers
+    assert (await site.ask("/plain/", "r2", key="unknown")).status == 503
+    assert (await site.ask("/unknown/", "r3")).status in (404, 503)
+    assert site.runs("r1") == []
+    site.store.refuse = 0
+    await until(node.is_ready, "ready again")
+    assert (await site.ask("/plain/", "r4")).status == 200
+
+
+async def test_an_unknown_route_is_no_404_while_the_view_is_old(site):
+    node = await small_site(site)
+    site.store.server.silent = True
+    site.store.server.reset_all()
+    await until(lambda: node.view_age() > 2.1, "view is old")
+    assert (await site.ask("/unknown/", "r1")).status == 503
+
+
+async def test_entries_that_vanish_around_an_outage_are_no_proof_of_death(site):
+    node = await small_site(site, heartbeat_ms=200)
+    site.store.refuse = 503
+    site.store.server.reset_all()
+    await asyncio.sleep(0.5)
+    site.model.remove("servers/i-1")
+    site.store.refuse = 0
+    await until(lambda: node.view_age() < 0.3, "store is back")
+    assert "i-1" in node.known_workers()
+    assert (await site.ask("/plain/", "r1")).status == 200
+    # It stays away although the store is well: then it is gone.
+    await until(lambda: "i-1" not in node.known_workers(), "dropped in the end")
+
+
+async def test_an_entry_that_vanishes_in_calm_is_gone_at_once(site):
+    node = await small_site(site)
+    site.model.remove("servers/i-1")
+    await until(lambda: "i-1" not in node.known_workers(), "dropped")
+    answer = await site.ask("/plain/", "r1")
+    assert answer.status == 503 and "retry-after" in answer.headers
+
+
+async def test_an_unreadable_document_changes_nothing(site):
+    node = await small_site(site)
+    site.model.put("op/config", b"{not json")
+    site.model.put("servers/i-9", b"[]")
+    site.configure(configuration(2))
+    await until(lambda: node.configuration_version() == 2, "version 2 in force")
+    assert "i-9" not in node.known_workers()
+    assert (await site.ask("/plain/", "r1")).status == 200
