--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -12,6 +12,10 @@
 WATCH_SECONDS = 1.2
 """A watch returns at least this often, so that the age of the view is known."""
 
+FAILURES_OF_TROUBLE = 2
+"""So many failed calls in a row are trouble of the store or of the way to it. A single one
+is not: connections are reset and watches cut while the store is well."""
+
 RETRY_SECONDS = (0.05, 0.4)
 """Range of the pause after a failure; random, so that many nodes do not call together."""
 
@@ -30,7 +34,7 @@
         self._registry = registry
         self._clock = clock
         self._random = random_source
-        self._available = True
+        self._failures = 0
 
     async def run(self) -> None:
         """Follow the store for ever."""
@@ -46,8 +50,7 @@
                 self._registry.note_trouble()
                 after = None
             except KeyValueError as error:
-                self._registry.note_trouble()
-                self._note_unavailable(error)
+                self._note_failure(error)
                 await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
             self._registry.expire_doubtful()
 
@@ -63,11 +66,13 @@
         return max(after, batch.revision)
 
     def _note_available(self) -> None:
-        if not self._available:
+        if self._failures >= FAILURES_OF_TROUBLE:
             log_event(LogEvent.KEY_VALUE_REGAINED)
-        self._available = True
+        self._failures = 0
 
-    def _note_unavailable(self, error: KeyValueError) -> None:
-        if self._available:
+    def _note_failure(self, error: KeyValueError) -> None:
+        self._failures += 1
+        if self._failures >= FAILURES_OF_TROUBLE:
+            self._registry.note_trouble()
+        if self._failures == FAILURES_OF_TROUBLE:
             log_event(LogEvent.KEY_VALUE_UNAVAILABLE, reason=str(error))
-        self._available = False
