--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -34,6 +34,10 @@
 """An order that shows no effect for this long is given again, with the same expected
 sequence: whichever is carried out first makes the other void."""
 
+DRAIN_BEFORE_SECONDS = 0.25
+"""Nodes send elsewhere for this long before an order, so that what waits at the worker has
+begun by then: an order turns away what has not."""
+
 UNREACHABLE_PAUSE_SECONDS = 1.0
 LOAD_SMOOTHING = 0.3
 
@@ -179,6 +183,7 @@
 
     async def _carry_out(self, load: _Load) -> None:
         worker_id = load.worker.info.id
+        await asyncio.sleep(DRAIN_BEFORE_SECONDS)
         try:
             while not await self._load_step(load):
                 await asyncio.sleep(REPORT_SECONDS)
