Requests that would begin too late are not sent or are taken back; a new holder waits less

Ruled out: an unseen version (the node had it from its ack), trouble of the store (none then). Change: the margin before the bound grows with the longest wait seen at the worker; a request that has not begun 0.2 s before the bound is taken back. The rollout record carries its writer's token and is written before its orders under the condition of the holder's key, so a new holder counts its wait from the last time at which another could have ordered.

--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -49,6 +49,11 @@
 """A request that no worker can take is refused within this share of its target."""
 
 NO_WORKER_RETRY_SECONDS = 0.4
+BEGIN_GUARD_SECONDS = 0.2
+"""A request that has not begun is taken back this long before its weights become too old."""
+
+BEGIN_CHECK_SECONDS = 1.0
+
 MAX_SENDS = 3
 """Most workers one request is sent to, those that proved not to run it included."""
 
@@ -328,15 +333,35 @@
         except PeerUnreachable as error:
             job.reason = str(error)
             return AttemptOutcome.NOT_SENT
-        self._placement.begin(placement)
-        attempt = Attempt(self, job, placement, connection, caller)
+        began_at = self._placement.begin(placement)
+        attempt = Attempt(self, job, placement, connection, caller, began_at)
+        self.watch_beginning(job, placement, attempt)
         try:
             return await attempt.run()
         finally:
-            self._placement.end(placement, attempt.had_first_token)
+            if attempt.guard is not None:
+                attempt.guard.cancel()
+            self._placement.end(placement, began_at, attempt.had_first_token)
             if not attempt.released:
                 connection.close()
 
+    def watch_beginning(self, job: Job, placement: Placement, attempt: "Attempt") -> None:
+        """Take a request back that has not begun when its weights become too old.
+
+        Newer weights may be named while it waits, so the bound is looked up again and again.
+        """
+        if placement.weights_version is None or attempt.had_first_token:
+            return
+        model = job.request.metadata.model
+        until = self._registry.begins_until(model, placement.weights_version)
+        remaining = until - BEGIN_GUARD_SECONDS - self._clock()
+        if remaining <= 0:
+            attempt.take_back()
+            return
+        attempt.guard = asyncio.get_running_loop().call_later(
+            min(remaining, BEGIN_CHECK_SECONDS), self.watch_beginning, job, placement, attempt
+        )
+
     def dispatch(self, job: Job, placement: Placement) -> Dispatch:
         """Return what is added to a request for one worker."""
         priority = job.route.priority
@@ -407,9 +432,9 @@
         """Learn how a worker fares."""
         self._placement.note_outcome(placement.worker.info.id, failed)
 
-    def note_first_token(self, placement: Placement) -> None:
+    def note_first_token(self, placement: Placement, began_at: float) -> None:
         """A worker has read the prompt."""
-        self._placement.first_token(placement)
+        self._placement.first_token(placement, began_at)
 
     def _pass_on(self, answer: WholeAnswer, caller: CallerConnection) -> None:
         pass_on_whole(answer, caller)
@@ -459,15 +484,23 @@
         placement: Placement,
         connection: HttpConnection,
         caller: CallerConnection,
+        began_at: float,
     ):
         self._forwarder = forwarder
+        self._began_at = began_at
         self._job = job
         self._placement = placement
         self._connection = connection
         self._caller = caller
         self.had_first_token = False
+        self.guard: asyncio.TimerHandle | None = None
         self.released = False
 
+    def take_back(self) -> None:
+        """Close the connection if the worker has not begun."""
+        if not self.had_first_token:
+            self._connection.close()
+
     async def run(self) -> AttemptOutcome:
         """Send, read and pass on."""
         job = self._job
@@ -568,7 +601,7 @@
             return
         if not self.had_first_token:
             self.had_first_token = True
-            self._forwarder.note_first_token(self._placement)
+            self._forwarder.note_first_token(self._placement, self._began_at)
         self._start_stream(response)
         self._caller.data(b"".join(one.raw for one in fresh))
         ids = [one.id for one in fresh if one.id is not None]
--- a/src/wheelslip/forwarding/holder.py
+++ b/src/wheelslip/forwarding/holder.py
@@ -15,6 +15,9 @@
 from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
 
 HOLDER_KEY = "wheelslip/holder"
+ROLLOUT_KEY = "wheelslip/rollout"
+"""The holder's record of the workers that load; it is written before the first order to a
+worker, on condition that the holder's key is unchanged."""
 
 LEASE_SHARE = 0.5
 """The lease lasts this share of the time within which two holders must not take turns: a
@@ -37,6 +40,7 @@
         min_lease_seconds: Callable[[], float],
         clock: Callable[[], float],
         random_source: random.Random,
+        last_order_by_others: Callable[[], float],
     ):
         self._store = store
         self._registry = registry
@@ -45,6 +49,7 @@
         self._min_lease_seconds = min_lease_seconds
         self._clock = clock
         self._random = random_source
+        self._last_order_by_others = last_order_by_others
         self._lease = 0
         self._token = 0
         self._valid_until = 0.0
@@ -103,9 +108,8 @@
         self._lease, self._token = lease, result.revision
         self._valid_until = sent_at + seconds
         bounds = self._bounds()
-        # Whoever held before may have given an order until just now.
         quiet = (bounds.holder_lease_ms + bounds.thaw_slack_ms) / 1000
-        self._acts_from = self._clock() + quiet
+        self._acts_from = self._last_order_by_others() + quiet
         log_event(LogEvent.LEASE_GAINED, fencing_token=self._token)
 
     async def _renew(self) -> None:
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -20,7 +20,7 @@
 from wheelslip.forwarding.placement import WorkerPlacement
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
-from wheelslip.forwarding.rollout import ROLLOUT_KEY, WeightsRollout, apply_record
+from wheelslip.forwarding.rollout import RolloutView, WeightsRollout
 from wheelslip.forwarding.server import READY_AGE_SHARE, CallerServer, ReadinessServer
 from wheelslip.forwarding.settings import (
     BoundsSection,
@@ -67,7 +67,8 @@
         self._placement = WorkerPlacement(self._registry, zone, clock, random_source)
         self._pool = WorkerPool(clock)
         self._registry.on_worker_gone = self._forget_worker
-        self._registry.on_own_entry = self._take_own_entry
+        rollout_view = RolloutView(self._registry, clock)
+        self._registry.on_own_entry = rollout_view.entry_changed
         self._sync = RegistrySync(store, self._registry, clock, random_source)
         self._forwarder = Forwarder(
             requests, self._registry, self._placement, self._pool, self.bounds, clock
@@ -80,6 +81,7 @@
             lambda: self._settings.store.min_lease_ms / 1000,
             clock,
             random_source,
+            rollout_view.last_order,
         )
         self._rollout = WeightsRollout(
             store, control, self._registry, self._placement, self._lease, self.bounds, clock
@@ -129,10 +131,6 @@
         self._pool.forget(worker_id)
         self._placement.forget(worker_id)
 
-    def _take_own_entry(self, key: str) -> None:
-        if key == ROLLOUT_KEY:
-            apply_record(self._registry)
-
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and that is complete."""
         node = self._settings.node
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wheelslip.forwarding.model import EngineProfile, ForwardedRequest
 from wheelslip.forwarding.registry import Registry, Worker
@@ -32,6 +32,16 @@
 SUSPECT_SECONDS = 2.0
 """A worker that could not be reached is avoided this long."""
 
+BEGIN_MARGIN_SECONDS = 1.0
+"""Requests stop going to older weights this long before the bound, since a request may wait
+at its worker before it begins."""
+
+BEGIN_WAIT_FACTOR = 2.0
+"""The same, as a multiple of the longest wait seen at the worker lately."""
+
+WAIT_MEMORY_SECONDS = 4.0
+"""Time constant in which long waits at a worker are forgotten."""
+
 FAILURE_WEIGHT = 0.3
 FAILURE_MEMORY_SECONDS = 2.0
 """Time constant in which failures are forgotten, so that an avoided worker is tried again."""
@@ -46,6 +56,7 @@
 
     :ivar prompt_tokens: of requests without a first token yet.
     :ivar failure: share of failures, exponentially weighted.
+    :ivar waiting: when each request without a first token was sent.
     """
 
     running: int = 0
@@ -53,6 +64,20 @@
     failure: float = 0.0
     failure_at: float = 0.0
     suspect_until: float = 0.0
+    longest_wait: float = 0.0
+    longest_wait_at: float = 0.0
+    waiting: set[float] = field(default_factory=set)
+
+    def expected_wait(self, now: float) -> float:
+        """Return the longest wait for a first token, faded, or of a request still waiting."""
+        faded = self.longest_wait * math.exp((self.longest_wait_at - now) / WAIT_MEMORY_SECONDS)
+        return max(faded, now - min(self.waiting, default=now))
+
+    def note_wait(self, began_at: float, now: float) -> None:
+        """A request waited for its first token."""
+        if now - began_at >= self.expected_wait(now):
+            self.longest_wait = now - began_at
+            self.longest_wait_at = now
 
     def recent_failure(self, now: float) -> float:
         """Return the share of failures, faded by its age."""
@@ -139,8 +164,7 @@
         wall: str,
     ) -> Placement | None:
         model = request.metadata.model
-        required = self._registry.required_weights(model)
-        candidates = [one for one in candidates if one.weights.get(model, 0) >= required]
+        candidates = [one for one in candidates if self._may_begin(one, model)]
         loading = self._registry.loading_now()
         candidates = [one for one in candidates if one.info.id not in loading] or candidates
         candidates = self._without_suspects(candidates)
@@ -150,6 +174,15 @@
         placements = [self._placement(request, one, home, engine, wall) for one in candidates]
         return min(placements, key=lambda one: self._engine_cost(one, engine))
 
+    def _may_begin(self, worker: Worker, model: str) -> bool:
+        """Whether a request sent now begins before its weights are too old."""
+        until = self._registry.begins_until(model, worker.weights.get(model, 0))
+        if until == math.inf:
+            return True
+        now = self._clock()
+        wait = self.load(worker.info.id).expected_wait(now)
+        return now + max(BEGIN_MARGIN_SECONDS, BEGIN_WAIT_FACTOR * wait) < until
+
     def _home(self, request: ForwardedRequest, candidates: list[Worker]) -> Worker | None:
         parts = request.metadata.prompt
         if not parts:
@@ -200,23 +233,29 @@
 
     # Feedback
 
-    def begin(self, placement: Placement) -> None:
-        """A request is sent to a worker."""
+    def begin(self, placement: Placement) -> float:
+        """A request is sent to a worker; return when, for :meth:`first_token` and :meth:`end`."""
         load = self.load(placement.worker.info.id)
         load.running += 1
         load.prompt_tokens += placement.read_tokens
+        began_at = self._clock()
+        load.waiting.add(began_at)
+        return began_at
 
-    def first_token(self, placement: Placement) -> None:
+    def first_token(self, placement: Placement, began_at: float) -> None:
         """The worker has read the prompt and keeps it."""
         load = self.load(placement.worker.info.id)
         load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
+        load.waiting.discard(began_at)
+        load.note_wait(began_at, self._clock())
         holdings = self._holdings.get(placement.worker.info.id)
         if holdings is not None and placement.chain:
             holdings.record(placement.chain)
 
-    def end(self, placement: Placement, had_first_token: bool) -> None:
+    def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
         """A request is no longer at a worker."""
         load = self.load(placement.worker.info.id)
+        load.waiting.discard(began_at)
         load.running = max(0, load.running - 1)
         if not had_first_token:
             load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -18,9 +18,8 @@
 )
 from wheelslip.forwarding.settings import BoundsSection
 
-WEIGHTS_MARGIN_SECONDS = 1.0
-"""Requests stop going to older weights this long before the bound, since a request may wait
-at its worker before it begins."""
+KNOWN_AT_START_SECONDS = 1.0
+"""Weights seen named this early may have been named long before this node started."""
 
 DOUBT_HEARTBEATS = 3
 """A worker whose entry vanished around an outage has this many heartbeats to write it again."""
@@ -181,7 +180,8 @@
             versions.append(_Named(named.version, self._clock()))
 
     def _remove(self, key: str) -> None:
-        self._own.pop(key, None)
+        if self._own.pop(key, None) is not None:
+            self.on_own_entry(key)
         worker_id = self._dialect.worker_id(key)
         worker = self.workers.get(worker_id) if worker_id else None
         if worker is None:
@@ -284,20 +284,17 @@
                 return named.since
         return None
 
-    def required_weights(self, model: str) -> int:
-        """Return the lowest version on which a request may begin now.
+    def begins_until(self, model: str, version: int) -> float:
+        """Return until when a request may begin on a version; infinite for the newest.
 
         The bound counts stretches without disruption, so it begins anew after trouble with
         the store; a node that has just started is not judged before the contact time.
         """
-        bound = self._bounds().weights_deadline_ms / 1000 - WEIGHTS_MARGIN_SECONDS
-        now = self._clock()
-        required = 0
         for named in self._named.get(model, ()):
-            if named.since - self._started < 1.0:
-                begins = self._started + self._bounds().contact_ms / 1000 - bound
-            else:
-                begins = max(named.since, self._trouble_until)
-            if now >= begins + bound:
-                required = named.version
-        return required
+            if named.version <= version:
+                continue
+            if named.since - self._started < KNOWN_AT_START_SECONDS:
+                return self._started + self._bounds().contact_ms / 1000
+            begins = max(named.since, self._trouble_until)
+            return begins + self._bounds().weights_deadline_ms / 1000
+        return float("inf")
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from wheelslip.events import LogEvent, log_event
-from wheelslip.forwarding.holder import HOLDER_KEY, HolderLease
+from wheelslip.forwarding.holder import HOLDER_KEY, ROLLOUT_KEY, HolderLease
 from wheelslip.forwarding.interface import (
     KeyValueStore,
     WeightsOrder,
@@ -22,10 +22,9 @@
 from wheelslip.forwarding.placement import WorkerPlacement
 from wheelslip.forwarding.registry import Registry, Worker
 from wheelslip.forwarding.settings import BoundsSection
-from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
+from wheelslip.keyvalue.model import KeyValueError, KeyValueUnavailable, Put, Transaction
 from wheelslip.weights.schedule import INITIAL_LOAD_SECONDS, WorkerWeights, next_loads
 
-ROLLOUT_KEY = "wheelslip/rollout"
 STEP_SECONDS = 0.1
 REPORT_SECONDS = 0.25
 """Pause between reports of a worker that loads; reports are some hundred ms old."""
@@ -51,23 +50,65 @@
 
     :ivar loading: worker ids that are out of service for loading.
     :ivar weights: version of each model by worker id.
+    :ivar fencing_token: of the holder that wrote it.
     """
 
+    fencing_token: int = 0
     loading: list[str] = []
     weights: dict[str, dict[str, int]] = {}
 
 
-def apply_record(registry: Registry) -> None:
-    """Take the record in the store into the registry view."""
-    entry = registry.own_entry(ROLLOUT_KEY)
-    if entry is None:
-        return
-    try:
-        record = msgspec.json.decode(entry[0], type=RolloutRecord)
-    except msgspec.MsgspecError as error:
-        log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=ROLLOUT_KEY, reason=str(error))
-        return
-    registry.take_rollout(frozenset(record.loading), record.weights)
+class RolloutView:
+    """What this node sees of the holders' records: who loads, and when orders were last given.
+
+    A holder gives orders only to workers that its record names, and can write a record only
+    while the holder's key is its own. So another holder's last order came before its record
+    named nobody any more, or before its key was gone.
+    """
+
+    def __init__(self, registry: Registry, clock: Callable[[], float]):
+        self._registry = registry
+        self._clock = clock
+        self._record = RolloutRecord()
+        self._record_at = float("-inf")
+        self._holder = 0
+        self._ended: dict[int, float] = {}
+
+    def entry_changed(self, key: str) -> None:
+        """Take a change of one of the system's own keys into account."""
+        if key == HOLDER_KEY:
+            self._take_holder()
+        elif key == ROLLOUT_KEY:
+            self._take_record()
+
+    def last_order(self) -> float:
+        """Return a time, on this node's clock, after which no other holder gave an order."""
+        if not self._record.loading:
+            return self._record_at
+        token = self._record.fencing_token
+        if token == self._holder:
+            return self._clock()
+        return self._ended.get(token, self._record_at)
+
+    def _take_holder(self) -> None:
+        entry = self._registry.own_entry(HOLDER_KEY)
+        holder = entry[1] if entry else 0
+        if self._holder and holder != self._holder:
+            self._ended[self._holder] = self._clock()
+        self._holder = holder
+
+    def _take_record(self) -> None:
+        entry = self._registry.own_entry(ROLLOUT_KEY)
+        if entry is None:
+            return
+        try:
+            record = msgspec.json.decode(entry[0], type=RolloutRecord)
+        except msgspec.MsgspecError as error:
+            log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=ROLLOUT_KEY, reason=str(error))
+            return
+        self._record = record
+        self._record_at = self._clock()
+        self._registry.take_rollout(frozenset(record.loading), record.weights)
 
 
 @dataclass
@@ -122,7 +163,13 @@
         started = []
         for model in self._registry.models():
             started += self._start_loads(model)
-        await self._publish()
+        try:
+            await self._publish()
+        except KeyValueError:
+            # No order without a record that names its worker.
+            for load in started:
+                self._loads.pop(load.worker.info.id, None)
+            raise
         for load in started:
             task = asyncio.get_running_loop().create_task(self._carry_out(load))
             self._tasks.add(task)
@@ -166,7 +213,9 @@
         if token is None or record == self._published:
             return
         put = Put(ROLLOUT_KEY, msgspec.json.encode(record))
-        await self._store.transact(Transaction({HOLDER_KEY: token}, (put,)))
+        result = await self._store.transact(Transaction({HOLDER_KEY: token}, (put,)))
+        if not result.succeeded:
+            raise KeyValueUnavailable("the holder's key is another's")
         self._published = record
 
     def _record(self) -> RolloutRecord:
@@ -179,7 +228,8 @@
             for worker in self._registry.workers.values()
         }
         weights = {worker_id: models for worker_id, models in weights.items() if models}
-        return RolloutRecord(sorted(self._loads), weights)
+        token = self._lease.fencing_token() or 0
+        return RolloutRecord(token, sorted(self._loads), weights)
 
     async def _carry_out(self, load: _Load) -> None:
         worker_id = load.worker.info.id
--- a/tests/probe/forwarding/test_weights.py
+++ b/tests/probe/forwarding/test_weights.py
@@ -1,6 +1,7 @@
 """Weights are brought to all workers in time, by one holder, each order fenced."""
 
 import asyncio
+import json
 
 from standins.platform_worker import PlatformWorker, WorkerFaults
 from tests.probe.forwarding.site import until
@@ -118,3 +119,26 @@
     site.name_weights("m", 2)
     await until(lambda: all(worker.version == 2 for worker in fleet), "all have version 2")
     assert len({order["fence"] for order in orders(fleet)}) == 1
+
+
+async def test_a_request_that_waits_past_the_bound_is_taken_back(site):
+    fleet = await fleet_site(site, workers=1)
+    fleet[0].faults = WorkerFaults(ignore_orders=10_000)
+    fleet[0].seconds = 30
+    await asyncio.sleep(1.2)
+    site.name_weights("m", 2)
+    answer = await site.ask("/stream/x", "waits", **PROMPT)
+    assert answer.status in (502, 503)
+    (run,) = site.runs("waits")
+    await until(lambda: run.closed_early, "taken back from the worker")
+
+
+async def test_a_new_holder_waits_for_the_last_order_of_another_only(site):
+    fleet = await fleet_site(site, holder_lease_ms=1500)
+    await until(lambda: "wheelslip/holder" in site.model.items, "a holder")
+    # Nobody has given an order yet: the first holder acts at once.
+    site.name_weights("m", 2)
+    await until(lambda: orders(fleet), "an order")
+    record = json.loads(site.model.items["wheelslip/rollout"].value)
+    assert record["fencing_token"] == site.model.items["wheelslip/holder"].revision
+    assert record["loading"]
