Fetch kept cache from the store unless the home is known to keep the prompt

Ruled out: too small a store (777,391 tokens against 110,556 of a worker). Change: Kv-Fetch names the home only where this node knows that it keeps all that is shared.

--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -383,9 +383,10 @@
         stores = self._registry.configuration.cache_stores
         store = stores[0].address if stores else ""
         fetch_from = store
-        home = placement.home
-        if home is not None and home is not placement.worker:
-            fetch_from = home.info.address
+        if placement.home_keeps or not store:
+            home = placement.home
+            is_other = home is not None and home is not placement.worker
+            fetch_from = home.info.address if is_other else store
         return CachePlan(placement.salt, fetch_from, store)
 
     def send(self, job: Job, placement: Placement, connection: HttpConnection) -> None:
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -95,6 +95,7 @@
     read_tokens: int = 0
     cached_tokens: int = 0
     home: Worker | None = None
+    home_keeps: bool = False
 
 
 class WorkerPlacement:
@@ -209,7 +210,13 @@
         if worker is home:
             cached = max(cached, int(HOME_KEEPS_SHARE * shared_tokens))
         read = max(0, metadata.prompt_tokens - max(cached, shared_tokens))
-        return Placement(worker, version, chain, salt, read, cached, home)
+        keeps = home is not None and home is not worker and self._keeps(home, engine, chain)
+        return Placement(worker, version, chain, salt, read, cached, home, keeps)
+
+    def _keeps(self, worker: Worker, engine: EngineProfile, chain: Chain) -> bool:
+        """Whether a worker is known to keep all that is shared of a prompt."""
+        held = self._holding(worker.info.id, engine).cached_tokens(chain[:-1])
+        return held >= sum(tokens for _, tokens in chain[:-1])
 
     def _holding(self, worker_id: str, engine: EngineProfile) -> WorkerHoldings:
         if worker_id not in self._holdings:
