--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,6 +7,7 @@
 import tempfile
 from collections.abc import Iterator
 
+from scripts import forwarding_demo
 from standins.cluster import Cluster, EngineSpec, NodeSpec, read_events
 
 API_KEY = "thibodeau-key"
@@ -124,6 +125,7 @@
             for name in cluster.nodes:
                 if "-v" in sys.argv:
                     print(cluster.processes[name].log_path.read_text())
+    forwarding_demo.main()
     print("demo done")
     return 0
 
--- a/src/wheelslip/events.py
+++ b/src/wheelslip/events.py
@@ -6,7 +6,9 @@
 
 import enum
 import logging
+import os
 import sys
+from collections.abc import Callable
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -79,13 +81,46 @@
 )
 
 
-def configure_logging(node_name: str, zone: str) -> None:
-    """Send JSON lines to standard error, each carrying the node's name and zone."""
-    handler = logging.StreamHandler(sys.stderr)
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor that never blocks; what does not fit is counted.
+
+    :ivar dropped: lines lost since the last one written.
+    """
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        self._descriptor = descriptor
+        self._rest = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, after the rest of an earlier one."""
+        if self.dropped:
+            record.dropped_lines = self.dropped
+        line = (self.format(record) + "\n").encode()
+        try:
+            if self._rest:
+                self._rest = self._rest[os.write(self._descriptor, self._rest) :]
+            if self._rest:
+                self.dropped += 1
+                return
+            self._rest = line[os.write(self._descriptor, line) :]
+            self.dropped = 0
+        except OSError:
+            self.dropped += 1
+
+
+def configure_logging(node_name: str, zone: str, handler: logging.Handler | None = None) -> None:
+    """Send JSON lines, each carrying the node's name and zone.
+
+    :param handler: where lines go; standard error when ``None``.
+    """
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
-            static_fields={"node": node_name, "zone": zone},
+            static_fields={"node": node_name, "node_zone": zone},
         )
     )
     _LOGGER.handlers = [handler]
@@ -93,6 +128,34 @@
     _LOGGER.propagate = False
 
 
+class LogBudget:
+    """Bounds the lines about single requests; others are never held back.
+
+    :param lines_per_second: long-term rate; a second's worth may come at once.
+    """
+
+    def __init__(self, lines_per_second: float, clock: Callable[[], float]):
+        self._rate = lines_per_second
+        self._clock = clock
+        self._level = lines_per_second
+        self._updated_at = clock()
+        self._suppressed = 0
+
+    def log(self, event: "LogEvent", **fields: object) -> None:
+        """Write a line if the budget has room; the next line tells how many were left out."""
+        now = self._clock()
+        self._level = min(self._rate, self._level + (now - self._updated_at) * self._rate)
+        self._updated_at = now
+        if self._level < 1.0:
+            self._suppressed += 1
+            return
+        self._level -= 1.0
+        if self._suppressed:
+            fields["suppressed"] = self._suppressed
+            self._suppressed = 0
+        log_event(event, **fields)
+
+
 def log_event(event: LogEvent, **fields: object) -> None:
     """Write one numbered event with its fields."""
     level = logging.WARNING if event in _WARNING_EVENTS else logging.INFO
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -15,12 +15,13 @@
 import xxhash
 
 from wheelslip.errors import ErrorKind, WheelslipError
-from wheelslip.events import LogEvent, log_event
+from wheelslip.events import LogBudget, LogEvent, log_event
 from wheelslip.forwarding.answers import error_answer
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
 from wheelslip.forwarding.event_stream import EventSplitter
 from wheelslip.forwarding.http_client import HttpConnection, PeerLost, PeerUnreachable
 from wheelslip.forwarding.interface import RequestDialect
+from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.model import (
     AnswerMetadata,
     CachePlan,
@@ -64,6 +65,10 @@
 """Largest answer collected before it is passed on; larger ones end the request."""
 
 
+REQUEST_LINES_PER_SECOND = 50.0
+"""Log lines about single requests and their attempts that one node writes on average."""
+
+
 class AttemptOutcome(enum.Enum):
     """How one attempt at one worker ended."""
 
@@ -102,6 +107,8 @@
     delivered: int | None = None
     failure: WholeAnswer | None = None
     reason: str = ""
+    worker_id: str = ""
+    weights_version: int | None = None
 
 
 class Forwarder:
@@ -115,7 +122,10 @@
         pool: WorkerPool,
         bounds: Callable[[], BoundsSection],
         clock: Callable[[], float],
+        metrics: ForwardingMetrics,
     ):
+        self._metrics = metrics
+        self._log = LogBudget(REQUEST_LINES_PER_SECOND, clock)
         self._dialect = dialect
         self._registry = registry
         self._placement = placement
@@ -134,6 +144,7 @@
             job = self._admit(request)
             async with asyncio.timeout_at(job.deadline + ANSWER_GRACE_SECONDS):
                 await self._serve(job, caller)
+            self._note_served(job)
         except TimeoutError:
             kind = ErrorKind.DEADLINE_PASSED if job.may_have_run else ErrorKind.NO_ENGINE
             self._give_up(WheelslipError(kind, "deadline reached"), request_id, caller)
@@ -156,7 +167,8 @@
     def _give_up(
         self, error: WheelslipError, request_id: str | None, caller: CallerConnection
     ) -> None:
-        log_event(
+        self._metrics.requests[("any", error.kind.value)] += 1
+        self._log.log(
             LogEvent.REQUEST_REFUSED,
             request=request_id,
             outcome=error.kind.value,
@@ -175,6 +187,24 @@
         caller.data(body)
         caller.end()
 
+    def _note_served(self, job: Job) -> None:
+        seconds = self._clock() - job.request.arrived
+        self._metrics.request_ended(job.route.kind.value, "answered", seconds)
+        self._metrics.attempts[AttemptOutcome.ANSWERED.value] += 1
+        self._log.log(
+            LogEvent.REQUEST_FINISHED,
+            request=job.request.metadata.request_id,
+            tenant=job.tenant.name if job.tenant else None,
+            workload=job.route.name,
+            outcome="answered",
+            attempts=job.sent,
+            engine=job.worker_id,
+            weights_version=job.weights_version,
+            delivered=job.delivered,
+            configuration=self._registry.configuration.version,
+            seconds=round(seconds, 4),
+        )
+
     # Admission
 
     def _decode(self, received: ReceivedRequest) -> ForwardedRequest:
@@ -293,10 +323,14 @@
 
     def _note_failed(self, job: Job, placement: Placement, outcome: AttemptOutcome) -> None:
         worker_id = placement.worker.info.id
-        log_event(
+        self._metrics.attempts[outcome.value] += 1
+        self._log.log(
             LogEvent.ATTEMPT_FAILED,
             attempt=job.request.metadata.request_id,
             engine=worker_id,
+            weights_version=placement.weights_version,
+            worker_running=self._placement.load(worker_id).running,
+            registry_age=round(self._registry.age(), 3),
             proven_not_run=outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN),
             reason=job.reason,
         )
@@ -328,6 +362,8 @@
         self, job: Job, placement: Placement, caller: CallerConnection
     ) -> AttemptOutcome:
         worker = placement.worker.info
+        job.worker_id = worker.id
+        job.weights_version = placement.weights_version
         try:
             connection = await self._pool.acquire(worker)
         except PeerUnreachable as error:
@@ -435,6 +471,7 @@
 
     def note_first_token(self, placement: Placement, began_at: float) -> None:
         """A worker has read the prompt."""
+        self._metrics.first_byte.observe(self._clock() - began_at)
         self._placement.first_token(placement, began_at)
 
     def _pass_on(self, answer: WholeAnswer, caller: CallerConnection) -> None:
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -5,10 +5,11 @@
 import os
 import random
 import signal
+import sys
 import time
 from collections.abc import Callable, Coroutine
 
-from wheelslip.events import LogEvent, configure_logging, log_event
+from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.holder import HolderLease
 from wheelslip.forwarding.interface import (
@@ -17,11 +18,17 @@
     RequestDialect,
     WorkerControl,
 )
+from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.placement import WorkerPlacement
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.rollout import RolloutView, WeightsRollout
-from wheelslip.forwarding.server import READY_AGE_SHARE, CallerServer, ReadinessServer
+from wheelslip.forwarding.server import (
+    READY_AGE_SHARE,
+    CallerServer,
+    MetricsServer,
+    ReadinessServer,
+)
 from wheelslip.forwarding.settings import (
     BoundsSection,
     ForwardingSettings,
@@ -70,8 +77,15 @@
         rollout_view = RolloutView(self._registry, clock)
         self._registry.on_own_entry = rollout_view.entry_changed
         self._sync = RegistrySync(store, self._registry, clock, random_source)
+        self._metrics = self._make_metrics()
         self._forwarder = Forwarder(
-            requests, self._registry, self._placement, self._pool, self.bounds, clock
+            requests,
+            self._registry,
+            self._placement,
+            self._pool,
+            self.bounds,
+            clock,
+            self._metrics,
         )
         self._lease = HolderLease(
             store,
@@ -88,6 +102,7 @@
         )
         self._callers = CallerServer(self._forwarder, self._registry, clock)
         self._readiness = ReadinessServer(self.is_ready, clock)
+        self._metrics_server = MetricsServer(self._metrics, clock)
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -127,6 +142,19 @@
         known = self._registry.configuration is not None
         return known and self._registry.age() < oldest and not self._callers.stopping
 
+    def _make_metrics(self) -> ForwardingMetrics:
+        metrics = ForwardingMetrics()
+        metrics.gauges = {
+            "ready": lambda: float(self.is_ready()),
+            "running_requests": lambda: float(self._callers.busy),
+            "known_workers": lambda: float(len(self._registry.workers)),
+            "configuration_version": lambda: float(self.configuration_version() or 0),
+            "registry_age_seconds": lambda: min(self._registry.age(), 1e6),
+            "holder": lambda: float(self._lease.fencing_token() is not None),
+            "worker_connections_opened": lambda: float(self._pool.opened),
+        }
+        return metrics
+
     def _forget_worker(self, worker_id: str) -> None:
         self._pool.forget(worker_id)
         self._placement.forget(worker_id)
@@ -134,7 +162,8 @@
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and that is complete."""
         node = self._settings.node
-        configure_logging(node.name, node.zone)
+        handler = NonBlockingHandler(sys.stdout.fileno())
+        configure_logging(node.name, node.zone, handler)
         loop = asyncio.get_running_loop()
         stop_requested = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
@@ -150,6 +179,8 @@
         loop = asyncio.get_running_loop()
         await self._readiness.listen(*parse_address(node.readiness))
         await self._callers.listen(*parse_address(node.callers))
+        if node.metrics:
+            await self._metrics_server.listen(*parse_address(node.metrics))
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
@@ -189,6 +220,7 @@
             await asyncio.sleep(STOP_POLL_SECONDS)
         self._callers.close()
         self._readiness.close()
+        self._metrics_server.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         giving_up.cancel()
         for task in self._tasks:
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -6,6 +6,7 @@
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
 from wheelslip.forwarding.forwarder import Forwarder
+from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.model import CallerLimits
 from wheelslip.forwarding.registry import Registry
 
@@ -80,13 +81,12 @@
         self.close_idle()
 
 
-class ReadinessServer:
-    """Answers whether this node wants new connections: 200 or 503 on any path."""
+class SideServer:
+    """Answers small questions that are no callers' requests; one subclass an address."""
 
-    def __init__(self, is_ready: Callable[[], bool], clock: Callable[[], float]):
+    def __init__(self, clock: Callable[[], float]):
         self.clock = clock
         self.stopping = False
-        self._is_ready = is_ready
         self._server: asyncio.Server | None = None
 
     def limits(self) -> CallerLimits:
@@ -99,11 +99,6 @@
     def closed(self, connection: CallerConnection) -> None:
         """Nothing is counted here."""
 
-    async def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
-        """Answer a readiness question."""
-        connection.start(200 if self._is_ready() else 503, [(b"Content-Length", b"0")])
-        connection.end()
-
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept questions."""
         loop = asyncio.get_running_loop()
@@ -113,3 +108,35 @@
         """Accept nothing more."""
         if self._server is not None:
             self._server.close()
+
+
+class ReadinessServer(SideServer):
+    """Answers whether this node wants new connections: 200 or 503 on any path."""
+
+    def __init__(self, is_ready: Callable[[], bool], clock: Callable[[], float]):
+        super().__init__(clock)
+        self._is_ready = is_ready
+
+    async def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Answer a readiness question."""
+        connection.start(200 if self._is_ready() else 503, [(b"Content-Length", b"0")])
+        connection.end()
+
+
+class MetricsServer(SideServer):
+    """Answers with all metrics, as text, on any path."""
+
+    def __init__(self, metrics: ForwardingMetrics, clock: Callable[[], float]):
+        super().__init__(clock)
+        self._metrics = metrics
+
+    async def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Answer with the figures of this moment."""
+        body = self._metrics.exposition()
+        headers = [
+            (b"Content-Type", b"text/plain; version=0.0.4"),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        connection.start(200, headers)
+        connection.data(body)
+        connection.end()
--- a/tests/probe/forwarding/site.py
+++ b/standins/platform_site.py
@@ -33,12 +33,14 @@
 
 
 def free_port() -> int:
+    """Return a port that nothing listens on just now."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
 
 
 def configuration(version: int = 1, routes=None, keys=(KEY,), **changes) -> dict:
+    """Return a whole configuration as operators write it."""
     document = {
         "version": version,
         "routes": [
@@ -86,10 +88,12 @@
 
     @classmethod
     async def connect(cls, address: str) -> "Caller":
+        """Open a connection to a node."""
         host, _, port = address.partition(":")
         return cls(*await asyncio.open_connection(host, int(port)))
 
     def send(self, path: str, request_id: str, body: bytes = b"x", key: str = KEY, **headers):
+        """Write a whole request; underscores in header names become dashes."""
         named = {
             "Host": HOST,
             "Wheelslip-Request-Id": request_id,
@@ -104,6 +108,7 @@
         self.writer.write(data + self.parser.send(h11.EndOfMessage()))
 
     async def answer(self) -> Answer:
+        """Read one answer, whole or broken off."""
         got = None
         while True:
             try:
@@ -134,6 +139,7 @@
                 raise AssertionError("connection closed before an answer")
 
     def leave(self) -> None:
+        """Close at once."""
         self.writer.transport.abort()
 
 
@@ -150,29 +156,35 @@
         self.readiness: dict[str, str] = {}
 
     async def start(self) -> "Site":
+        """Start the store."""
         await self.store.server.start()
         return self
 
     def configure(self, document: dict | None = None) -> None:
+        """Write a configuration to the store."""
         text = json.dumps(document or configuration())
         self.model.put("op/config", text.encode())
 
     def name_weights(self, model: str, version: int) -> None:
+        """Name a version of a model's weights."""
         for worker in self.workers.values():
             worker.named_versions.add(version)
         document = {"model_id": model, "version": version}
         self.model.put(f"op/version/{model}", json.dumps(document).encode())
 
     async def add_worker(self, worker: PlatformWorker, service: str) -> PlatformWorker:
+        """Start a worker and enter it in the store."""
         await worker.server.start()
         self.workers[worker.id] = worker
         self.enter(worker, service)
         return worker
 
     def enter(self, worker: PlatformWorker, service: str, state: str = "ready") -> None:
+        """Write a worker's entry."""
         self.model.put(f"servers/{worker.id}", worker.entry(service, "z1", state))
 
     def settings(self, name: str, **bounds) -> pathlib.Path:
+        """Write a node's settings file."""
         lines = [f"{key} = {json.dumps(value)}" for key, value in bounds.items()]
         path = self.folder / f"{name}.toml"
         path.write_text(
@@ -183,6 +195,7 @@
         return path
 
     async def add_node(self, name: str = "n1", **bounds) -> ForwardingNode:
+        """Start a node in this event loop."""
         self.addresses[name] = f"127.0.0.1:{free_port()}"
         self.readiness[name] = f"127.0.0.1:{free_port()}"
         node = ForwardingNode(
@@ -197,14 +210,17 @@
         return node
 
     async def ready(self, name: str = "n1") -> None:
+        """Wait until a node is ready and knows all workers."""
         expected = set(self.workers)
         node = self.nodes[name]
         await until(lambda: node.is_ready() and expected <= node.known_workers(), "node ready")
 
     async def caller(self, name: str = "n1") -> Caller:
+        """Connect a caller to a node."""
         return await Caller.connect(self.addresses[name])
 
     async def ask(self, path: str, request_id: str, name: str = "n1", **options) -> Answer:
+        """Send one request on a connection of its own and return its answer."""
         caller = await self.caller(name)
         caller.send(path, request_id, **options)
         try:
@@ -213,6 +229,7 @@
             caller.leave()
 
     def runs(self, request_id: str) -> list:
+        """Return the runs of a request at all workers."""
         return [
             run
             for worker in self.workers.values()
--- a/tests/probe/forwarding/conftest.py
+++ b/tests/probe/forwarding/conftest.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.probe.forwarding.site import Site
+from standins.platform_site import Site
 
 
 async def _with_site(function, folder, arguments):
--- a/tests/probe/forwarding/test_failures.py
+++ b/tests/probe/forwarding/test_failures.py
@@ -1,7 +1,7 @@
 """Attempts that fail: what is repeated, what never, and what the caller is told."""
 
+from standins.platform_site import until
 from standins.platform_worker import PlatformWorker, WorkerFaults
-from tests.probe.forwarding.site import until
 from tests.probe.forwarding.test_path import PROMPT
 
 
--- a/tests/probe/forwarding/test_path.py
+++ b/tests/probe/forwarding/test_path.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from standins.platform_site import configuration, until
 from standins.platform_worker import PlatformWorker, WorkerFaults
-from tests.probe.forwarding.site import configuration, until
 
 LLM = {"Wheelslip_Model_Id": "m", "Wheelslip_Token_Usage": "300,20"}
 PROMPT = LLM | {"Wheelslip_Prefix_Hash": "aa:100,bb:100,cc:100"}
--- a/tests/probe/forwarding/test_planned_stop.py
+++ b/tests/probe/forwarding/test_planned_stop.py
@@ -5,8 +5,8 @@
 
 import h11
 
+from standins.platform_site import until
 from standins.platform_worker import PlatformWorker
-from tests.probe.forwarding.site import until
 
 
 async def slow_site(site, seconds, **bounds):
--- a/tests/probe/forwarding/test_store.py
+++ b/tests/probe/forwarding/test_store.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from standins.platform_site import PLAIN, configuration, until
 from standins.platform_worker import PlatformWorker
-from tests.probe.forwarding.site import PLAIN, configuration, until
 
 
 async def small_site(site, **bounds):
--- a/tests/probe/forwarding/test_weights.py
+++ b/tests/probe/forwarding/test_weights.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 
+from standins.platform_site import until
 from standins.platform_worker import PlatformWorker, WorkerFaults
-from tests.probe.forwarding.site import until
 from tests.probe.forwarding.test_path import PROMPT
 
 QUICK = {
