--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -109,6 +109,7 @@
     reason: str = ""
     worker_id: str = ""
     weights_version: int | None = None
+    first_event_at: float = 0.0
 
 
 class Forwarder:
@@ -202,6 +203,7 @@
             weights_version=job.weights_version,
             delivered=job.delivered,
             configuration=self._registry.configuration.version,
+            first_event=round(max(0.0, job.first_event_at - job.request.arrived), 4),
             seconds=round(seconds, 4),
         )
 
@@ -304,7 +306,7 @@
         give_up_at = self._clock() + OFFER_SHARE * job.route.target_seconds
         while True:
             excluded = frozenset(job.excluded)
-            placement = self._placement.choose(job.request, service, job.wall, excluded)
+            placement = self._placement.choose(job.request, job.route, service, job.wall, excluded)
             if placement is not None:
                 return placement
             remaining = give_up_at - self._clock()
@@ -469,9 +471,11 @@
         """Learn how a worker fares."""
         self._placement.note_outcome(placement.worker.info.id, failed)
 
-    def note_first_token(self, placement: Placement, began_at: float) -> None:
+    def note_first_token(self, job: Job, placement: Placement, began_at: float) -> None:
         """A worker has read the prompt."""
-        self._metrics.first_byte.observe(self._clock() - began_at)
+        now = self._clock()
+        job.first_event_at = job.first_event_at or now
+        self._metrics.first_byte.observe(now - job.request.arrived)
         self._placement.first_token(placement, began_at)
 
     def _pass_on(self, answer: WholeAnswer, caller: CallerConnection) -> None:
@@ -639,7 +643,7 @@
             return
         if not self.had_first_token:
             self.had_first_token = True
-            self._forwarder.note_first_token(self._placement, self._began_at)
+            self._forwarder.note_first_token(self._job, self._placement, self._began_at)
         self._start_stream(response)
         self._caller.data(b"".join(one.raw for one in fresh))
         ids = [one.id for one in fresh if one.id is not None]
--- a/src/wheelslip/forwarding/model.py
+++ b/src/wheelslip/forwarding/model.py
@@ -30,6 +30,7 @@
     :ivar timeout_seconds: longest time a request may be held.
     :ivar target_seconds: time within which an answer has its full worth.
     :ivar max_attempts: most workers that may run one request.
+    :ivar pause_seconds: longest pause between events that keeps an answer in time.
     :ivar resumable: a stream may go on at another worker after its last whole event.
     """
 
@@ -45,6 +46,7 @@
     public: bool
     session_affinity: bool
     resumable: bool
+    pause_seconds: float = 0.5
 
     @property
     def repeatable(self) -> bool:
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -14,14 +14,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wheelslip.forwarding.model import EngineProfile, ForwardedRequest
+from wheelslip.forwarding.model import EngineProfile, ForwardedRequest, Route
 from wheelslip.forwarding.registry import Registry, Worker
 from wheelslip.routing import rendezvous
 from wheelslip.routing.holdings import Chain, WorkerHoldings, chain_of
+from wheelslip.routing.separation import PromptSeparation
 
 PREFILL_TOKENS_PER_SECOND = 30_000.0
 """First guess of how fast a worker reads a prompt; only the ratio of costs depends on it."""
 
+LONG_PAUSE_SHARE = 0.125
+"""A prompt is long if reading it takes more than this share of the pause that a stream of
+its route may make."""
+
+OUTSIDE_SECONDS = 0.15
+"""Cost of a worker that is meant for requests of the other length."""
+
 RUNNING_SECONDS = 0.004
 """Cost of each request this node has at a worker."""
 
@@ -112,6 +120,7 @@
         self._zone = zone
         self._clock = clock
         self._random = random_source
+        self._separation: dict[str, PromptSeparation] = {}
         self._loads: dict[str, WorkerLoad] = {}
         self._holdings: dict[str, WorkerHoldings] = {}
 
@@ -125,7 +134,12 @@
         self._holdings.pop(worker_id, None)
 
     def choose(
-        self, request: ForwardedRequest, service: str, wall: str, excluded: frozenset[str]
+        self,
+        request: ForwardedRequest,
+        route: Route,
+        service: str,
+        wall: str,
+        excluded: frozenset[str],
     ) -> Placement | None:
         """Return the best worker now, or ``None`` when no worker may take the request."""
         candidates = [
@@ -135,7 +149,7 @@
         profile = configuration.services.get(service) if configuration else None
         if profile is None or profile.engine is None:
             return self._choose_plain(candidates)
-        return self._choose_engine(request, candidates, profile.engine, wall)
+        return self._choose_engine(request, route, candidates, profile.engine, wall)
 
     def _choose_plain(self, candidates: list[Worker]) -> Placement | None:
         candidates = self._without_suspects(candidates)
@@ -160,6 +174,7 @@
     def _choose_engine(
         self,
         request: ForwardedRequest,
+        route: Route,
         candidates: list[Worker],
         engine: EngineProfile,
         wall: str,
@@ -171,9 +186,29 @@
         candidates = self._without_suspects(candidates)
         if not candidates:
             return None
-        home = self._home(request, candidates)
+        preferred = self._preferred(request, route, candidates)
+        home = self._home(request, preferred)
         placements = [self._placement(request, one, home, engine, wall) for one in candidates]
-        return min(placements, key=lambda one: self._engine_cost(one, engine))
+        preferred_ids = {one.info.id for one in preferred}
+
+        def cost(placement: Placement) -> float:
+            outside = placement.worker.info.id not in preferred_ids
+            return self._engine_cost(placement, engine) + OUTSIDE_SECONDS * outside
+
+        return min(placements, key=cost)
+
+    def _preferred(
+        self, request: ForwardedRequest, route: Route, candidates: list[Worker]
+    ) -> list[Worker]:
+        """Return the workers that are meant for requests of this length."""
+        separation = self._separation.setdefault(route.split[0].service, PromptSeparation())
+        seconds = request.metadata.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        is_long = seconds > LONG_PAUSE_SHARE * route.pause_seconds
+        separation.note(seconds, is_long, self._clock())
+        short = separation.short_workers([one.info.id for one in candidates])
+        if not short:
+            return candidates
+        return [one for one in candidates if (one.info.id in short) != is_long]
 
     def _may_begin(self, worker: Worker, model: str) -> bool:
         """Whether a request sent now begins before its weights are too old."""
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -48,6 +48,7 @@
     public: bool = False
     session_affinity: bool = False
     resumable: bool = False
+    gap_aim_ms: float = 500
 
 
 class _Engine(msgspec.Struct):
@@ -190,6 +191,7 @@
         public=one.public,
         session_affinity=one.session_affinity,
         resumable=one.resumable,
+        pause_seconds=one.gap_aim_ms / 1000,
     )
 
 
