Long prompts and short requests on different workers; nodes tell each other their loads

Cause: streams came late through pauses of more than 500 ms: a worker reads prompts between their tokens, so a stream beside long prompts stands still; and each node saw a seventh of the load.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -19,6 +19,8 @@
     WorkerControl,
 )
 from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.peer_link import PeerLink
+from wheelslip.forwarding.peer_loads import PeerLoads
 from wheelslip.forwarding.placement import WorkerPlacement
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
@@ -70,8 +72,10 @@
         random_source = random.Random()
         store = make_store(lambda: self._settings.store.address)
         self._registry = Registry(documents, self.bounds, clock)
-        zone = self._settings.node.zone
-        self._placement = WorkerPlacement(self._registry, zone, clock, random_source)
+        section = self._settings.node
+        peers = PeerLoads(section.name, section.peers, section.seed_addresses(), random_source)
+        self._placement = WorkerPlacement(self._registry, section.zone, clock, random_source, peers)
+        self._peer_link = PeerLink(peers, self._placement.own_loads, clock)
         self._pool = WorkerPool(clock)
         self._registry.on_worker_gone = self._forget_worker
         rollout_view = RolloutView(self._registry, clock)
@@ -151,6 +155,7 @@
             "configuration_version": lambda: float(self.configuration_version() or 0),
             "registry_age_seconds": lambda: min(self._registry.age(), 1e6),
             "holder": lambda: float(self._lease.fencing_token() is not None),
+            "peer_bytes_sent": lambda: float(self._peer_link.bytes_sent),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
@@ -181,6 +186,9 @@
         await self._callers.listen(*parse_address(node.callers))
         if node.metrics:
             await self._metrics_server.listen(*parse_address(node.metrics))
+        if node.peers:
+            await self._peer_link.listen(*parse_address(node.peers))
+            self._tasks.append(loop.create_task(self._keep_running("peers", self._peer_link.run)))
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
@@ -190,7 +198,7 @@
             ("settings", self._watch_settings),
         ):
             self._tasks.append(loop.create_task(self._keep_running(name, work)))
-        log_event(LogEvent.NODE_STARTED, callers=node.callers, peers="")
+        log_event(LogEvent.NODE_STARTED, callers=node.callers, peers=node.peers)
 
     async def _keep_running(self, name: str, work: Callable[[], Coroutine]) -> None:
         while True:
@@ -221,6 +229,7 @@
         self._callers.close()
         self._readiness.close()
         self._metrics_server.close()
+        self._peer_link.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         giving_up.cancel()
         for task in self._tasks:
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from wheelslip.forwarding.model import EngineProfile, ForwardedRequest, Route
+from wheelslip.forwarding.peer_loads import PeerLoads, WorkerLoadNews
 from wheelslip.forwarding.registry import Registry, Worker
 from wheelslip.routing import rendezvous
 from wheelslip.routing.holdings import Chain, WorkerHoldings, chain_of
@@ -27,10 +28,13 @@
 """A prompt is long if reading it takes more than this share of the pause that a stream of
 its route may make."""
 
-OUTSIDE_SECONDS = 0.15
+OUTSIDE_SECONDS = 0.05
 """Cost of a worker that is meant for requests of the other length."""
 
-RUNNING_SECONDS = 0.004
+INTERFERENCE = 0.05
+"""Part of the reading time of a prompt that each stream running beside it loses in worth."""
+
+RUNNING_SECONDS = 0.002
 """Cost of each request this node has at a worker."""
 
 HOME_KEEPS_SHARE = 0.9
@@ -115,7 +119,9 @@
         zone: str,
         clock: Callable[[], float],
         random_source: random.Random,
+        peers: PeerLoads | None = None,
     ):
+        self._peers = peers
         self._registry = registry
         self._zone = zone
         self._clock = clock
@@ -128,6 +134,22 @@
         """Return the load of a worker, new when there is none."""
         return self._loads.setdefault(worker_id, WorkerLoad())
 
+    def own_loads(self) -> list[WorkerLoadNews]:
+        """Return what this node has at its workers, for its peers."""
+        return [
+            WorkerLoadNews(worker_id, load.running, load.prompt_tokens)
+            for worker_id, load in sorted(self._loads.items())
+            if load.running
+        ]
+
+    def _all_loads(self, worker_id: str) -> tuple[float, float]:
+        """Return running requests and prompt tokens of all nodes at a worker."""
+        load = self.load(worker_id)
+        if self._peers is None:
+            return load.running, load.prompt_tokens
+        running, prompt_tokens = self._peers.at_worker(worker_id, self._clock())
+        return load.running + running, load.prompt_tokens + prompt_tokens
+
     def forget(self, worker_id: str) -> None:
         """A worker is gone."""
         self._loads.pop(worker_id, None)
@@ -159,7 +181,8 @@
 
     def _plain_cost(self, worker: Worker) -> tuple[float, float]:
         load = self.load(worker.info.id)
-        share = (load.running + 1) / max(1, worker.info.capacity)
+        running, _ = self._all_loads(worker.info.id)
+        share = (running + 1) / max(1, worker.info.capacity)
         other_zone = worker.info.zone != self._zone
         return share + 2 * load.recent_failure(
             self._clock()
@@ -263,8 +286,10 @@
         load = self.load(worker.info.id)
         shared_tokens = sum(tokens for _, tokens in placement.chain[:-1])
         moved = max(0, shared_tokens - placement.cached_tokens)
-        cost = (load.prompt_tokens + placement.read_tokens) / PREFILL_TOKENS_PER_SECOND
-        cost += load.running * RUNNING_SECONDS
+        running, prompt_tokens = self._all_loads(worker.info.id)
+        read_seconds = placement.read_tokens / PREFILL_TOKENS_PER_SECOND
+        cost = prompt_tokens / PREFILL_TOKENS_PER_SECOND + read_seconds
+        cost += running * (RUNNING_SECONDS + INTERFERENCE * read_seconds)
         cost += 2 * moved * engine.token_bytes / max(1.0, engine.link_bytes_per_second)
         cost += FAILURE_COST_SECONDS * load.recent_failure(self._clock())
         if worker.info.zone != self._zone:
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -19,7 +19,9 @@
 class NodeSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Who this node is and where it listens.
 
-    ``metrics`` is optional: without it no metrics are served.
+    :ivar metrics: optional; without it no metrics are served.
+    :ivar peers: optional address for datagrams between nodes; all nodes use the same port.
+    :ivar seeds: addresses of some nodes; only their hosts are used, with the port of ``peers``.
     """
 
     name: NonEmptyText
@@ -27,6 +29,13 @@
     callers: str
     readiness: str
     metrics: str = ""
+    peers: str = ""
+    seeds: tuple[str, ...] = ()
+
+    def seed_addresses(self) -> list[str]:
+        """Return where the seeds hear datagrams."""
+        port = self.peers.rpartition(":")[2]
+        return [f"{seed.rpartition(':')[0]}:{port}" for seed in self.seeds]
 
 
 class StoreSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -97,6 +106,10 @@
     check_address(path, "node.readiness", settings.node.readiness)
     if settings.node.metrics:
         check_address(path, "node.metrics", settings.node.metrics)
+    if settings.node.peers:
+        check_address(path, "node.peers", settings.node.peers)
+    for position, seed in enumerate(settings.node.seeds):
+        check_address(path, f"node.seeds[{position}]", seed)
     check_address(path, "store.address", settings.store.address)
     return settings
 
