--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -132,6 +132,14 @@
         configuration = self._registry.configuration
         return configuration.version if configuration else None
 
+    def running_at(self, worker_id: str) -> float:
+        """Return the requests of all nodes at a worker, as far as this one knows."""
+        return self._placement.all_loads(worker_id)[0]
+
+    def hear_datagram(self, data: bytes) -> None:
+        """Take a peer's datagram as if it came from the socket."""
+        self._peer_link.datagram_received(data, ("127.0.0.1", 0))
+
     def refuses_new(self) -> bool:
         """Whether the stop has come so far that new requests are refused."""
         return self._callers.refuses_new
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -142,7 +142,7 @@
             if load.running
         ]
 
-    def _all_loads(self, worker_id: str) -> tuple[float, float]:
+    def all_loads(self, worker_id: str) -> tuple[float, float]:
         """Return running requests and prompt tokens of all nodes at a worker."""
         load = self.load(worker_id)
         if self._peers is None:
@@ -181,7 +181,7 @@
 
     def _plain_cost(self, worker: Worker) -> tuple[float, float]:
         load = self.load(worker.info.id)
-        running, _ = self._all_loads(worker.info.id)
+        running, _ = self.all_loads(worker.info.id)
         share = (running + 1) / max(1, worker.info.capacity)
         other_zone = worker.info.zone != self._zone
         return share + 2 * load.recent_failure(
@@ -286,7 +286,7 @@
         load = self.load(worker.info.id)
         shared_tokens = sum(tokens for _, tokens in placement.chain[:-1])
         moved = max(0, shared_tokens - placement.cached_tokens)
-        running, prompt_tokens = self._all_loads(worker.info.id)
+        running, prompt_tokens = self.all_loads(worker.info.id)
         read_seconds = placement.read_tokens / PREFILL_TOKENS_PER_SECOND
         cost = prompt_tokens / PREFILL_TOKENS_PER_SECOND + read_seconds
         cost += running * (RUNNING_SECONDS + INTERFERENCE * read_seconds)
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -21,7 +21,7 @@
 
     :ivar metrics: optional; without it no metrics are served.
     :ivar peers: optional address for datagrams between nodes; all nodes use the same port.
-    :ivar seeds: addresses of some nodes; only their hosts are used, with the port of ``peers``.
+    :ivar seeds: addresses of some nodes, see :meth:`seed_addresses`.
     """
 
     name: NonEmptyText
@@ -33,9 +33,16 @@
     seeds: tuple[str, ...] = ()
 
     def seed_addresses(self) -> list[str]:
-        """Return where the seeds hear datagrams."""
-        port = self.peers.rpartition(":")[2]
-        return [f"{seed.rpartition(':')[0]}:{port}" for seed in self.seeds]
+        """Return where the seeds hear datagrams.
+
+        On another machine that is the port of ``peers``; on one's own, the seed's.
+        """
+        own_host, _, port = self.peers.rpartition(":")
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return [
+            seed if host == own_host else f"{host}:{port}"
+            for host, seed in zip(hosts, self.seeds, strict=True)
+        ]
 
 
 class StoreSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- /dev/null
+++ b/tests/probe/forwarding/test_peers.py
@@ -0,0 +1,34 @@
+"""Nodes tell each other what they have at workers, by datagrams."""
+
+from standins.platform_site import free_port, until
+from standins.platform_worker import PlatformWorker
+from tests.probe.forwarding.test_path import PROMPT
+
+
+async def test_nodes_learn_each_others_loads_through_a_seed(site):
+    site.configure()
+    worker = await site.add_worker(PlatformWorker("i-1", model="m", seconds=30), "engines")
+    seed = f"127.0.0.1:{free_port()}"
+    first = await site.add_node("n1", peers=seed)
+    second = await site.add_node("n2", peers=f"127.0.0.1:{free_port()}", seeds=[seed])
+    await site.ready("n1")
+    await site.ready("n2")
+    caller = await site.caller("n1")
+    caller.send("/stream/x", "r1", **PROMPT)
+    await until(lambda: worker.runs, "request runs")
+    await until(lambda: second.running_at("i-1") == 1, "the other node was told")
+    caller.leave()
+    await until(lambda: second.running_at("i-1") == 0, "and told of its end")
+    assert first.running_at("i-1") == 0
+
+
+async def test_bytes_that_are_no_news_change_nothing(site):
+    site.configure()
+    worker = await site.add_worker(PlatformWorker("i-1"), "plain")
+    address = f"127.0.0.1:{free_port()}"
+    node = await site.add_node("n1", peers=address)
+    await site.ready()
+    node.hear_datagram(b"7:garbage,")
+    node.hear_datagram(b"\xff\x00")
+    assert (await site.ask("/plain/", "r1")).status == 200
+    assert worker.runs and node.running_at("i-1") == 0
