Forwarder in three modules: admission, attempt, and the life of a request

Change: admission (route, key, deadline), attempt (one request at one worker) and forwarder (places, repeats, gives up); behaviour as before.

--- /dev/null
+++ b/src/wheelslip/forwarding/attempt.py
@@ -0,0 +1,350 @@
+"""One forwarded request at one worker: sending, reading the answer, passing it on."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h11
+
+from wheelslip.forwarding.caller_connection import CallerConnection
+from wheelslip.forwarding.event_stream import EventSplitter, StreamEvent
+from wheelslip.forwarding.http_client import HttpConnection, PeerLost
+from wheelslip.forwarding.interface import RequestDialect
+from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.model import (
+    AnswerMetadata,
+    CachePlan,
+    Dispatch,
+    ForwardedRequest,
+    Route,
+    RouteKind,
+    Tenant,
+)
+from wheelslip.forwarding.placement import Placement, WorkerPlacement
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.worker_pool import WorkerPool
+
+BEGIN_GUARD_SECONDS = 0.2
+"""A request that has not begun is taken back this long before its weights become too old."""
+
+BEGIN_CHECK_SECONDS = 1.0
+
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
+"""Largest answer collected before it is passed on; larger ones end the request."""
+
+LEAST_URGENT = 9
+"""Greatest number of a priority; 0 is the most urgent."""
+
+_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE"})
+"""Methods that are sent without a length when they have no body."""
+
+
+class AttemptOutcome(enum.Enum):
+    """How one attempt at one worker ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    LOST = "lost"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """A worker's whole answer that was not passed on yet."""
+
+    response: h11.Response
+    body: bytes
+
+
+@dataclass
+class Job:
+    """One request under way and what has happened to it.
+
+    :ivar sent: attempts that reached a worker, whether it ran them or not.
+    :ivar may_have_run: attempts that were not proven not run.
+    :ivar delivered: id of the last event passed on to the caller.
+    """
+
+    request: ForwardedRequest
+    route: Route
+    tenant: Tenant | None
+    wall: str
+    deadline: float
+    sent: int = 0
+    may_have_run: int = 0
+    excluded: set[str] = field(default_factory=set)
+    delivered: int | None = None
+    failure: WholeAnswer | None = None
+    reason: str = ""
+    worker_id: str = ""
+    weights_version: int | None = None
+    first_event_at: float = 0.0
+
+
+@dataclass(frozen=True)
+class AttemptServices:
+    """What attempts use of their node."""
+
+    dialect: RequestDialect
+    registry: Registry
+    placement: WorkerPlacement
+    pool: WorkerPool
+    metrics: ForwardingMetrics
+    clock: Callable[[], float]
+
+
+def pass_on_whole(answer: WholeAnswer, caller: CallerConnection) -> None:
+    """Write a worker's whole answer to the caller."""
+    headers = end_to_end_headers(answer.response)
+    if answer.response.status_code not in (204, 304):
+        headers.append((b"Content-Length", b"%d" % len(answer.body)))
+    caller.start(answer.response.status_code, headers)
+    if answer.body:
+        caller.data(answer.body)
+    caller.end()
+
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    }
+)
+
+
+def end_to_end_headers(response: h11.Response) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer that concern more than one connection."""
+    return [
+        (raw, value)
+        for raw, value in response.headers.raw_items()
+        if raw.lower() not in _HOP_BY_HOP
+    ]
+
+
+class Attempt:
+    """One request at one worker, until its answer is passed on or the attempt has failed."""
+
+    def __init__(
+        self,
+        services: AttemptServices,
+        job: Job,
+        placement: Placement,
+        connection: HttpConnection,
+        caller: CallerConnection,
+        began_at: float,
+    ):
+        self._services = services
+        self._began_at = began_at
+        self._job = job
+        self._placement = placement
+        self._connection = connection
+        self._caller = caller
+        self.had_first_token = False
+        self._guard: asyncio.TimerHandle | None = None
+        self.released = False
+
+    def finish(self) -> None:
+        """End the attempt, however it went."""
+        if self._guard is not None:
+            self._guard.cancel()
+        if not self.released:
+            self._connection.close()
+
+    def _watch_beginning(self) -> None:
+        """Take a request back that has not begun when its weights become too old.
+
+        Newer weights may be named while it waits, so the bound is looked up again and again.
+        """
+        if self._placement.weights_version is None or self.had_first_token:
+            return
+        until = self._services.registry.begins_until(
+            self._job.request.metadata.model, self._placement.weights_version
+        )
+        remaining = until - BEGIN_GUARD_SECONDS - self._services.clock()
+        if remaining <= 0:
+            self._connection.close()
+            return
+        self._guard = asyncio.get_running_loop().call_later(
+            min(remaining, BEGIN_CHECK_SECONDS), self._watch_beginning
+        )
+
+    async def run(self) -> AttemptOutcome:
+        """Send, read and pass on."""
+        job = self._job
+        job.sent += 1
+        job.may_have_run += 1
+        self._watch_beginning()
+        try:
+            self._send()
+            response, answer = await self._read_head()
+            self._note_answer(answer)
+            if answer.not_executed or response.status_code == 421:
+                return await self._not_run(response, answer)
+            is_stream = job.route.kind is RouteKind.STREAM
+            if is_stream and 200 <= response.status_code < 300:
+                return await self._relay_stream(response, answer)
+            return await self._relay_whole(response, answer)
+        except PeerLost as error:
+            job.reason = str(error)
+            self._note_outcome(failed=True)
+            return AttemptOutcome.LOST
+
+    def _send(self) -> None:
+        request = self._job.request
+        headers = self._services.dialect.worker_headers(request, self._dispatch())
+        if request.body or request.method not in _WITHOUT_BODY:
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        self._connection.send(request.method, request.target, headers, request.body)
+
+    def _dispatch(self) -> Dispatch:
+        job, placement = self._job, self._placement
+        priority = job.route.priority
+        if job.tenant is not None and job.tenant.priority is not None:
+            priority = job.tenant.priority
+        return Dispatch(
+            worker=placement.worker.info,
+            remaining_seconds=max(0.001, job.deadline - self._services.clock()),
+            priority=max(0, min(LEAST_URGENT, priority)) if placement.chain else None,
+            tenant=job.tenant.name if job.tenant else None,
+            weights_version=placement.weights_version,
+            cache=self._cache_plan(),
+            last_event_id=job.delivered,
+        )
+
+    def _cache_plan(self) -> CachePlan | None:
+        placement = self._placement
+        if not placement.chain:
+            return None
+        stores = self._services.registry.configuration.cache_stores
+        store = stores[0].address if stores else ""
+        fetch_from = store
+        if placement.home_keeps or not store:
+            home = placement.home
+            is_other = home is not None and home is not placement.worker
+            fetch_from = home.info.address if is_other else store
+        return CachePlan(placement.salt, fetch_from, store)
+
+    async def _read_head(self) -> tuple[h11.Response, AnswerMetadata]:
+        """Read the head of the answer to this request, passing over others'.
+
+        :raises PeerLost: when none comes.
+        """
+        while True:
+            response = await self._connection.next_event()
+            answer = self._services.dialect.decode_answer(response.headers)
+            if answer.request_id in (None, self._job.request.metadata.request_id):
+                return response, answer
+            while not isinstance(await self._connection.next_event(), h11.EndOfMessage):
+                pass
+            self._connection.skip_foreign_answer()
+
+    def _note_answer(self, answer: AnswerMetadata) -> None:
+        """Learn weights and identity of the worker from its answer."""
+        registry, worker_id = self._services.registry, self._placement.worker.info.id
+        model = self._job.request.metadata.model
+        if answer.instance is not None and answer.instance != worker_id:
+            registry.mark_replaced(worker_id)
+        elif answer.weights_version is not None and model:
+            registry.note_weights(worker_id, model, answer.weights_version)
+
+    def _note_outcome(self, failed: bool) -> None:
+        self._services.placement.note_outcome(self._placement.worker.info.id, failed)
+
+    def _note_first_token(self) -> None:
+        now = self._services.clock()
+        self._job.first_event_at = self._job.first_event_at or now
+        self._services.metrics.first_byte.observe(now - self._job.request.arrived)
+        self._services.placement.first_token(self._placement, self._began_at)
+
+    async def _not_run(self, response: h11.Response, answer: AnswerMetadata) -> AttemptOutcome:
+        # Proven by the head alone; the rest only decides about the connection.
+        self._job.may_have_run -= 1
+        self._note_outcome(failed=response.status_code != 421)
+        self._job.reason = f"status {response.status_code}, not executed"
+        try:
+            await self._read_rest()
+        except PeerLost:
+            return AttemptOutcome.NOT_RUN
+        self._release(answer)
+        return AttemptOutcome.NOT_RUN
+
+    async def _read_rest(self) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            body += event.data
+            if len(body) > MAX_WHOLE_BYTES:
+                raise PeerLost("answer larger than a node collects")
+
+    def _release(self, answer: AnswerMetadata) -> None:
+        self.released = True
+        self._services.pool.release(self._placement.worker.info, self._connection, answer)
+
+    async def _relay_whole(self, response: h11.Response, answer: AnswerMetadata) -> AttemptOutcome:
+        body = await self._read_rest()
+        self._release(answer)
+        whole = WholeAnswer(response, body)
+        succeeded = 200 <= response.status_code < 300
+        if succeeded and not answer.signed:
+            raise PeerLost("success without a signature")
+        failed = response.status_code >= 500
+        self._note_outcome(failed=failed)
+        if failed:
+            self._job.failure = whole
+            self._job.reason = f"status {response.status_code}"
+            return AttemptOutcome.FAILED
+        if self._caller.answer_started:
+            raise PeerLost(f"status {response.status_code} to a resumed stream")
+        pass_on_whole(whole, self._caller)
+        return AttemptOutcome.ANSWERED
+
+    async def _relay_stream(self, response: h11.Response, answer: AnswerMetadata) -> AttemptOutcome:
+        if not answer.signed:
+            raise PeerLost("success without a signature")
+        splitter = EventSplitter()
+        while True:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            self._pass_events(response, splitter.feed(bytes(event.data)))
+            await self._caller.drained()
+        if splitter.incomplete:
+            raise PeerLost("stream ended inside an event")
+        self._release(answer)
+        self._note_outcome(failed=False)
+        self._start_stream(response)
+        self._caller.end()
+        return AttemptOutcome.ANSWERED
+
+    def _start_stream(self, response: h11.Response) -> None:
+        if not self._caller.answer_started:
+            headers = [*end_to_end_headers(response), (b"Transfer-Encoding", b"chunked")]
+            self._caller.start(response.status_code, headers)
+
+    def _pass_events(self, response: h11.Response, events: list[StreamEvent]) -> None:
+        delivered = self._job.delivered
+        fresh = [
+            one
+            for one in events
+            if one.id is None or one.id > (-1 if delivered is None else delivered)
+        ]
+        if not fresh:
+            return
+        if not self.had_first_token:
+            self.had_first_token = True
+            self._note_first_token()
+        self._start_stream(response)
+        self._caller.data(b"".join(one.raw for one in fresh))
+        ids = [one.id for one in fresh if one.id is not None]
+        if ids:
+            self._job.delivered = ids[-1]
