Late records are void, changes are gathered, bodies held in memory are bounded

Change: the record's own revision is part of its condition; bodies of all requests together take a quarter of the machine's memory at the most (429 beyond); a pause of 80 ms after changes.

--- a/src/wheelslip/forwarding/caller_connection.py
+++ b/src/wheelslip/forwarding/caller_connection.py
@@ -42,6 +42,9 @@
     def stopping(self) -> bool:
         """Whether answers shall ask the caller to connect elsewhere."""
 
+    def hold_bytes(self, count: int) -> bool:
+        """Count bytes of bodies held in memory; ``False`` when there is no room."""
+
     def opened(self, connection: "CallerConnection") -> None:
         """Count a connection."""
 
@@ -67,6 +70,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._gone = False
+        self._held = 0
         self._waiting_since = owner.clock()
         self._reading = False
 
@@ -99,6 +103,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection and stop work for it."""
         self._leave()
+        self._release_bytes()
         self._owner.closed(self)
 
     def pause_writing(self) -> None:
@@ -155,6 +160,10 @@
         return True
 
     def _take_body(self, data: bytes) -> bool:
+        if not self._owner.hold_bytes(len(data)):
+            self._refuse(ErrorKind.QUEUE_FULL, "too many bytes of requests are held")
+            return False
+        self._held += len(data)
         self._body += data
         if len(self._body) > self._max_body():
             self._refuse(ErrorKind.BODY_TOO_LARGE, f"body: longer than {self._max_body()}")
@@ -206,8 +215,13 @@
             self.abort()
         finally:
             self._task = None
+            self._release_bytes()
             self._finish()
 
+    def _release_bytes(self) -> None:
+        self._owner.hold_bytes(-self._held)
+        self._held = 0
+
     def _finish(self) -> None:
         if self._gone:
             self._transport.abort()
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -104,7 +104,12 @@
         self._rollout = WeightsRollout(
             store, control, self._registry, self._placement, self._lease, self.bounds, clock
         )
-        self._callers = CallerServer(self._forwarder, self._registry, clock)
+        self._callers = CallerServer(
+            self._forwarder,
+            self._registry,
+            clock,
+            lambda: self._settings.limits.memory_megabytes,
+        )
         self._readiness = ReadinessServer(self.is_ready, clock)
         self._metrics_server = MetricsServer(self._metrics, clock)
         self._tasks: list[asyncio.Task] = []
@@ -136,6 +141,10 @@
         """Return the requests of all nodes at a worker, as far as this one knows."""
         return self._placement.all_loads(worker_id)[0]
 
+    def hold_bytes(self, count: int) -> None:
+        """Count bytes as if bodies of requests held them."""
+        self._callers.hold_bytes(count)
+
     def hear_datagram(self, data: bytes) -> None:
         """Take a peer's datagram as if it came from the socket."""
         self._peer_link.datagram_received(data, ("127.0.0.1", 0))
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -12,6 +12,9 @@
 WATCH_SECONDS = 1.2
 """A watch returns at least this often, so that the age of the view is known."""
 
+GATHER_SECONDS = 0.08
+"""Pause after changes, so that those which follow closely come with one call."""
+
 FAILURES_OF_TROUBLE = 2
 """So many failed calls in a row are trouble of the store or of the way to it. A single one
 is not: connections are reset and watches cut while the store is well."""
@@ -63,6 +66,8 @@
         batch = await self._store.watch("", after, WATCH_SECONDS)
         for key, value, revision in batch.changes:
             self._registry.apply(key, value, revision)
+        if batch.changes:
+            await asyncio.sleep(GATHER_SECONDS)
         return max(after, batch.revision)
 
     def _note_available(self) -> None:
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -213,9 +213,12 @@
         if token is None or record == self._published:
             return
         put = Put(ROLLOUT_KEY, msgspec.json.encode(record))
-        result = await self._store.transact(Transaction({HOLDER_KEY: token}, (put,)))
+        known = self._registry.own_entry(ROLLOUT_KEY)
+        # The record's own revision too: a write that is done late must not undo a newer one.
+        expected = {HOLDER_KEY: token, ROLLOUT_KEY: known[1] if known else 0}
+        result = await self._store.transact(Transaction(expected, (put,)))
         if not result.succeeded:
-            raise KeyValueUnavailable("the holder's key is another's")
+            raise KeyValueUnavailable("the holder's key or its record has changed")
         self._published = record
 
     def _record(self) -> RolloutRecord:
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -12,6 +12,10 @@
 
 BACKLOG = 512
 SWEEP_SECONDS = 1.0
+HELD_MEMORY_SHARE = 0.25
+"""Part of a machine's memory that bodies of requests may take; each is kept until its answer
+so that it can be sent again."""
+
 READY_AGE_SHARE = 0.55
 """A node is ready while its view is younger than this share of the key revocation bound."""
 
@@ -19,7 +23,15 @@
 class CallerServer:
     """Accepts callers' connections and hands their requests to the forwarder."""
 
-    def __init__(self, forwarder: Forwarder, registry: Registry, clock: Callable[[], float]):
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        registry: Registry,
+        clock: Callable[[], float],
+        memory_megabytes: Callable[[], int],
+    ):
+        self._memory_megabytes = memory_megabytes
+        self._held_bytes = 0
         self.clock = clock
         self.stopping = False
         self.refuses_new = False
@@ -33,6 +45,14 @@
         configuration = self._registry.configuration
         return configuration.limits if configuration else CallerLimits()
 
+    def hold_bytes(self, count: int) -> bool:
+        """Count bytes of bodies held in memory; ``False`` when there is no room."""
+        room = HELD_MEMORY_SHARE * self._memory_megabytes() * 1_000_000
+        if count > 0 and self._held_bytes + count > room:
+            return False
+        self._held_bytes += count
+        return True
+
     def opened(self, connection: CallerConnection) -> None:
         """Count a connection."""
         self._connections.add(connection)
@@ -93,6 +113,10 @@
         """Return fixed limits."""
         return CallerLimits()
 
+    def hold_bytes(self, count: int) -> bool:
+        """Questions here have no bodies worth counting."""
+        return True
+
     def opened(self, connection: CallerConnection) -> None:
         """Nothing is counted here."""
 
--- a/tests/probe/forwarding/test_path.py
+++ b/tests/probe/forwarding/test_path.py
@@ -150,3 +150,14 @@
     await plain_site(site, faults=WorkerFaults(unframed=True))
     answer = await site.ask("/plain/", "r1")
     assert answer.body == b"answer of i-1 to r1" and answer.complete
+
+
+async def test_bodies_held_at_one_time_are_bounded(site):
+    site.configure()
+    worker = await site.add_worker(PlatformWorker("i-1", seconds=30), "plain")
+    node = await site.add_node()
+    await site.ready()
+    node.hold_bytes(int(0.25 * 300_000_000) - 1000)
+    answer = await site.ask("/plain/", "r1", body=b"x" * 2000)
+    assert answer.status == 429 and "retry-after" in answer.headers
+    assert worker.runs == []
--- a/tests/probe/forwarding/test_weights.py
+++ b/tests/probe/forwarding/test_weights.py
@@ -142,3 +142,20 @@
     record = json.loads(site.model.items["wheelslip/rollout"].value)
     assert record["fencing_token"] == site.model.items["wheelslip/holder"].revision
     assert record["loading"]
+
+
+async def test_a_record_that_is_written_late_does_not_undo_a_newer_one(site):
+    fleet = await fleet_site(site)
+    await asyncio.sleep(1.2)
+    site.name_weights("m", 2)
+    await until(lambda: all(worker.version == 2 for worker in fleet), "all have version 2")
+    late = {
+        "expected_rev": [
+            {"tls_key": key, "revision": site.model.items[key].revision}
+            for key in ("wheelslip/holder", "wheelslip/rollout")
+        ],
+        "put": [{"tls_key": "wheelslip/rollout", "payload": "e30="}],
+    }
+    site.name_weights("m", 3)
+    await until(lambda: all(worker.version == 3 for worker in fleet), "all have version 3")
+    assert site.model.transact(late)[0] == 412
