Rollout record only when the workers that load change; idle watches of 1.5 s

Ruled out: heartbeats (entries do not change with their sequence alone). Change: a record is written when that set changes; a watch without changes waits 1.5 s.

--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -9,7 +9,7 @@
 from wheelslip.forwarding.registry import Registry
 from wheelslip.keyvalue.model import KeyValueError, WatchCompacted
 
-WATCH_SECONDS = 1.2
+WATCH_SECONDS = 1.5
 """A watch returns at least this often, so that the age of the view is known."""
 
 GATHER_SECONDS = 0.08
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -208,9 +208,10 @@
         return WorkerWeights(worker_id, version, due, worker_id in self._loads, running)
 
     async def _publish(self) -> None:
+        """Write the record when the workers that load have changed."""
         token = self._lease.fencing_token()
         record = self._record()
-        if token is None or record == self._published:
+        if token is None or self._is_published(record):
             return
         put = Put(ROLLOUT_KEY, msgspec.json.encode(record))
         known = self._registry.own_entry(ROLLOUT_KEY)
@@ -221,6 +222,11 @@
             raise KeyValueUnavailable("the holder's key or its record has changed")
         self._published = record
 
+    def _is_published(self, record: RolloutRecord) -> bool:
+        if self._published is None:
+            return not record.loading and not self._registry.loading
+        return self._published.loading == record.loading
+
     def _record(self) -> RolloutRecord:
         weights = {
             worker.info.id: {
