Settings of both kinds are read by one function

Cause: the two loaders shared their reading and its errors line by line (duplicates). Change: settings.read_settings; behaviour as before.

--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -1,8 +1,5 @@
 """Checked settings of a forwarding node: one TOML file, read again on reload."""
 
-import pathlib
-import tomllib
-
 import msgspec
 
 from wheelslip.settings import (
@@ -10,9 +7,8 @@
     NonEmptyText,
     PositiveFloat,
     PositiveInt,
-    SettingsError,
     check_address,
-    key_and_reason,
+    read_settings,
 )
 
 
@@ -100,15 +96,7 @@
 
     :raises SettingsError: naming file, key and reason.
     """
-    try:
-        text = pathlib.Path(path).read_text()
-        settings = msgspec.convert(tomllib.loads(text), ForwardingSettings)
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: is not TOML: {error}") from error
-    except msgspec.ValidationError as error:
-        raise SettingsError(f"{path}: {key_and_reason(error)}") from error
+    settings = read_settings(path, ForwardingSettings)
     check_address(path, "node.callers", settings.node.callers)
     check_address(path, "node.readiness", settings.node.readiness)
     if settings.node.metrics:
--- a/src/wheelslip/settings.py
+++ b/src/wheelslip/settings.py
@@ -3,7 +3,7 @@
 import ipaddress
 import pathlib
 import tomllib
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -11,6 +11,8 @@
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
+SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
+
 
 class SettingsError(Exception):
     """A settings file or flag cannot be used; the message names file, key and reason."""
@@ -102,6 +104,19 @@
     """Read and check a settings file.
 
     :param path: a TOML file.
+    :param overrides: values by dotted key, such as ``node.zone``, that replace the file's.
+    :raises SettingsError: naming file, key and reason.
+    """
+    settings = read_settings(path, Settings, overrides)
+    _check_addresses(path, settings)
+    return settings
+
+
+def read_settings(
+    path: str, kind: type[SettingsT], overrides: dict[str, object] | None = None
+) -> SettingsT:
+    """Read a TOML file as one kind of settings, without the checks beyond its types.
+
     :param overrides: values by dotted key, such as ``node.zone``, that replace the file's.
     :raises SettingsError: naming file, key and reason.
     """
@@ -114,11 +129,9 @@
     for dotted_key, value in (overrides or {}).items():
         _override(document, dotted_key, value)
     try:
-        settings = msgspec.convert(document, Settings)
+        return msgspec.convert(document, kind)
     except msgspec.ValidationError as error:
-        raise SettingsError(f"{path}: {key_and_reason(error)}") from error
-    _check_addresses(path, settings)
-    return settings
+        raise SettingsError(f"{path}: {_key_and_reason(error)}") from error
 
 
 def _override(document: dict, dotted_key: str, value: object) -> None:
@@ -128,7 +141,7 @@
     document[section][key] = value
 
 
-def key_and_reason(error: msgspec.ValidationError) -> str:
+def _key_and_reason(error: msgspec.ValidationError) -> str:
     """Return the dotted key that failed a check, and why."""
     reason, _, path = str(error).partition(" - at ")
     key = path.strip("`$.") or "(top level)"
