--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -243,14 +243,14 @@
                 self._callers.refuses_new = True
                 self._callers.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
+        giving_up.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._callers.close()
         self._readiness.close()
         self._metrics_server.close()
         self._peer_link.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
-        giving_up.cancel()
-        for task in self._tasks:
-            task.cancel()
         log_event(LogEvent.NODE_STOPPED)
 
     # Settings
--- a/src/wheelslip/forwarding/peer_link.py
+++ b/src/wheelslip/forwarding/peer_link.py
@@ -59,9 +59,12 @@
         """Tell peers for ever."""
         while True:
             await asyncio.sleep(TELL_SECONDS)
-            self._tell()
+            self.tell()
 
-    def _tell(self) -> None:
+    def tell(self) -> None:
+        """Tell some peers now, if there is news and the socket is open."""
+        if self._transport is None or self._transport.is_closing():
+            return
         loads = self._own_loads()
         self._quiet = self._quiet + 1 if loads == self._last_told else 0
         if self._quiet % QUIET_TICKS:
--- a/tests/probe/forwarding/test_peers.py
+++ b/tests/probe/forwarding/test_peers.py
@@ -1,5 +1,7 @@
 """Nodes tell each other what they have at workers, by datagrams."""
 
+import asyncio
+
 from standins.platform_site import free_port, until
 from standins.platform_worker import PlatformWorker
 from tests.probe.forwarding.test_path import PROMPT
@@ -32,3 +34,19 @@
     node.hear_datagram(b"\xff\x00")
     assert (await site.ask("/plain/", "r1")).status == 200
     assert worker.runs and node.running_at("i-1") == 0
+
+
+async def test_a_stop_ends_all_tasks_without_a_fault(site, caplog):
+    site.configure()
+    worker = await site.add_worker(PlatformWorker("i-1", seconds=4), "plain")
+    node = await site.add_node("n1", peers=f"127.0.0.1:{free_port()}", seeds=["127.0.0.1:9"])
+    await site.ready()
+    caller = await site.caller()
+    caller.send("/plain/", "r1")
+    await until(lambda: worker.runs, "request runs")
+    with caplog.at_level("WARNING", logger="wheelslip"):
+        await node.stop()
+        # Longer than the pause between two news.
+        await asyncio.sleep(0.6)
+    assert [record.getMessage() for record in caplog.records] == []
+    assert (await caller.answer()).status == 200
--- a/tests/unit/forwarding/test_separation_and_peers.py
+++ b/tests/unit/forwarding/test_separation_and_peers.py
@@ -1,9 +1,11 @@
 """Which workers are for short requests, and what peers tell of their loads."""
 
+import asyncio
 import random
 
 import msgspec
 
+from wheelslip.forwarding.peer_link import PeerLink
 from wheelslip.forwarding.peer_loads import (
     FAN_OUT,
     FORGET_SECONDS,
@@ -110,3 +112,18 @@
     frame = encode_frame(told)
     assert decode_frame(frame, LoadNews) == told
     assert msgspec.json.decode(frame[frame.index(b":") + 1 : -1])[0] == "n2"
+
+
+async def closed_link() -> PeerLink:
+    loads = [[WorkerLoadNews("w", 1, 1)], [WorkerLoadNews("w", 2, 2)]]
+    link = PeerLink(peers(), lambda: loads.pop(0), lambda: 10.0)
+    await link.listen("127.0.0.1", 0)
+    link.tell()
+    link.close()
+    await asyncio.sleep(0.01)
+    link.tell()
+    return link
+
+
+def test_news_after_the_socket_was_closed_go_nowhere():
+    assert asyncio.run(closed_link()).bytes_sent > 0
