--- a/tests/probe/test_cached_state.py
+++ b/tests/probe/test_cached_state.py
@@ -59,6 +59,19 @@
     assert_only_own_state(cluster)
 
 
+def all_nodes_serve_by(cluster, name) -> bool:
+    """Whether both nodes know the present incarnation of an engine as serving."""
+    url = f"http://{cluster.host(name)}:7000/status"
+    incarnation = cluster.http.request("GET", url).json()["incarnation"]
+    return all(
+        any(
+            one["incarnation"] == incarnation and one["state"] == "serving"
+            for one in cluster.status(node)["engines"]
+        )
+        for node in ("node-1", "node-2")
+    )
+
+
 def test_engines_replaced_under_load_never_lend_old_state(make_cluster):
     cluster = make_cluster(engines=2, nodes=2)
     callers = Callers(cluster)
@@ -69,6 +82,9 @@
         cluster.processes[name].kill()
         cluster.start_engine(name)
         cluster.wait_http(f"http://{cluster.host(name)}:7000/status")
+        # The next engine is killed only once both nodes serve by this incarnation: how soon
+        # they do depends on the machine, and without any engine nothing can be whole.
+        wait_until(lambda engine=name: all_nodes_serve_by(cluster, engine), f"{name} is found")
     outcomes = callers.join()
     assert len(outcomes) == 40
     assert sum(outcome.whole for outcome in outcomes) >= 20
