--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -69,7 +69,7 @@
 
 
 class PlatformHeaders:
-    """The dialect of requests and answers."""
+    """The dialect of requests and answers (PROTOCOL, "Requests", "Answers", "KV cache")."""
 
     def decode_request(self, headers: Headers) -> RequestMetadata:
         """Read a caller's headers (PROTOCOL, "Requests").
@@ -135,7 +135,7 @@
         )
 
     def own_answer_headers(self, request_id: str | None) -> Headers:
-        """Return what every answer of the system's own carries."""
+        """Return what every answer of the system's own carries (PROTOCOL, "Answers")."""
         return [(REQUEST_ID, request_id.encode("latin-1"))] if request_id else []
 
 
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -109,16 +109,16 @@
 
 
 class PlatformRegistry:
-    """The dialect of the store's keys and documents."""
+    """The dialect of the store's keys and documents (PROTOCOL, "Service discovery")."""
 
     def worker_id(self, key: str) -> str | None:
-        """Return the worker that a key stands for."""
+        """Return the worker that a key stands for (`servers/ID`)."""
         return key.removeprefix(WORKER_PREFIX) if key.startswith(WORKER_PREFIX) else None
 
     def decode(
         self, key: str, value: bytes
     ) -> RoutingConfiguration | WorkerInfo | NamedWeights | None:
-        """Return the typed content of one key.
+        """Return the typed content of one key (`op/config`, `op/version/MODEL`, `servers/ID`).
 
         :raises ValueError: when the document cannot be read.
         """
--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -62,7 +62,8 @@
 
 
 class PlatformStore:
-    """The asynchronous client of one store.
+    """The asynchronous client of one store
+    (PROTOCOL, "The platform's metadata store"; each method is one call there).
 
     :param address: returns ``IP:PORT`` in force now.
     """
@@ -72,7 +73,7 @@
         self._idle: list[tuple[str, HttpConnection]] = []
 
     async def range(self, prefix: str) -> RangeResult:
-        """Return all keys under a prefix, page by page."""
+        """Return all keys under a prefix, page by page (`GET /kv-range`)."""
         entries: dict[str, KeyValue] = {}
         first_at = None
         after = ""
@@ -90,7 +91,7 @@
             after = page.items[-1].tls_key
 
     async def watch(self, prefix: str, after: int, wait_seconds: float) -> WatchBatch:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision (`GET /kv-watch`)."""
         query = f"path_prefix={quote(prefix, safe='')}&after={after}"
         query += f"&wait_ms={int(wait_seconds * 1000)}"
         body = await self._read(f"/kv-watch?{query}", wait_seconds + CALL_SECONDS)
@@ -102,7 +103,7 @@
         return WatchBatch(batch.at, changes)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
-        """Do all changes or none."""
+        """Do all changes or none (`POST /kv-txn`)."""
         document = {
             "expected_rev": [
                 {"tls_key": key, "revision": revision}
@@ -120,13 +121,13 @@
         return TransactionResult(True, _decode(body, _Done).revision)
 
     async def grant_lease(self, seconds: float) -> int:
-        """Grant a lease and return its id."""
+        """Grant a lease and return its id (`POST /kv-lease`)."""
         status, body = await self._call("POST", "/kv-lease", {"ttl_ms": int(seconds * 1000)})
         _check(status)
         return _decode(body, _Lease).lease
 
     async def keep_lease(self, lease: int) -> bool:
-        """Renew a lease."""
+        """Renew a lease (`POST /kv-keep/ID`)."""
         status, _ = await self._call("POST", f"/kv-keep/{lease}", None)
         if status == 404:
             return False
@@ -134,7 +135,7 @@
         return True
 
     async def end_lease(self, lease: int) -> None:
-        """End a lease."""
+        """End a lease (`DELETE /kv-lease-end/ID`)."""
         await self._call("DELETE", f"/kv-lease-end/{lease}", None)
 
     async def _read(self, target: str, seconds: float) -> bytes:
--- a/src/wheelslip/platform/workers.py
+++ b/src/wheelslip/platform/workers.py
@@ -26,10 +26,10 @@
 
 
 class PlatformWorkers:
-    """Calls of workers beside requests."""
+    """Calls of workers beside requests (PROTOCOL, "Requests")."""
 
     async def report(self, worker: WorkerInfo) -> WorkerReport:
-        """Ask a worker for its report."""
+        """Ask a worker for its report (`GET /report`)."""
         status, body = await _exchange(worker, "GET", b"/report", b"")
         if status != 200:
             raise WorkerUnreachable(f"report: status {status}")
@@ -41,7 +41,7 @@
         return WorkerReport(report.busy, report.sequence, weights, report.active, report.queued)
 
     async def order_weights(self, order: WeightsOrder) -> int:
-        """Give the order to load a version once running requests have ended."""
+        """Give the order to load a version once running requests have ended (`POST /order`)."""
         document = {
             "opcode": "version",
             "model_id": order.model,
