A load ends with the version it ordered; what is named meanwhile waits for its own time

Ruled out: the planner (it had picked nobody for version 3 then). Change: the target is looked up when an order is given, and not while it is carried out. The new test failed before.

--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -258,7 +258,6 @@
         :raises WorkerUnreachable: when the worker gives no report.
         """
         report = await self._control.report(load.worker.info)
-        load.version = self._registry.newest_weights(load.model) or load.version
         version = report.weights.get(load.model, 0)
         if version >= load.version and not report.busy:
             self._finish(load, version)
@@ -273,6 +272,8 @@
         if token is None:
             return True
         load.ordered_at = now
+        # Named since this load was planned: one load is enough for both.
+        load.version = self._registry.newest_weights(load.model) or load.version
         return await self._order(load, report.sequence, token)
 
     async def _order(self, load: _Load, sequence: int, token: int) -> bool:
