One node of each zone reads the store for the others

Ruled out: a longer pause after changes alone (79 nodes at one call a second still are 4,700 calls); stale reads (they may be seconds old, so they confirm nothing).

An answer tells how long after or before the poll's arrival the relay's view was confirmed, so a late answer never claims too much. A silent relay, or one out of touch, is not believed: the store is read itself. While the store is silent, any peer's view serves a start. The holder's key and the relay's share LeasedKey; the registry keeps raw entries in EntryLog.

--- /dev/null
+++ b/src/wheelslip/forwarding/entry_log.py
@@ -0,0 +1,83 @@
+"""Newest value of every key of the store that a node knows, and which keys have gone.
+
+Kept as raw bytes, so that a node can pass on what it read without knowing its meaning.
+Pure state: no clock, no sockets.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from wheelslip.keyvalue.model import WatchCompacted
+
+MAX_GONE = 1000
+"""Removed keys remembered; whoever asks for changes from before the oldest reads all anew."""
+
+
+class EntryChange(NamedTuple):
+    """One key as it was last changed; ``value`` is ``None`` when it has gone."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class EntryLog:
+    """Keys by name, each at its highest revision seen.
+
+    :ivar at: revision of the store up to which every change is in this log.
+    """
+
+    def __init__(self):
+        self._entries: dict[str, EntryChange] = {}
+        self._gone: dict[str, int] = {}
+        self._complete_from = 0
+        self.at = 0
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._entries
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over the keys that are there now; changes meanwhile do no harm."""
+        return iter(list(self._entries))
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key's last known change; 0 when it was never seen."""
+        entry = self._entries.get(key)
+        return entry.revision if entry else self._gone.get(key, 0)
+
+    def take(self, key: str, value: bytes | None, revision: int) -> bool:
+        """Take one change; return whether it is newer than what was known."""
+        if revision <= self.revision_of(key):
+            return False
+        if value is None:
+            self._entries.pop(key, None)
+            self._gone[key] = revision
+            self._forget_oldest()
+            return True
+        self._gone.pop(key, None)
+        self._entries[key] = EntryChange(key, value, revision)
+        return True
+
+    def _forget_oldest(self) -> None:
+        while len(self._gone) > MAX_GONE:
+            oldest = min(self._gone, key=self._gone.__getitem__)
+            self._complete_from = max(self._complete_from, self._gone.pop(oldest))
+
+    def listing(self) -> list[EntryChange]:
+        """Return all keys that are there now."""
+        return list(self._entries.values())
+
+    def changes_after(self, revision: int) -> list[EntryChange]:
+        """Return what has changed since a revision, in order.
+
+        :raises WatchCompacted: when a key that has gone since may be forgotten.
+        """
+        if revision < self._complete_from:
+            raise WatchCompacted(f"nothing is known from before {self._complete_from}")
+        changes = [one for one in self._entries.values() if one.revision > revision]
+        changes += [
+            EntryChange(key, None, gone_at)
+            for key, gone_at in self._gone.items()
+            if gone_at > revision
+        ]
+        return sorted(changes, key=lambda one: one.revision)
--- /dev/null
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -0,0 +1,124 @@
+"""A key of the store that one node holds under a lease, for as long as it lives.
+
+The revision at which the key was made is the holder's token. The lease counts from before
+the call that renewed it, so a frozen or cut holder stops by itself.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from wheelslip.events import LogEvent, log_event
+from wheelslip.forwarding.interface import KeyValueStore
+from wheelslip.forwarding.registry import Registry
+from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
+
+RENEWALS_PER_LEASE = 3
+POLL_SECONDS = 0.1
+ELECTION_JITTER_SECONDS = 0.3
+
+
+class LeasedKey:
+    """Gains, renews and gives up one key; one task owns it.
+
+    :param value: what the key tells others about its holder.
+    :param lease_seconds: returns how long a lease lasts without a renewal.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        value: bytes,
+        store: KeyValueStore,
+        registry: Registry,
+        lease_seconds: Callable[[], float],
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ):
+        self._key = key
+        self._value = value
+        self._store = store
+        self._registry = registry
+        self._lease_seconds = lease_seconds
+        self._clock = clock
+        self._random = random_source
+        self._lease = 0
+        self._token = 0
+        self._valid_until = 0.0
+        self._stopped = False
+
+    def token(self) -> int | None:
+        """Return the token while the key is surely held, else ``None``."""
+        if self._token and self._clock() < self._valid_until:
+            return self._token
+        return None
+
+    async def run(self) -> None:
+        """Hold the key whenever nobody else does, for ever."""
+        while not self._stopped:
+            try:
+                await self._step()
+            except KeyValueError as error:
+                log_event(LogEvent.LEASE_CALL_FAILED, duty=self._key, reason=str(error))
+                await asyncio.sleep(self._random.uniform(0.1, ELECTION_JITTER_SECONDS))
+            if self._token and self._clock() >= self._valid_until:
+                self.lose("lapsed")
+
+    async def _step(self) -> None:
+        if self._token:
+            await self._renew()
+            return
+        if not self._may_gain():
+            await asyncio.sleep(POLL_SECONDS)
+            return
+        await asyncio.sleep(self._random.uniform(0, ELECTION_JITTER_SECONDS))
+        if self._may_gain() and not self._stopped:
+            await self._gain()
+
+    def _may_gain(self) -> bool:
+        return self._registry.configuration is not None and not self._registry.own_entry(self._key)
+
+    async def _gain(self) -> None:
+        sent_at = self._clock()
+        seconds = self._lease_seconds()
+        lease = await self._store.grant_lease(seconds)
+        put = Put(self._key, self._value, lease)
+        result = await self._store.transact(Transaction({self._key: 0}, (put,)))
+        if not result.succeeded:
+            await self._store.end_lease(lease)
+            # The holder's key is on its way through the watch.
+            await asyncio.sleep(POLL_SECONDS)
+            return
+        self._lease, self._token = lease, result.revision
+        self._valid_until = sent_at + seconds
+        self._gained()
+        log_event(LogEvent.LEASE_GAINED, duty=self._key, fencing_token=self._token)
+
+    def _gained(self) -> None:
+        """Take note of a new token."""
+
+    async def _renew(self) -> None:
+        seconds = self._lease_seconds()
+        await asyncio.sleep(seconds / RENEWALS_PER_LEASE)
+        sent_at = self._clock()
+        if not await self._store.keep_lease(self._lease):
+            self.lose("over")
+            return
+        self._valid_until = sent_at + seconds
+
+    def lose(self, reason: str) -> None:
+        """Hold the key no longer; whoever may gain it next gets a higher token."""
+        if self._token:
+            log_event(LogEvent.LEASE_LOST, duty=self._key, reason=reason)
+        self._token = 0
+        self._lease = 0
+
+    async def give_up(self) -> None:
+        """End the lease for a planned stop, so that another node takes over sooner."""
+        self._stopped = True
+        lease, self._token, self._lease = self._lease, 0, 0
+        if lease:
+            try:
+                await self._store.end_lease(lease)
+            except KeyValueError as error:
+                log_event(LogEvent.LEASE_CALL_FAILED, duty=self._key, reason=str(error))
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
+from wheelslip.forwarding.feed import FeedServer
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.holder import HolderLease
 from wheelslip.forwarding.interface import (
@@ -24,6 +25,7 @@
 from wheelslip.forwarding.placement import WorkerPlacement
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
+from wheelslip.forwarding.relay import RelayLease
 from wheelslip.forwarding.rollout import RolloutView, WeightsRollout
 from wheelslip.forwarding.server import (
     READY_AGE_SHARE,
@@ -80,7 +82,11 @@
         self._registry.on_worker_gone = self._forget_worker
         rollout_view = RolloutView(self._registry, clock)
         self._registry.on_own_entry = rollout_view.entry_changed
-        self._sync = RegistrySync(store, self._registry, clock, random_source)
+        self._relay = self._make_relay(store, random_source) if section.peers else None
+        self._feed = FeedServer(self._registry, clock)
+        self._sync = RegistrySync(
+            store, self._registry, clock, random_source, self._relay, peers.addresses
+        )
         self._metrics = self._make_metrics()
         self._forwarder = Forwarder(
             requests,
@@ -96,7 +102,7 @@
             self._registry,
             self._settings.node.name,
             self.bounds,
-            lambda: self._settings.store.min_lease_ms / 1000,
+            self._min_lease_seconds,
             clock,
             random_source,
             rollout_view.last_order,
@@ -137,6 +143,10 @@
         configuration = self._registry.configuration
         return configuration.version if configuration else None
 
+    def gauge(self, name: str) -> float:
+        """Return the present value of one gauge of the metrics."""
+        return self._metrics.gauges[name]()
+
     def running_at(self, worker_id: str) -> float:
         """Return the requests of all nodes at a worker, as far as this one knows."""
         return self._placement.all_loads(worker_id)[0]
@@ -163,6 +173,21 @@
         known = self._registry.configuration is not None
         return known and self._registry.age() < oldest and not self._callers.stopping
 
+    def _min_lease_seconds(self) -> float:
+        return self._settings.store.min_lease_ms / 1000
+
+    def _make_relay(self, store: KeyValueStore, random_source: random.Random) -> RelayLease:
+        section = self._settings.node
+        return RelayLease(
+            section.zone,
+            section.peers,
+            store,
+            self._registry,
+            self._min_lease_seconds,
+            self._clock,
+            random_source,
+        )
+
     def _make_metrics(self) -> ForwardingMetrics:
         metrics = ForwardingMetrics()
         metrics.gauges = {
@@ -172,6 +197,8 @@
             "configuration_version": lambda: float(self.configuration_version() or 0),
             "registry_age_seconds": lambda: min(self._registry.age(), 1e6),
             "holder": lambda: float(self._lease.fencing_token() is not None),
+            "relay": lambda: float(self._relay is not None and self._relay.token() is not None),
+            "followers": lambda: float(len(self._feed.connections)),
             "peer_bytes_sent": lambda: float(self._peer_link.bytes_sent),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
@@ -205,7 +232,9 @@
             await self._metrics_server.listen(*parse_address(node.metrics))
         if node.peers:
             await self._peer_link.listen(*parse_address(node.peers))
+            await self._feed.listen(*parse_address(node.peers))
             self._tasks.append(loop.create_task(self._keep_running("peers", self._peer_link.run)))
+            self._tasks.append(loop.create_task(self._keep_running("relay", self._relay.run)))
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
@@ -232,7 +261,7 @@
         give_up_at = began + self.bounds().stop_grace_seconds - STOP_MARGIN_SECONDS
         log_event(LogEvent.NODE_STOP_REQUESTED, running=self._callers.busy)
         self._callers.stopping = True
-        giving_up = asyncio.get_running_loop().create_task(self._lease.give_up())
+        giving_up = asyncio.get_running_loop().create_task(self._give_up_keys())
         closes_at = min(began + LAME_DUCK_SECONDS, give_up_at)
         while self._clock() < closes_at or self._callers.busy:
             if self._clock() >= give_up_at:
@@ -250,9 +279,15 @@
         self._readiness.close()
         self._metrics_server.close()
         self._peer_link.close()
+        self._feed.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         log_event(LogEvent.NODE_STOPPED)
 
+    async def _give_up_keys(self) -> None:
+        await self._lease.give_up()
+        if self._relay is not None:
+            await self._relay.give_up()
+
     # Settings
 
     def reload(self) -> None:
--- a/src/wheelslip/forwarding/peer_loads.py
+++ b/src/wheelslip/forwarding/peer_loads.py
@@ -108,6 +108,11 @@
             addresses.add(self._random.choice(self._seeds))
         return self._random.sample(sorted(addresses), min(FAN_OUT, len(addresses)))
 
+    def addresses(self) -> list[str]:
+        """Return where other nodes may be: those heard, heard of, and the seeds."""
+        known = {peer.address for peer in self._peers.values()}
+        return sorted(known | set(self._heard_of) | set(self._seeds))
+
     def _living(self, now: float) -> list[_Peer]:
         return [peer for peer in self._peers.values() if now - peer.heard_at < FORGET_SECONDS]
 
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from wheelslip.events import LogEvent, log_event
+from wheelslip.forwarding.entry_log import EntryLog
 from wheelslip.forwarding.interface import RegistryDialect
 from wheelslip.forwarding.model import (
     NamedWeights,
@@ -68,11 +69,11 @@
         self._bounds = bounds
         self._clock = clock
         self._started = clock()
-        self._revisions: dict[str, int] = {}
+        self.log = EntryLog()
         self._own: dict[str, tuple[bytes, int]] = {}
         self._named: dict[str, list[_Named]] = {}
-        self._confirmed_at: float | None = None
-        self._trouble_until = float("-inf")
+        self.confirmed_at: float | None = None
+        self.trouble_at: float | None = None
         self._changed = asyncio.Event()
         self.configuration: RoutingConfiguration | None = None
         self.workers: dict[str, Worker] = {}
@@ -85,17 +86,18 @@
 
     def confirm(self, sent_at: float) -> None:
         """The store answered a call that was sent at ``sent_at``: the view was current then."""
-        self._confirmed_at = max(sent_at, self._confirmed_at or sent_at)
+        self.confirmed_at = max(sent_at, self.confirmed_at or sent_at)
 
-    def note_trouble(self) -> None:
-        """The store did not answer as it should just now."""
-        self._trouble_until = self._clock()
+    def note_trouble(self, seconds_ago: float = 0.0) -> None:
+        """The store did not answer as it should, just now or some time ago."""
+        at = self._clock() - seconds_ago
+        self.trouble_at = at if self.trouble_at is None else max(at, self.trouble_at)
 
     def age(self) -> float:
         """Return the seconds since the view was last confirmed; infinite before the first."""
-        if self._confirmed_at is None:
+        if self.confirmed_at is None:
             return float("inf")
-        return self._clock() - self._confirmed_at
+        return self._clock() - self.confirmed_at
 
     def recently_troubled(self) -> bool:
         """Whether the store had trouble of which the deployment still takes account.
@@ -103,7 +105,7 @@
         Trouble is noticed later than it ends, so the contact time is shortened.
         """
         seconds = self._bounds().contact_ms / 1000 - TROUBLE_NOTICE_SECONDS
-        return self._clock() - self._trouble_until < seconds
+        return self.trouble_at is not None and self._clock() - self.trouble_at < seconds
 
     # Changes
 
@@ -117,9 +119,8 @@
 
     def apply(self, key: str, value: bytes | None, revision: int) -> None:
         """Take one change of the store; older ones than known are passed over."""
-        if revision <= self._revisions.get(key, 0):
+        if not self.log.take(key, value, revision):
             return
-        self._revisions[key] = revision
         if value is None:
             self._remove(key)
         else:
@@ -128,16 +129,12 @@
 
     def replace_all(self, entries: dict[str, tuple[bytes, int]], at: int) -> None:
         """Take a whole listing: what is not in it is gone as of revision ``at``."""
-        for key in list(self._revisions):
-            if key not in entries and self._is_present(key):
-                self.apply(key, None, max(at, self._revisions[key] + 1))
+        for key in self.log:
+            if key not in entries:
+                self.apply(key, None, max(at, self.log.revision_of(key) + 1))
         for key, (value, revision) in entries.items():
             self.apply(key, value, revision)
 
-    def _is_present(self, key: str) -> bool:
-        worker_id = self._dialect.worker_id(key)
-        return key in self._own or (worker_id is not None and worker_id in self.workers)
-
     def _put(self, key: str, value: bytes, revision: int) -> None:
         try:
             document = self._dialect.decode(key, value)
@@ -295,6 +292,6 @@
                 continue
             if named.since - self._started < KNOWN_AT_START_SECONDS:
                 return self._started + self._bounds().contact_ms / 1000
-            begins = max(named.since, self._trouble_until)
+            begins = max(named.since, self.trouble_at or named.since)
             return begins + self._bounds().weights_deadline_ms / 1000
         return float("inf")
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -1,18 +1,24 @@
-"""Keeps the registry view current: one listing, then watches from its revision on."""
+"""Keeps the registry view current: from the store, or from the zone's relay.
+
+Reading the store is one listing, then watches from its revision on. A relay is polled from
+the same revision, so a node changes between the two without a gap.
+"""
 
 import asyncio
 import random
 from collections.abc import Callable
 
 from wheelslip.events import LogEvent, log_event
+from wheelslip.forwarding.feed import FeedBatch, FeedClient, FeedLost
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.relay import RelayLease
 from wheelslip.keyvalue.model import KeyValueError, WatchCompacted
 
-WATCH_SECONDS = 1.5
+WATCH_SECONDS = 1.0
 """A watch returns at least this often, so that the age of the view is known."""
 
-GATHER_SECONDS = 0.08
+GATHER_SECONDS = 0.12
 """Pause after changes, so that those which follow closely come with one call."""
 
 FAILURES_OF_TROUBLE = 2
@@ -22,9 +28,23 @@
 RETRY_SECONDS = (0.05, 0.4)
 """Range of the pause after a failure; random, so that many nodes do not call together."""
 
+RELAY_RETRY_SECONDS = (0.8, 1.6)
+"""Range of the time for which a silent relay is not asked again."""
+
+STALE_SECONDS = 2.2
+"""A relay whose view is older is out of touch: the store is asked itself, now and then."""
+
+OWN_LOOK_SECONDS = (0.7, 1.4)
+"""Range of the pause between such looks."""
+
 
 class RegistrySync:
-    """The task that owns all reading of the store."""
+    """The task that owns all reading of the store.
+
+    :param relay: the key of the zone's relay; ``None`` where nodes do not reach each other.
+    :param peer_addresses: returns where other nodes may answer polls, for a start beside a
+        store that is silent.
+    """
 
     def __init__(
         self,
@@ -32,43 +52,67 @@
         registry: Registry,
         clock: Callable[[], float],
         random_source: random.Random,
+        relay: RelayLease | None = None,
+        peer_addresses: Callable[[], list[str]] = list,
     ):
         self._store = store
         self._registry = registry
         self._clock = clock
         self._random = random_source
+        self._relay = relay
+        self._peer_addresses = peer_addresses
+        self._feed = FeedClient()
+        self._after: int | None = None
         self._failures = 0
+        self._followed: str | None = None
+        self._relay_silent_until = float("-inf")
+        self._own_look_at = float("-inf")
 
     async def run(self) -> None:
         """Follow the store for ever."""
-        after: int | None = None
         while True:
-            sent_at = self._clock()
-            try:
-                after = await self._step(after)
-                self._note_available()
-                self._registry.confirm(sent_at)
-            except WatchCompacted:
-                # What is in force stays in force until a new listing has been read.
-                self._registry.note_trouble()
-                after = None
-            except KeyValueError as error:
-                self._note_failure(error)
-                await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
+            address = self._relay_to_follow()
+            if address is None:
+                await self._read_store()
+            else:
+                await self._follow(address)
             self._registry.expire_doubtful()
 
-    async def _step(self, after: int | None) -> int:
-        if after is None:
+    # The store itself
+
+    async def _read_store(self) -> None:
+        self._note_source(None)
+        sent_at = self._clock()
+        try:
+            await self._step()
+            self._note_available()
+            self._registry.confirm(sent_at)
+        except WatchCompacted:
+            # What is in force stays in force until a new listing has been read.
+            self._registry.note_trouble()
+            self._after = None
+        except KeyValueError as error:
+            self._note_failure(error)
+            await self._ask_a_peer()
+            await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
+
+    async def _step(self) -> None:
+        if self._after is None:
             listing = await self._store.range("")
             entries = {one.key: (one.value, one.mod_revision) for one in listing.entries}
             self._registry.replace_all(entries, listing.revision)
-            return listing.revision
-        batch = await self._store.watch("", after, WATCH_SECONDS)
+            self._advance(listing.revision)
+            return
+        batch = await self._store.watch("", self._after, WATCH_SECONDS)
         for key, value, revision in batch.changes:
             self._registry.apply(key, value, revision)
+        self._advance(batch.revision)
         if batch.changes:
             await asyncio.sleep(GATHER_SECONDS)
-        return max(after, batch.revision)
+
+    def _advance(self, revision: int) -> None:
+        self._after = max(self._after or 0, revision)
+        self._registry.log.at = max(self._registry.log.at, self._after)
 
     def _note_available(self) -> None:
         if self._failures >= FAILURES_OF_TROUBLE:
@@ -81,3 +125,57 @@
             self._registry.note_trouble()
         if self._failures == FAILURES_OF_TROUBLE:
             log_event(LogEvent.KEY_VALUE_UNAVAILABLE, reason=str(error))
+
+    # Other nodes
+
+    def _relay_to_follow(self) -> str | None:
+        if self._relay is None or self._after is None:
+            return None
+        if self._clock() < self._relay_silent_until:
+            return None
+        return self._relay.other_relay()
+
+    async def _follow(self, address: str) -> None:
+        self._note_source(address)
+        try:
+            await self._poll(address)
+        except FeedLost as exc:
+            self._relay_silent_until = self._clock() + self._random.uniform(*RELAY_RETRY_SECONDS)
+            log_event(LogEvent.RELAY_LOST, relay=address, reason=str(exc))
+            return
+        now = self._clock()
+        if self._registry.age() > STALE_SECONDS and now >= self._own_look_at:
+            self._own_look_at = now + self._random.uniform(*OWN_LOOK_SECONDS)
+            await self._read_store()
+
+    async def _poll(self, address: str) -> None:
+        sent_at = self._clock()
+        batch = await self._feed.poll(address, self._after)
+        self._take(batch, sent_at)
+
+    def _take(self, batch: FeedBatch, sent_at: float) -> None:
+        if batch.trouble_age is not None:
+            self._registry.note_trouble(batch.trouble_age)
+        if batch.whole:
+            entries = {one.key: (one.value, one.revision) for one in batch.changes}
+            self._registry.replace_all(entries, batch.at)
+        else:
+            for key, value, revision in batch.changes:
+                self._registry.apply(key, value, revision)
+        self._advance(batch.at)
+        self._registry.confirm(sent_at + batch.confirmed)
+
+    async def _ask_a_peer(self) -> None:
+        """Learn from any other node while the store does not answer."""
+        addresses = self._peer_addresses() if self._relay is not None else []
+        if not addresses:
+            return
+        try:
+            await self._poll(self._random.choice(addresses))
+        except FeedLost:
+            return
+
+    def _note_source(self, address: str | None) -> None:
+        if address != self._followed:
+            self._followed = address
+            log_event(LogEvent.RELAY_FOLLOWED, relay=address, revision=self._after)
--- /dev/null
+++ b/src/wheelslip/forwarding/relay.py
@@ -0,0 +1,58 @@
+"""One node of each zone reads the store for the others of its zone.
+
+The store arbitrates: the relay of a zone holds a key under a lease, whose value is the
+address at which it answers polls. Who does not know a relay, or finds it silent or out of
+touch, reads the store itself, so a lost relay costs calls and never freshness.
+"""
+
+import random
+from collections.abc import Callable
+
+from wheelslip.forwarding.interface import KeyValueStore
+from wheelslip.forwarding.leased_key import LeasedKey
+from wheelslip.forwarding.registry import Registry
+
+RELAY_PREFIX = "wheelslip/relay/"
+LEASE_SECONDS = 3.0
+
+MAX_CONTENDER_AGE_SECONDS = 2.5
+"""Only a node with a view this young offers to read the store for others."""
+
+
+class RelayLease(LeasedKey):
+    """The key of a zone's relay.
+
+    :param address: where this node answers polls, ``IP:PORT``.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        address: str,
+        store: KeyValueStore,
+        registry: Registry,
+        min_lease_seconds: Callable[[], float],
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ):
+        super().__init__(
+            RELAY_PREFIX + zone,
+            address.encode(),
+            store,
+            registry,
+            lambda: max(min_lease_seconds(), LEASE_SECONDS),
+            clock,
+            random_source,
+        )
+        self._address = address
+
+    def _may_gain(self) -> bool:
+        return super()._may_gain() and self._registry.age() < MAX_CONTENDER_AGE_SECONDS
+
+    def other_relay(self) -> str | None:
+        """Return the address of the zone's relay, ``None`` when that is nobody or this node."""
+        entry = self._registry.own_entry(self._key)
+        if entry is None:
+            return None
+        address = entry[0].decode("latin-1")
+        return address if address != self._address else None
--- a/src/wheelslip/wire.py
+++ b/src/wheelslip/wire.py
@@ -29,7 +29,7 @@
 
     :raises FrameError: when the framing or the JSON is wrong.
     """
-    payload, rest = _split_frame(frame)
+    payload, rest = split_frame(frame)
     if payload is None or rest:
         raise FrameError("not exactly one frame")
     return decode_payload(payload, message_type)
@@ -43,7 +43,7 @@
     """
     buffer = b""
     while True:
-        payload, rest = _split_frame(buffer)
+        payload, rest = split_frame(buffer)
         if payload is not None:
             if rest:
                 raise FrameError("bytes after the frame")
@@ -54,7 +54,13 @@
         buffer += received
 
 
-def _split_frame(buffer: bytes) -> tuple[bytes | None, bytes]:
+def split_frame(buffer: bytes) -> tuple[bytes | None, bytes]:
+    """Return the payload of the first frame and the bytes after it.
+
+    The payload is ``None`` while the frame is not whole.
+
+    :raises FrameError: when the framing is wrong.
+    """
     colon = buffer.find(b":", 0, _MAX_LENGTH_DIGITS + 1)
     if colon < 0:
         if len(buffer) > _MAX_LENGTH_DIGITS:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -210,6 +210,12 @@
         self.nodes[name] = node
         return node
 
+    def cut_from_store(self, name: str) -> None:
+        """Give one node an address of the store at which nothing answers."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(path.read_text().replace(self.store.server.address, "127.0.0.1:9"))
+        self.nodes[name].reload()
+
     async def ready(self, name: str = "n1") -> None:
         """Wait until a node is ready and knows all workers."""
         expected = set(self.workers)
--- /dev/null
+++ b/tests/unit/forwarding/test_entry_log.py
@@ -0,0 +1,40 @@
+"""What a node keeps of the store, so that it can pass it on."""
+
+import pytest
+
+from wheelslip.forwarding import entry_log
+from wheelslip.forwarding.entry_log import EntryChange, EntryLog
+from wheelslip.keyvalue.model import WatchCompacted
+
+
+def test_only_the_newest_of_each_key_is_kept_and_told_in_order():
+    log = EntryLog()
+    assert log.take("b", b"1", 5)
+    assert log.take("a", b"2", 7)
+    assert log.take("b", b"3", 9)
+    assert not log.take("a", b"old", 6)
+    assert log.changes_after(4) == [EntryChange("a", b"2", 7), EntryChange("b", b"3", 9)]
+    assert log.changes_after(7) == [EntryChange("b", b"3", 9)]
+    assert log.changes_after(9) == []
+
+
+def test_a_removed_key_is_told_and_does_not_come_back_with_an_older_write():
+    log = EntryLog()
+    log.take("a", b"1", 5)
+    assert log.take("a", None, 6)
+    assert not log.take("a", b"late", 5)
+    assert "a" not in log and list(log) == []
+    assert log.changes_after(5) == [EntryChange("a", None, 6)]
+    assert log.take("a", b"again", 8)
+    assert log.changes_after(5) == [EntryChange("a", b"again", 8)]
+
+
+def test_who_asks_from_before_what_is_remembered_is_told_so(monkeypatch):
+    monkeypatch.setattr(entry_log, "MAX_GONE", 2)
+    log = EntryLog()
+    for number in range(1, 6):
+        log.take(f"k{number}", b"", number)
+        log.take(f"k{number}", None, 10 + number)
+    with pytest.raises(WatchCompacted):
+        log.changes_after(12)
+    assert [one.key for one in log.changes_after(13)] == ["k4", "k5"]
--- /dev/null
+++ b/tests/unit/forwarding/test_feed.py
@@ -0,0 +1,83 @@
+"""How current a view is that another node passed on, by clocks that do not agree."""
+
+import asyncio
+
+import pytest
+
+from wheelslip.forwarding.entry_log import EntryChange
+from wheelslip.forwarding.feed import FeedBatch, FeedPoll, FeedServer
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.registry_sync import RegistrySync
+from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.platform.registry import PlatformRegistry
+
+
+class Clock:
+    def __init__(self, now: float):
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def view(clock: Clock) -> Registry:
+    return Registry(PlatformRegistry(), BoundsSection, clock)
+
+
+def follower(clock: Clock) -> tuple[Registry, RegistrySync]:
+    registry = view(clock)
+    return registry, RegistrySync(None, registry, clock, None)
+
+
+def test_a_late_answer_claims_no_more_than_was_known_when_it_was_asked_for():
+    relay_clock, own_clock = Clock(5000.0), Clock(10.0)
+    relay = view(relay_clock)
+    relay.apply("wheelslip/x", b"1", 3)
+    relay.confirm(4999.0)
+    batch = asyncio.run(FeedServer(relay, relay_clock).answer(FeedPoll(0)))
+    assert batch.confirmed == -1.0
+    registry, sync = follower(own_clock)
+    sent_at = own_clock.now
+    # The answer is held up on its way for five seconds.
+    own_clock.now += 5.0
+    sync._take(batch, sent_at)
+    assert registry.age() == pytest.approx(6.0)
+    assert registry.own_entry("wheelslip/x") == (b"1", 3)
+
+
+def test_a_view_confirmed_while_the_poll_waited_counts_from_then():
+    clock = Clock(100.0)
+    registry, sync = follower(clock)
+    sync._take(FeedBatch(7, False, [], 0.4, None), sent_at=99.0)
+    assert registry.age() == pytest.approx(0.6)
+    assert registry.log.at == 7
+
+
+def test_what_is_missing_in_a_whole_listing_has_gone():
+    clock = Clock(100.0)
+    registry, sync = follower(clock)
+    registry.apply("wheelslip/x", b"1", 3)
+    sync._take(FeedBatch(9, True, [EntryChange("wheelslip/y", b"2", 8)], 0.0, None), sent_at=99.0)
+    assert registry.own_entry("wheelslip/x") is None
+    assert registry.own_entry("wheelslip/y") == (b"2", 8)
+
+
+def test_a_relays_trouble_with_the_store_is_the_followers_too():
+    clock = Clock(100.0)
+    registry, sync = follower(clock)
+    sync._take(FeedBatch(9, False, [], 0.0, 30.0), sent_at=99.0)
+    assert not registry.recently_troubled()
+    sync._take(FeedBatch(9, False, [], 0.0, 0.5), sent_at=99.0)
+    assert registry.recently_troubled()
+
+
+def test_an_older_answer_does_not_take_a_newer_view_back():
+    clock = Clock(100.0)
+    registry, sync = follower(clock)
+    registry.apply("wheelslip/x", b"new", 12)
+    sync._advance(12)
+    sync._take(
+        FeedBatch(9, False, [EntryChange("wheelslip/x", b"old", 8)], 0.0, None), sent_at=99.0
+    )
+    assert registry.own_entry("wheelslip/x") == (b"new", 12)
+    assert registry.log.at == 12
