A holder whose token was refused resigns and orders again only with a new one

On status 412 the rollout ended that load and began it anew in its next step, with the same token, for as long as the lease lasted.

Ruled out: waiting for the lease to run out (it is renewed as long as the store answers).

Change: 412 ends the lease at once (LeasedKey.resign, which a planned stop uses too); whoever gains the key next has a higher token.

Before: test_a_fenced_holder_orders_again_only_with_a_new_token failed (never loaded, many refusals of one token); after: passes, with the other tests of weights.

--- a/src/wheelslip/forwarding/leased_key.py
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -113,12 +113,17 @@
         self._token = 0
         self._lease = 0
 
-    async def give_up(self) -> None:
-        """End the lease for a planned stop, so that another node takes over sooner."""
-        self._stopped = True
-        lease, self._token, self._lease = self._lease, 0, 0
+    async def resign(self, reason: str) -> None:
+        """Hold the key no longer and end its lease, so that it is free at once."""
+        lease = self._lease
+        self.lose(reason)
         if lease:
             try:
                 await self._store.end_lease(lease)
             except KeyValueError as error:
                 log_event(LogEvent.LEASE_CALL_FAILED, duty=self._key, reason=str(error))
+
+    async def give_up(self) -> None:
+        """Resign for a planned stop."""
+        self._stopped = True
+        await self.resign("stopping")
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -42,6 +42,7 @@
 
 _ACCEPTED = (200, 202)
 _UNDER_WAY = 409
+_FENCED = 412
 _OTHER_INCARNATION = 421
 
 
@@ -293,6 +294,9 @@
         log_event(event, reason=f"status {status}", **fields)
         if status == _UNDER_WAY:
             load.ordered_at = 0.0
+        if status == _FENCED:
+            # Somebody ordered with a higher token: only a new one may order again.
+            await self._lease.resign("fenced")
         if status == _OTHER_INCARNATION:
             self._registry.mark_replaced(worker.id)
         return status not in (*_ACCEPTED, _UNDER_WAY)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -72,6 +72,7 @@
         self.orders: list[dict] = []
         self.sequence = 0
         self.highest_fence = 0
+        self.refused_fences: list[int] = []
         self.busy = False
         self._loading: set[asyncio.Task] = set()
 
@@ -210,6 +211,7 @@
         if "holder" not in order or "fence" not in order:
             return 400
         if order["fence"] < self.highest_fence:
+            self.refused_fences.append(order["fence"])
             return 412
         self.highest_fence = order["fence"]
         if self.busy or order.get("expected_rev", self.sequence) != self.sequence:
--- a/tests/probe/forwarding/test_weights.py
+++ b/tests/probe/forwarding/test_weights.py
@@ -65,6 +65,17 @@
     assert [worker.sequence for worker in fleet] == [1] * 4
 
 
+async def test_a_fenced_holder_orders_again_only_with_a_new_token(site):
+    fleet = await fleet_site(site, workers=1)
+    await asyncio.sleep(1.2)
+    fleet[0].highest_fence = site.model.revision + 4
+    site.name_weights("m", 2)
+    await until(lambda: fleet[0].version == 2, "version 2 by a newer token")
+    refused = fleet[0].refused_fences
+    assert refused and len(refused) == len(set(refused))
+    assert orders(fleet)[-1]["fence"] > max(refused)
+
+
 async def test_no_request_begins_on_older_weights_after_the_bound(site):
     fleet = await fleet_site(site, workers=1)
     fleet[0].faults = WorkerFaults(ignore_orders=10_000)
