Kept KV cache is spread over all stores by the shared part of a prompt

Cause: the grown sites list three stores of kept cache, one a zone; all prompts were saved to and fetched from the first of the configuration.

Ruled out: a store that gives parts up for lack of room (2.8 M tokens each, most of them unused).

Change: rendezvous hashing of the last shared part names the store, alike on every node.

Sites with one store are unchanged by construction.

Test: test_prompts_are_spread_over_the_stores_and_all_nodes_name_the_same fails without it.

--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -24,6 +24,7 @@
 from wheelslip.forwarding.placement import Placement, WorkerPlacement
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.routing import rendezvous
 
 BEGIN_GUARD_SECONDS = 0.2
 """A request that has not begun is taken back this long before its weights become too old."""
@@ -223,8 +224,7 @@
         placement = self._placement
         if not placement.chain:
             return None
-        stores = self._services.registry.configuration.cache_stores
-        store = stores[0].address if stores else ""
+        store = self._cache_store()
         fetch_from = store
         if placement.home_keeps or not store:
             home = placement.home
@@ -232,6 +232,14 @@
             fetch_from = home.info.address if is_other else store
         return CachePlan(placement.salt, fetch_from, store)
 
+    def _cache_store(self) -> str:
+        """Return the store that keeps this prompt; all nodes name the same one."""
+        stores = self._services.registry.configuration.cache_stores
+        shared = self._job.request.metadata.shared_part
+        if not stores or shared is None:
+            return ""
+        return rendezvous.owner(shared.id, [one.address for one in stores])
+
     async def _read_head(self) -> tuple[h11.Response, AnswerMetadata]:
         """Read the head of the answer to this request, passing over others'.
 
--- a/src/wheelslip/forwarding/model.py
+++ b/src/wheelslip/forwarding/model.py
@@ -190,6 +190,13 @@
     prompt: tuple[PromptPart, ...]
     last_event_id: int | None
 
+    @property
+    def shared_part(self) -> PromptPart | None:
+        """The last part that other requests may share: the one before a request's own."""
+        if not self.prompt:
+            return None
+        return self.prompt[-2] if len(self.prompt) > 1 else self.prompt[-1]
+
 
 Headers = list[tuple[bytes, bytes]]
 """Header names as they were sent, and values."""
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -243,10 +243,9 @@
         return now + max(BEGIN_MARGIN_SECONDS, BEGIN_WAIT_FACTOR * wait) < until
 
     def _home(self, request: ForwardedRequest, candidates: list[Worker]) -> Worker | None:
-        parts = request.metadata.prompt
-        if not parts:
+        shared = request.metadata.shared_part
+        if shared is None:
             return None
-        shared = parts[-2] if len(parts) > 1 else parts[-1]
         by_id = {one.info.id: one for one in candidates}
         return by_id[rendezvous.owner(shared.id, by_id)]
 
