Loads of all nodes are told through the relays; few candidates, so that nodes do not herd

A node of 69 sees one or two requests a second and heard of each other node's loads every two seconds by gossip, so prompts met at the same workers.

Change: every poll tells the asking node's loads and every answer the sum of all others'; relays tell each other their zones' sums by datagrams. Of all workers the home and eight drawn at random are weighed. Shared parts under 600 tokens are not moved.

--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -31,6 +31,10 @@
 
 BEGIN_CHECK_SECONDS = 1.0
 
+LEAST_MOVED_TOKENS = 600
+"""Shorter shared parts are read again rather than moved: reading takes some milliseconds, and
+a move waits behind those of long prompts, for up to two seconds."""
+
 MAX_WHOLE_BYTES = 4 * 1024 * 1024
 """Largest answer collected before it is passed on; larger ones end the request."""
 
@@ -224,6 +228,8 @@
         placement = self._placement
         if not placement.chain:
             return None
+        if sum(tokens for _, tokens in placement.chain[:-1]) < LEAST_MOVED_TOKENS:
+            return CachePlan(placement.salt)
         store = self._cache_store()
         fetch_from = store
         if placement.home_keeps or not store:
--- a/src/wheelslip/forwarding/feed.py
+++ b/src/wheelslip/forwarding/feed.py
@@ -14,17 +14,25 @@
 
 from wheelslip.forwarding.entry_log import EntryChange
 from wheelslip.forwarding.http_client import set_liveness_options
+from wheelslip.forwarding.load_table import LoadAtWorker, LoadTable
 from wheelslip.forwarding.registry import Registry
 from wheelslip.keyvalue.model import WatchCompacted
 from wheelslip.wire import FrameError, decode_payload, encode_frame, split_frame
 
-POLL_WAIT_SECONDS = 0.5
-"""A poll is answered after this long although nothing has changed."""
+WAIT_SECONDS_PER_FOLLOWER = 0.008
+MIN_WAIT_SECONDS = 0.1
+MAX_WAIT_SECONDS = 0.5
+"""A poll is answered after a time although nothing of the store has changed, since loads
+have. It grows with the number of followers, so that their polls take a bounded part of the
+relay's processor."""
 
-ANSWER_SECONDS = POLL_WAIT_SECONDS + 0.5
+ANSWER_SECONDS = MAX_WAIT_SECONDS + 0.5
 """Longest wait for an answer to a poll."""
 
 CONNECT_SECONDS = 0.5
+
+HEARD_SECONDS = 30.0
+"""A node that polled is remembered this long, as one that may know more some time."""
 BACKLOG = 512
 
 
@@ -33,9 +41,15 @@
 
 
 class FeedPoll(NamedTuple):
-    """Asks for all changes after a revision; ``None`` asks for everything."""
+    """Asks for all changes after a revision; ``None`` asks for everything.
+
+    :ivar address: where the asking node answers polls itself.
+    :ivar loads: what that node has at its workers.
+    """
 
     after: int | None
+    address: str = ""
+    loads: list[LoadAtWorker] = []
 
 
 class FeedBatch(NamedTuple):
@@ -46,6 +60,7 @@
     :ivar confirmed: seconds from the poll's arrival to the moment at which the view was
         known to be current; negative when that was before.
     :ivar trouble_age: seconds since the sender last had trouble with the store.
+    :ivar loads: what all other nodes have at their workers, as far as the sender knows.
     """
 
     at: int
@@ -53,6 +68,7 @@
     changes: list[EntryChange]
     confirmed: float | None
     trouble_age: float | None
+    loads: list[LoadAtWorker] = []
 
 
 class _FrameProtocol(asyncio.Protocol):
@@ -122,14 +138,32 @@
 
 
 class FeedServer:
-    """Answers other nodes' polls from this node's view."""
+    """Answers other nodes' polls from this node's view.
+
+    :param own_loads: returns what this node has at its workers now.
+    """
 
-    def __init__(self, registry: Registry, clock: Callable[[], float]):
+    def __init__(
+        self,
+        registry: Registry,
+        table: LoadTable,
+        own_loads: Callable[[], list[LoadAtWorker]],
+        clock: Callable[[], float],
+    ):
         self._registry = registry
+        self._table = table
+        self._own_loads = own_loads
         self._clock = clock
         self._server: asyncio.Server | None = None
+        self._heard_until: dict[str, float] = {}
         self.connections: set[_FeedConnection] = set()
 
+    def heard(self) -> list[str]:
+        """Return the addresses of the nodes that polled of late."""
+        now = self._clock()
+        self._heard_until = {key: until for key, until in self._heard_until.items() if now < until}
+        return list(self._heard_until)
+
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept followers."""
         loop = asyncio.get_running_loop()
@@ -140,16 +174,23 @@
     async def answer(self, poll: FeedPoll) -> FeedBatch:
         """Wait for a change after the poll's revision, and return what is new."""
         arrived_at = self._clock()
-        deadline = arrived_at + POLL_WAIT_SECONDS
+        if poll.address:
+            self._table.take(poll.address, poll.loads, arrived_at)
+            self._heard_until[poll.address] = arrived_at + HEARD_SECONDS
+        deadline = arrived_at + self._wait_seconds()
         while True:
             changes, whole = self._changes(poll)
             remaining = deadline - self._clock()
             if changes or whole or remaining <= 0:
-                return self._batch(changes, whole, arrived_at)
+                return self._batch(poll, changes, whole, arrived_at)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining):
                     await self._registry.changed()
 
+    def _wait_seconds(self) -> float:
+        wait = WAIT_SECONDS_PER_FOLLOWER * len(self.connections)
+        return min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, wait))
+
     def _changes(self, poll: FeedPoll) -> tuple[list[EntryChange], bool]:
         log = self._registry.log
         if poll.after is None:
@@ -159,7 +200,9 @@
         except WatchCompacted:
             return log.listing(), True
 
-    def _batch(self, changes: list[EntryChange], whole: bool, arrived_at: float) -> FeedBatch:
+    def _batch(
+        self, poll: FeedPoll, changes: list[EntryChange], whole: bool, arrived_at: float
+    ) -> FeedBatch:
         now = self._clock()
         confirmed_at = self._registry.confirmed_at
         trouble_at = self._registry.trouble_at
@@ -169,6 +212,7 @@
             changes,
             None if confirmed_at is None else confirmed_at - arrived_at,
             None if trouble_at is None else now - trouble_at,
+            self._table.others(now, self._own_loads(), poll.address),
         )
 
     def close(self) -> None:
@@ -222,14 +266,14 @@
         self._address = ""
         self._conn: _PollingConnection | None = None
 
-    async def poll(self, address: str, after: int | None) -> FeedBatch:
+    async def poll(self, address: str, poll: FeedPoll) -> FeedBatch:
         """Return what has changed at another node.
 
         :param address: ``IP:PORT``.
         :raises FeedLost: when it does not tell, or was never current itself.
         """
         try:
-            batch = await (await self._connection(address)).exchange(FeedPoll(after))
+            batch = await (await self._connection(address)).exchange(poll)
         except FeedLost:
             self.close()
             raise
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -19,13 +19,13 @@
     RequestDialect,
     WorkerControl,
 )
+from wheelslip.forwarding.load_table import LoadTable
 from wheelslip.forwarding.metrics import ForwardingMetrics
-from wheelslip.forwarding.peer_link import PeerLink
-from wheelslip.forwarding.peer_loads import PeerLoads
 from wheelslip.forwarding.placement import WorkerPlacement
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.relay import RelayLease
+from wheelslip.forwarding.relay_link import RelayLink
 from wheelslip.forwarding.rollout import RolloutView, WeightsRollout
 from wheelslip.forwarding.server import (
     READY_AGE_SHARE,
@@ -75,17 +75,28 @@
         store = make_store(lambda: self._settings.store.address)
         self._registry = Registry(documents, self.bounds, clock)
         section = self._settings.node
-        peers = PeerLoads(section.name, section.peers, section.seed_addresses(), random_source)
-        self._placement = WorkerPlacement(self._registry, section.zone, clock, random_source, peers)
-        self._peer_link = PeerLink(peers, self._placement.own_loads, clock)
+        table = LoadTable()
+        self._placement = WorkerPlacement(self._registry, section.zone, clock, random_source, table)
+        own_loads = self._placement.own_loads
         self._pool = WorkerPool(clock)
         self._registry.on_worker_gone = self._forget_worker
         rollout_view = RolloutView(self._registry, clock)
         self._registry.on_own_entry = rollout_view.entry_changed
         self._relay = self._make_relay(store, random_source) if section.peers else None
-        self._feed = FeedServer(self._registry, clock)
+        self._feed = FeedServer(self._registry, table, own_loads, clock)
+        self._relay_link = RelayLink(
+            section.zone, table, own_loads, self._other_relays, clock, random_source
+        )
         self._sync = RegistrySync(
-            store, self._registry, clock, random_source, self._relay, peers.addresses
+            store,
+            self._registry,
+            clock,
+            random_source,
+            self._relay,
+            self._peer_addresses,
+            section.peers,
+            table,
+            own_loads,
         )
         self._metrics = self._make_metrics()
         self._forwarder = Forwarder(
@@ -157,7 +168,7 @@
 
     def hear_datagram(self, data: bytes) -> None:
         """Take a peer's datagram as if it came from the socket."""
-        self._peer_link.datagram_received(data, ("127.0.0.1", 0))
+        self._relay_link.datagram_received(data, ("127.0.0.1", 0))
 
     def refuses_new(self) -> bool:
         """Whether the stop has come so far that new requests are refused."""
@@ -188,6 +199,14 @@
             random_source,
         )
 
+    def _other_relays(self) -> list[str]:
+        return self._relay.other_zones() if self._relay is not None else []
+
+    def _peer_addresses(self) -> list[str]:
+        section = self._settings.node
+        others = {*section.seed_addresses(), *self._relay.addresses(), *self._feed.heard()}
+        return sorted(others - {section.peers})
+
     def _make_metrics(self) -> ForwardingMetrics:
         metrics = ForwardingMetrics()
         metrics.gauges = {
@@ -199,7 +218,7 @@
             "holder": lambda: float(self._lease.fencing_token() is not None),
             "relay": lambda: float(self._relay is not None and self._relay.token() is not None),
             "followers": lambda: float(len(self._feed.connections)),
-            "peer_bytes_sent": lambda: float(self._peer_link.bytes_sent),
+            "relay_bytes_sent": lambda: float(self._relay_link.bytes_sent),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
@@ -231,10 +250,10 @@
         if node.metrics:
             await self._metrics_server.listen(*parse_address(node.metrics))
         if node.peers:
-            await self._peer_link.listen(*parse_address(node.peers))
+            await self._relay_link.listen(*parse_address(node.peers))
             await self._feed.listen(*parse_address(node.peers))
-            self._tasks.append(loop.create_task(self._keep_running("peers", self._peer_link.run)))
-            self._tasks.append(loop.create_task(self._keep_running("relay", self._relay.run)))
+            for name, work in (("relay", self._relay.run), ("relays", self._relay_link.run)):
+                self._tasks.append(loop.create_task(self._keep_running(name, work)))
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
@@ -278,7 +297,7 @@
         self._callers.close()
         self._readiness.close()
         self._metrics_server.close()
-        self._peer_link.close()
+        self._relay_link.close()
         self._feed.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         log_event(LogEvent.NODE_STOPPED)
--- a/src/wheelslip/forwarding/placement.py
+++ b/src/wheelslip/forwarding/placement.py
@@ -14,8 +14,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from wheelslip.forwarding.load_table import LoadAtWorker, LoadTable
 from wheelslip.forwarding.model import EngineProfile, ForwardedRequest, Route
-from wheelslip.forwarding.peer_loads import PeerLoads, WorkerLoadNews
 from wheelslip.forwarding.registry import Registry, Worker
 from wheelslip.routing import rendezvous
 from wheelslip.routing.holdings import Chain, WorkerHoldings, chain_of
@@ -28,6 +28,9 @@
 """A prompt is long if reading it takes more than this share of the pause that a stream of
 its route may make."""
 
+CANDIDATES = 8
+"""Workers drawn at random beside the home, of which the cheapest is taken (docs/PLATFORM.md)."""
+
 OUTSIDE_SECONDS = 0.05
 """Cost of a worker that is meant for requests of the other length."""
 
@@ -119,9 +122,9 @@
         zone: str,
         clock: Callable[[], float],
         random_source: random.Random,
-        peers: PeerLoads | None = None,
+        table: LoadTable | None = None,
     ):
-        self._peers = peers
+        self._table = table or LoadTable()
         self._registry = registry
         self._zone = zone
         self._clock = clock
@@ -134,10 +137,10 @@
         """Return the load of a worker, new when there is none."""
         return self._loads.setdefault(worker_id, WorkerLoad())
 
-    def own_loads(self) -> list[WorkerLoadNews]:
-        """Return what this node has at its workers, for its peers."""
+    def own_loads(self) -> list[LoadAtWorker]:
+        """Return what this node has at its workers, for other nodes."""
         return [
-            WorkerLoadNews(worker_id, load.running, load.prompt_tokens)
+            LoadAtWorker(worker_id, load.running, load.prompt_tokens)
             for worker_id, load in sorted(self._loads.items())
             if load.running
         ]
@@ -145,9 +148,7 @@
     def all_loads(self, worker_id: str) -> tuple[float, float]:
         """Return running requests and prompt tokens of all nodes at a worker."""
         load = self.load(worker_id)
-        if self._peers is None:
-            return load.running, load.prompt_tokens
-        running, prompt_tokens = self._peers.at_worker(worker_id, self._clock())
+        running, prompt_tokens = self._table.at_worker(worker_id, self._clock())
         return load.running + running, load.prompt_tokens + prompt_tokens
 
     def forget(self, worker_id: str) -> None:
@@ -211,7 +212,8 @@
             return None
         preferred = self._preferred(request, route, candidates)
         home = self._home(request, preferred)
-        placements = [self._placement(request, one, home, engine, wall) for one in candidates]
+        considered = self._considered(candidates, home)
+        placements = [self._placement(request, one, home, engine, wall) for one in considered]
         preferred_ids = {one.info.id for one in preferred}
 
         def cost(placement: Placement) -> float:
@@ -220,6 +222,17 @@
 
         return min(placements, key=cost)
 
+    def _considered(self, candidates: list[Worker], home: Worker | None) -> list[Worker]:
+        """Return the home and a few others at random.
+
+        All nodes see the same loads, some time old: if each took the least loaded worker of
+        all, they would take the same one together.
+        """
+        considered = self._random.sample(candidates, min(CANDIDATES, len(candidates)))
+        if home is not None and home not in considered:
+            considered.append(home)
+        return considered
+
     def _preferred(
         self, request: ForwardedRequest, route: Route, candidates: list[Worker]
     ) -> list[Worker]:
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -217,6 +217,10 @@
         """Return value and revision of one of the system's own keys."""
         return self._own.get(key)
 
+    def own_entries(self, prefix: str) -> dict[str, bytes]:
+        """Return the system's own keys that begin with a prefix."""
+        return {key: value for key, (value, _) in self._own.items() if key.startswith(prefix)}
+
     def workers_of(self, service: str) -> list[Worker]:
         """Return the workers of a service that take new requests."""
         return [
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable
 
 from wheelslip.events import LogEvent, log_event
-from wheelslip.forwarding.feed import FeedBatch, FeedClient, FeedLost
+from wheelslip.forwarding.feed import FeedBatch, FeedClient, FeedLost, FeedPoll
 from wheelslip.forwarding.interface import KeyValueStore
+from wheelslip.forwarding.load_table import LoadAtWorker, LoadTable
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.relay import RelayLease
 from wheelslip.keyvalue.model import KeyValueError, WatchCompacted
@@ -34,6 +35,9 @@
 STALE_SECONDS = 2.2
 """A relay whose view is older is out of touch: the store is asked itself, now and then."""
 
+_RELAY = ""
+"""Source of loads that a relay told."""
+
 OWN_LOOK_SECONDS = (0.7, 1.4)
 """Range of the pause between such looks."""
 
@@ -44,6 +48,9 @@
     :param relay: the key of the zone's relay; ``None`` where nodes do not reach each other.
     :param peer_addresses: returns where other nodes may answer polls, for a start beside a
         store that is silent.
+    :param address: where this node answers polls, for those whom it polls.
+    :param table: takes what other nodes have at workers.
+    :param own_loads: returns what this node has there.
     """
 
     def __init__(
@@ -54,7 +61,13 @@
         random_source: random.Random,
         relay: RelayLease | None = None,
         peer_addresses: Callable[[], list[str]] = list,
+        address: str = "",
+        table: LoadTable | None = None,
+        own_loads: Callable[[], list[LoadAtWorker]] = list,
     ):
+        self._address = address
+        self._table = table or LoadTable()
+        self._own_loads = own_loads
         self._store = store
         self._registry = registry
         self._clock = clock
@@ -150,8 +163,10 @@
 
     async def _poll(self, address: str) -> None:
         sent_at = self._clock()
-        batch = await self._feed.poll(address, self._after)
+        poll = FeedPoll(self._after, self._address, self._own_loads())
+        batch = await self._feed.poll(address, poll)
         self._take(batch, sent_at)
+        self._table.take(_RELAY, batch.loads, self._clock())
 
     def _take(self, batch: FeedBatch, sent_at: float) -> None:
         if batch.trouble_age is not None:
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -49,6 +49,18 @@
     def _may_gain(self) -> bool:
         return super()._may_gain() and self._registry.age() < MAX_CONTENDER_AGE_SECONDS
 
+    def other_zones(self) -> list[str]:
+        """Return the addresses of the other zones' relays, while this node is a relay."""
+        if self.token() is None:
+            return []
+        relays = self._registry.own_entries(RELAY_PREFIX)
+        return sorted(value.decode("latin-1") for key, value in relays.items() if key != self._key)
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of all relays but this node."""
+        relays = self._registry.own_entries(RELAY_PREFIX).values()
+        return [one.decode("latin-1") for one in relays if one != self._value]
+
     def other_relay(self) -> str | None:
         """Return the address of the zone's relay, ``None`` when that is nobody or this node."""
         entry = self._registry.own_entry(self._key)
--- a/src/wheelslip/weights/schedule.py
+++ b/src/wheelslip/weights/schedule.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass
 
-PREFERRED_SHARE = 1 / 6
+PREFERRED_SHARE = 1 / 4
 """Part of a model's workers that loads at one time when the bound leaves a choice."""
 
 GREATEST_SHARE = 1 / 2
--- /dev/null
+++ b/tests/unit/forwarding/test_placement.py
@@ -0,0 +1,68 @@
+"""The choice of a worker from many, by many nodes that see the same loads."""
+
+import json
+import random
+from collections import Counter
+
+from wheelslip.forwarding.load_table import LoadAtWorker, LoadTable
+from wheelslip.forwarding.model import ForwardedRequest, PromptPart, RequestMetadata
+from wheelslip.forwarding.placement import WorkerPlacement
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.platform.registry import PlatformRegistry
+
+WORKERS = 40
+NOW = 100.0
+
+
+def registry() -> Registry:
+    view = Registry(PlatformRegistry(), BoundsSection, lambda: NOW)
+    engine = {"capacity": 8, "kv_capacity": 100_000, "kv_token_bytes": 1, "link_mbps": 1e6}
+    route = {"host": "h", "path_prefix": "/", "kind": "streaming", "service": "s"}
+    document = {
+        "version": 1,
+        "routes": [route],
+        "services": [{"name": "s", "backend_engine": engine}],
+    }
+    view.apply("op/config", json.dumps(document).encode(), 1)
+    for number in range(WORKERS):
+        entry = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "capacity": 8}
+        entry["model_ids"] = [{"name": "m", "version": 1}]
+        view.apply(f"servers/w{number}", json.dumps(entry).encode(), 2 + number)
+    return view
+
+
+def request(session: str) -> ForwardedRequest:
+    parts = (PromptPart("aa", 1000), PromptPart(session, 2000), PromptPart("own", 1000))
+    metadata = RequestMetadata("r", None, None, "m", 4000, 10, parts, None)
+    return ForwardedRequest("POST", b"/", "h", [], b"", metadata, NOW)
+
+
+def place(node: int, session: str, loads: list[LoadAtWorker]) -> str:
+    view, table = registry(), LoadTable()
+    table.take("relay", loads, NOW)
+    placement = WorkerPlacement(view, "z", lambda: NOW, random.Random(node), table)
+    route = view.configuration.routes["h"][0]
+    chosen = placement.choose(request(session), route, "s", "", frozenset())
+    return chosen.worker.info.id
+
+
+def test_all_nodes_send_a_session_to_one_worker_while_that_is_not_loaded():
+    assert len({place(node, "5e55", []) for node in range(12)}) == 1
+
+
+def test_nodes_that_leave_a_loaded_home_do_not_all_take_the_same_worker():
+    home = place(0, "5e55", [])
+    loads = [LoadAtWorker(f"w{number}", 1, 30_000) for number in range(WORKERS)]
+    loads = [one._replace(prompt_tokens=300_000) if one.worker == home else one for one in loads]
+    # One worker has nothing at all to do, and every node knows it.
+    idle = next(one.worker for one in loads if one.worker != home)
+    loads = [one for one in loads if one.worker != idle]
+    taken = Counter(place(node, "5e55", loads) for node in range(60))
+    assert home not in taken
+    assert taken[idle] <= 30 and len(taken) >= 10
+
+
+def test_loads_of_other_nodes_turn_a_request_away_from_its_home():
+    home = place(0, "5e55", [])
+    assert place(0, "5e55", [LoadAtWorker(home, 8, 300_000)]) != home
