--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := PYTHONPATH=src:. $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test format pages prove-failing soak scale replay overhead decision-cost claims traffic
+.PHONY: setup demo test format pages prove-failing soak forwarding-soak scale replay overhead decision-cost claims traffic
 
 setup: $(STAMP)
 
@@ -39,6 +39,9 @@
 soak: setup
 	$(RUN) -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+forwarding-soak: setup
+	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS)
+
 scale: setup
 	$(RUN) -m bench.scale sizes
 
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -85,6 +85,12 @@
         for thread in self._threads:
             thread.start()
 
+    @property
+    def address(self) -> str:
+        """Where it listens, ``IP:PORT``."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
     def stop(self) -> None:
         """Close the listening sockets and end the threads."""
         self._stopping.set()
