--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -212,8 +212,12 @@
 
     def cut_from_store(self, name: str) -> None:
         """Give one node an address of the store at which nothing answers."""
+        self.lead_to_store(name, "127.0.0.1:9")
+
+    def lead_to_store(self, name: str, address: str) -> None:
+        """Give one node another address of the store, such as that of a fault proxy."""
         path = self.folder / f"{name}.toml"
-        path.write_text(path.read_text().replace(self.store.server.address, "127.0.0.1:9"))
+        path.write_text(path.read_text().replace(self.store.server.address, address))
         self.nodes[name].reload()
 
     async def ready(self, name: str = "n1") -> None:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass, field
 
 from standins.asyncio_http import Exchange, StandInRequest, StandInServer
@@ -70,6 +71,7 @@
         self.server = StandInServer(self._handle)
         self.runs: list[Run] = []
         self.orders: list[dict] = []
+        self.ordered_at: list[float] = []
         self.sequence = 0
         self.highest_fence = 0
         self.refused_fences: list[int] = []
@@ -219,6 +221,7 @@
         if order["version"] not in self.named_versions:
             return 400
         self.orders.append(order)
+        self.ordered_at.append(time.monotonic())
         if order["version"] == self.version:
             return 200
         self.sequence += 1
