The forwarding soak judges silence at nodes that nothing had struck

Silence of a killed node is no finding, of another it is.

Change: such an end is a call without an answer; it is a violation unless the node was being started, stopped, paused or killed at that time. No product code.

--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -24,6 +24,7 @@
 from typing import NamedTuple
 
 import fire
+import h11
 
 from standins.fault_proxy import Fault, FaultProxy
 from standins.platform_site import Site, configuration, free_port
@@ -37,6 +38,10 @@
 CALLERS = 8
 CALL_SECONDS = 8.0
 SETTLE_SECONDS = 30.0
+START_SECONDS = 3.0
+"""A process that was just started listens within this time, also beside other work."""
+
+WAKE_SECONDS = 1.0
 REVOCATION_MS = 5000
 FAULT_PAUSE_SECONDS = (0.4, 1.4)
 FAULT_LASTS_SECONDS = (0.5, 3.5)
@@ -52,15 +57,18 @@
 
 
 class Call(NamedTuple):
-    """One request and what its caller got; ``status`` is 0 when the connection broke."""
+    """One request and what its caller got; ``status`` is 0 when no answer came at all."""
 
+    node: str
     request_id: str
     path: str
     key: str
     sent_at: float
+    ended_at: float
     status: int
     body: bytes
     complete: bool
+    error: str = ""
 
 
 class Revocation(NamedTuple):
@@ -70,6 +78,14 @@
     deadline: float
 
 
+class Strike(NamedTuple):
+    """A time during which a node was stopped, paused, killed or started."""
+
+    node: str
+    began_at: float
+    ended_at: float
+
+
 class Soak:
     """One run."""
 
@@ -83,9 +99,11 @@
         self._worker_links: dict[str, FaultProxy] = {}
         self._calls: list[Call] = []
         self._revoked: list[Revocation] = []
+        self._strikes: list[Strike] = []
         self._version = 1
         self._weights = 1
         self._keys = ["key-1"]
+        self._began_at = time.monotonic()
         self._ends_at = 0.0
         self._fault_tasks: set[asyncio.Task] = set()
         self.faults: Counter[str] = Counter()
@@ -152,6 +170,8 @@
                 stdout=log,
                 stderr=log,
             )
+        now = time.monotonic()
+        self._strikes.append(Strike(name, now, now + START_SECONDS))
 
     async def _until_all_serve(self) -> None:
         """Wait until every node answers a plain and a streamed request with success.
@@ -184,9 +204,11 @@
             async with asyncio.timeout(CALL_SECONDS):
                 answer = await self._site.ask(path, request_id, name, key=key, **headers)
             status, body, complete = answer.status, answer.body, answer.complete
-        except (OSError, AssertionError, TimeoutError):
-            status, body, complete = 0, b"", False
-        call = Call(request_id, path, key, sent_at, status, body, complete)
+            error = ""
+        except (OSError, AssertionError, TimeoutError, h11.RemoteProtocolError) as exc:
+            status, body, complete, error = 0, b"", False, repr(exc)
+        ended_at = time.monotonic()
+        call = Call(name, request_id, path, key, sent_at, ended_at, status, body, complete, error)
         self._calls.append(call)
         self._judge_answer(call)
         return call
@@ -234,12 +256,14 @@
         process = self._processes[name]
         if process.returncode is not None:
             return
+        began_at = time.monotonic()
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGCONT)
             process.send_signal(sent)
         await process.wait()
         if self._processes[name] is process:
             await self._start_node(name)
+        self._strikes.append(Strike(name, began_at, time.monotonic()))
 
     async def _kill(self) -> None:
         await self._signal_and_restart(signal.SIGKILL)
@@ -248,11 +272,14 @@
         await self._signal_and_restart(signal.SIGTERM)
 
     async def _pause(self) -> None:
-        process = self._processes[self._rng.choice(NODES)]
+        name = self._rng.choice(NODES)
+        process = self._processes[name]
+        began_at = time.monotonic()
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGSTOP)
             await self._last()
             process.send_signal(signal.SIGCONT)
+        self._strikes.append(Strike(name, began_at, time.monotonic() + WAKE_SECONDS))
 
     async def _hang_up(self) -> None:
         with contextlib.suppress(ProcessLookupError):
@@ -348,12 +375,24 @@
                 self.violations.append(f"{call.request_id} on {call.path} ran {count} times")
             if call.status in NOT_RUN and count and not call.path.startswith("/safe"):
                 self.violations.append(f"{call.request_id} ran and was answered {call.status}")
+            if call.status == 0 and not self._was_struck(call):
+                self.violations.append(
+                    f"{call.request_id} ended in silence at {call.node}, sent at "
+                    f"{call.sent_at - self._began_at:.3f} s, after "
+                    f"{call.ended_at - call.sent_at:.3f} s: {call.error}"
+                )
             if count and call.sent_at > deadline_of.get(call.key, float("inf")):
                 self.violations.append(f"{call.request_id} ran with a revoked key")
         for request_id in runs:
             if request_id not in sent:
                 self.violations.append(f"{request_id!r} ran and nobody sent it")
 
+    def _was_struck(self, call: Call) -> bool:
+        return any(
+            one.node == call.node and one.began_at < call.ended_at and call.sent_at < one.ended_at
+            for one in self._strikes
+        )
+
     def _judge_orders(self) -> None:
         holders: dict[int, str] = {}
         for name, worker in self._site.workers.items():
@@ -396,6 +435,14 @@
         for link in [*self._store_links.values(), *self._worker_links.values()]:
             link.stop()
 
+    def strikes(self) -> list[str]:
+        """Return when which node was struck."""
+        began = self._began_at
+        return [
+            f"{one.node} {one.began_at - began:.3f} to {one.ended_at - began:.3f} s"
+            for one in self._strikes
+        ]
+
     def summary(self) -> str:
         """Return what callers got, by path and status."""
         outcomes = Counter((call.path.split("/")[1], call.status) for call in self._calls)
@@ -421,6 +468,7 @@
     print(f"seed {seed}, {seconds} s, logs in {folder}")
     soak = asyncio.run(_play(seed, seconds, folder))
     print("faults:", dict(soak.faults))
+    print("strikes:", soak.strikes())
     print("calls:", soak.summary())
     for violation in soak.violations:
         print("VIOLATION", violation)
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.forwarding_soak import EVENTS, Call, Revocation, Soak
+from bench.forwarding_soak import EVENTS, Call, Revocation, Soak, Strike
 from standins.platform_worker import PlatformWorker, Run
 
 
@@ -18,7 +18,8 @@
 
 def called(soak, path="/plain/x", status=200, body=None, key="key-1", complete=True) -> Call:
     body = b"answer of p0 to r1" if body is None else body
-    call = Call("r1", path, key, time.monotonic(), status, body, complete)
+    now = time.monotonic()
+    call = Call("n0", "r1", path, key, now, now + 0.1, status, body, complete)
     soak._calls.append(call)
     soak._judge_answer(call)
     return call
@@ -87,3 +88,20 @@
     soak._site.workers["p1"].orders = [{"fence": 7, "holder": "c"}]
     soak._judge_orders()
     assert len(soak.violations) == 2
+
+
+def test_silence_of_a_node_that_nothing_had_struck(soak):
+    now = time.monotonic()
+    soak._strikes.append(Strike("n1", now - 1.0, now + 1.0))
+    soak._strikes.append(Strike("n0", now - 9.0, now - 5.0))
+    called(soak, status=0, body=b"", complete=False)
+    soak._judge_runs()
+    assert len(soak.violations) == 1
+
+
+def test_silence_of_a_node_that_was_just_killed(soak):
+    now = time.monotonic()
+    soak._strikes.append(Strike("n0", now - 1.0, now + 1.0))
+    called(soak, status=0, body=b"", complete=False)
+    soak._judge_runs()
+    assert soak.violations == []
