One node reads the store for all zones

Ruled out: renewals of leases (384 calls, a tenth of the price each), transactions (31), listings (20, all before the traffic). Change: the relays poll the first among them (by the name of their key); only that one watches the store, every 0.6 s instead of each second, so that views are no older at the end of the longer way. A relay whose source is out of touch reads the store itself until the source is current.

--- a/src/wheelslip/forwarding/feed.py
+++ b/src/wheelslip/forwarding/feed.py
@@ -43,7 +43,7 @@
 class FeedPoll(NamedTuple):
     """Asks for all changes after a revision; ``None`` asks for everything.
 
-    :ivar address: where the asking node answers polls itself.
+    :ivar address: where the asking node answers polls itself; empty for relays.
     :ivar loads: what that node has at its workers.
     :ivar saved: keys of prompts that it knows saved of late.
     """
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -1,4 +1,4 @@
-"""Keeps the registry view current: from the store, or from the zone's relay.
+"""Keeps the registry view current: from the store, or from a relay.
 
 Reading the store is one listing, then watches from its revision on. A relay is polled from
 the same revision, so a node changes between the two without a gap.
@@ -16,8 +16,10 @@
 from wheelslip.keyvalue.model import KeyValueError, WatchCompacted
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
 
-WATCH_SECONDS = 1.0
-"""A watch returns at least this often, so that the age of the view is known."""
+WATCH_SECONDS = 0.6
+"""A watch returns at least this often, so that the age of the view is known: a view counts as
+confirmed when the watch was sent, so it is up to twice as old, and two polls older at the
+nodes that do not read the store themselves."""
 
 GATHER_SECONDS = 0.12
 """Pause after changes, so that those which follow closely come with one call."""
@@ -35,6 +37,9 @@
 STALE_SECONDS = 2.2
 """A relay whose view is older is out of touch: the store is asked itself, now and then."""
 
+RELAY_STALE_SECONDS = 1.8
+"""The same for a relay, on which the nodes of its zone depend."""
+
 _RELAY = ""
 """Source of loads that a relay told."""
 
@@ -146,7 +151,7 @@
             return None
         if self._clock() < self._relay_silent_until:
             return None
-        return self._relay.other_relay()
+        return self._relay.node_to_follow()
 
     async def _follow(self, address: str) -> None:
         self._note_source(address)
@@ -157,18 +162,30 @@
             log_event(LogEvent.RELAY_LOST, relay=address, reason=str(exc))
             return
         now = self._clock()
-        if self._registry.age() > STALE_SECONDS and now >= self._own_look_at:
+        if self._is_relay() and self._registry.age() > RELAY_STALE_SECONDS:
+            # Its whole zone depends on it: it reads the store until the other is current.
+            self._relay_silent_until = now + self._random.uniform(*RELAY_RETRY_SECONDS)
+        elif self._registry.age() > STALE_SECONDS and now >= self._own_look_at:
             self._own_look_at = now + self._random.uniform(*OWN_LOOK_SECONDS)
             await self._read_store()
 
+    def _is_relay(self) -> bool:
+        return self._relay is not None and self._relay.token() is not None
+
     async def _poll(self, address: str) -> None:
         sent_at = self._clock()
         saved = self._table.saved
-        poll = FeedPoll(self._after, self._address, self._own_loads(), saved.news(sent_at))
+        # Relays tell each other the loads of their zones by datagrams; a poll would count
+        # them twice.
+        tells_loads = not self._is_relay()
+        loads = self._own_loads() if tells_loads else []
+        own_address = self._address if tells_loads else ""
+        poll = FeedPoll(self._after, own_address, loads, saved.news(sent_at))
         batch = await self._feed.poll(address, poll)
         self._take(batch, sent_at)
         now = self._clock()
-        self._table.take(_RELAY, batch.loads, now)
+        if tells_loads:
+            self._table.take(_RELAY, batch.loads, now)
         saved.learn(batch.saved, now)
 
     def _take(self, batch: FeedBatch, sent_at: float) -> None:
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -1,8 +1,9 @@
-"""One node of each zone reads the store for the others of its zone.
+"""One node of each zone passes the store's changes on to its zone, and one reads the store.
 
 The store arbitrates: the relay of a zone holds a key under a lease, whose value is the
-address at which it answers polls. Who does not know a relay, or finds it silent or out of
-touch, reads the store itself, so a lost relay costs calls and never freshness.
+address at which it answers polls. The first of the relays reads the store, the others poll
+it. Who does not know a relay, or finds it silent or out of touch, reads the store itself, so
+a lost relay costs calls and never freshness.
 """
 
 import random
@@ -61,10 +62,23 @@
         relays = self._registry.own_entries(RELAY_PREFIX).values()
         return [one.decode("latin-1") for one in relays if one != self._value]
 
-    def other_relay(self) -> str | None:
-        """Return the address of the zone's relay, ``None`` when that is nobody or this node."""
-        entry = self._registry.own_entry(self._key)
-        if entry is None:
-            return None
-        address = entry[0].decode("latin-1")
-        return address if address != self._address else None
+    def by_tenure(self) -> list[str]:
+        """Return the addresses of the relays of all zones, the longest in office first.
+
+        All nodes see the same order: that of the revisions at which the keys were made.
+        """
+        keys = self._registry.own_entries(RELAY_PREFIX)
+        entries = sorted(self._registry.own_entry(key)[::-1] for key in keys)
+        return [value.decode("latin-1") for _, value in entries]
+
+    def node_to_follow(self) -> str | None:
+        """Return the address of the node whose view this node polls, ``None`` for the store.
+
+        A node follows the relay of its zone, and the relays follow the first among them, so
+        that one node reads the store for all. Each follows only a relay whose key comes before
+        its own, whatever it knows of the others, so none follow each other in a circle.
+        """
+        relays = self._registry.own_entries(RELAY_PREFIX)
+        followed = self._key if self.token() is None else min([self._key, *relays])
+        value = relays.get(followed)
+        return value.decode("latin-1") if value not in (None, self._value) else None
