--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -80,12 +80,16 @@
 
 @dataclass(frozen=True)
 class CacheStore:
-    """A store of kept KV cache and the bandwidth of its link."""
+    """A store of kept KV cache and the bandwidth of its link.
+
+    :ivar cache_tokens: tokens of KV cache that it can keep.
+    """
 
     name: str
     address: str
     zone: str
     link_bytes_per_second: float
+    cache_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -205,13 +209,6 @@
     prompt: tuple[PromptPart, ...]
     last_event_id: int | None
 
-    @property
-    def shared_part(self) -> PromptPart | None:
-        """The last part that other requests may share: the one before a request's own."""
-        if not self.prompt:
-            return None
-        return self.prompt[-2] if len(self.prompt) > 1 else self.prompt[-1]
-
 
 Headers = list[tuple[bytes, bytes]]
 """Header names as they were sent, and values."""
--- a/src/wheelslip/forwarding/admission.py
+++ b/src/wheelslip/forwarding/admission.py
@@ -10,9 +10,9 @@
 
 from wheelslip.deployment import ForwardedRequest, Route, RoutingConfiguration, Tenant
 from wheelslip.errors import ErrorKind, WheelslipError
-from wheelslip.forwarding.attempt import Job
 from wheelslip.forwarding.caller_connection import ReceivedRequest
 from wheelslip.forwarding.interface import RequestDialect
+from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 
--- /dev/null
+++ b/src/wheelslip/forwarding/assignment.py
@@ -0,0 +1,114 @@
+"""Finds a worker for each request: by the dispatcher of its service, or by this node alone."""
+
+from collections.abc import Callable
+
+from wheelslip.forwarding.job import Job
+from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.peers.dispatch_link import DispatchLink, Grant, NoDispatcher
+from wheelslip.routing.dispatcher import Progress
+from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.worker_choice import WorkerPlacement
+
+
+class Assignment:
+    """A request's worker; whatever happens there is told to all who keep account of it.
+
+    :param grant: ``None`` when this node chose by itself.
+    """
+
+    def __init__(
+        self,
+        placement: Placement,
+        records: WorkerPlacement,
+        link: DispatchLink | None,
+        grant: Grant | None,
+    ):
+        self.placement = placement
+        self._records = records
+        self._link = link
+        self._grant = grant
+        self._began_at = 0.0
+        self._failed = False
+
+    @property
+    def granted(self) -> bool:
+        """Whether a dispatcher chose the worker."""
+        return self._grant is not None
+
+    def begin(self) -> None:
+        """The request is sent."""
+        self._began_at = self._records.begin(self.placement)
+
+    def first_token(self) -> None:
+        """The worker has made the first token."""
+        self._records.first_token(self.placement, self._began_at)
+        self._tell(Progress.FIRST_TOKEN)
+
+    def note_outcome(self, failed: bool) -> None:
+        """The worker has served the request, or has not."""
+        self._failed = failed
+        self._records.note_outcome(self.placement.worker.info.id, failed)
+
+    def unreached(self) -> None:
+        """No connection to the worker came up; nothing was sent."""
+        self._records.suspect(self.placement.worker.info.id)
+        self._tell(Progress.UNREACHED)
+
+    def end(self, had_first_token: bool) -> None:
+        """The request is no longer at the worker."""
+        self._records.end(self.placement, self._began_at, had_first_token)
+        self._tell(Progress.FAILED if self._failed else Progress.ENDED)
+
+    def _tell(self, progress: Progress) -> None:
+        if self._grant is not None:
+            self._link.tell(self._grant, progress)
+
+
+class WorkerAssigner:
+    """Assigns workers to the requests of this node.
+
+    :param link: ``None`` where nodes do not reach each other.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        records: WorkerPlacement,
+        pool: WorkerPool,
+        link: DispatchLink | None,
+        dispatches: Callable[[], bool],
+    ):
+        self._zone = zone
+        self._records = records
+        self._pool = pool
+        self._link = link
+        self._dispatches = dispatches
+
+    async def assign(self, job: Job, service: str) -> Assignment | None:
+        """Return a worker for a request, ``None`` when none may take it now."""
+        query = self._query(job, service)
+        if self._link is not None and self._dispatches():
+            try:
+                grant = await self._link.ask(query)
+            except NoDispatcher:
+                pass
+            else:
+                return grant and Assignment(grant.placement, self._records, self._link, grant)
+        placement = self._records.choose(query)
+        return placement and Assignment(placement, self._records, None, None)
+
+    def _query(self, job: Job, service: str) -> PlacementQuery:
+        metadata = job.request.metadata
+        return PlacementQuery(
+            service,
+            job.route.split[0].service,
+            metadata.model,
+            metadata.prompt_tokens,
+            metadata.output_tokens,
+            metadata.prompt,
+            job.wall,
+            job.route.pause_seconds,
+            self._zone,
+            self._pool.idle_workers(),
+            frozenset(job.excluded),
+        )
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -3,38 +3,30 @@
 import asyncio
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import h11
 
 from wheelslip.deployment import (
     AnswerMetadata,
-    CachePlan,
     Dispatch,
-    ForwardedRequest,
-    Route,
     RouteKind,
-    Tenant,
 )
+from wheelslip.forwarding.assignment import Assignment
 from wheelslip.forwarding.caller_connection import CallerConnection
 from wheelslip.forwarding.event_stream import EventSplitter, StreamEvent
 from wheelslip.forwarding.http_client import HttpConnection, PeerLost
 from wheelslip.forwarding.interface import RequestDialect
+from wheelslip.forwarding.job import Job, WholeAnswer
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.worker_pool import WorkerPool
-from wheelslip.routing import rendezvous
-from wheelslip.routing.worker_choice import Placement, WorkerPlacement
 
 BEGIN_GUARD_SECONDS = 0.2
 """A request that has not begun is taken back this long before its weights become too old."""
 
 BEGIN_CHECK_SECONDS = 1.0
 
-LEAST_MOVED_TOKENS = 600
-"""Shorter shared parts are read again rather than moved: reading takes some milliseconds, and
-a move waits behind those of long prompts, for up to two seconds."""
-
 MAX_WHOLE_BYTES = 4 * 1024 * 1024
 """Largest answer collected before it is passed on; larger ones end the request."""
 
@@ -55,48 +47,12 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True)
-class WholeAnswer:
-    """A worker's whole answer that was not passed on yet."""
-
-    response: h11.Response
-    body: bytes
-
-
-@dataclass
-class Job:
-    """One request under way and what has happened to it.
-
-    :ivar sent: attempts that reached a worker, whether it ran them or not.
-    :ivar may_have_run: attempts that were not proven not run.
-    :ivar delivered: id of the last event passed on to the caller.
-    :ivar failure_passed_on: the caller got a worker's own failure as its answer.
-    """
-
-    request: ForwardedRequest
-    route: Route
-    tenant: Tenant | None
-    wall: str
-    deadline: float
-    sent: int = 0
-    may_have_run: int = 0
-    excluded: set[str] = field(default_factory=set)
-    delivered: int | None = None
-    failure: WholeAnswer | None = None
-    failure_passed_on: bool = False
-    reason: str = ""
-    worker_id: str = ""
-    weights_version: int | None = None
-    first_event_at: float = 0.0
-
-
 @dataclass(frozen=True)
 class AttemptServices:
     """What attempts use of their node."""
 
     dialect: RequestDialect
     registry: Registry
-    placement: WorkerPlacement
     pool: WorkerPool
     metrics: ForwardingMetrics
     clock: Callable[[], float]
@@ -143,20 +99,18 @@
         self,
         services: AttemptServices,
         job: Job,
-        placement: Placement,
+        assignment: Assignment,
         connection: HttpConnection,
         caller: CallerConnection,
-        began_at: float,
     ):
         self._services = services
-        self._began_at = began_at
         self._job = job
-        self._placement = placement
+        self._assignment = assignment
+        self._placement = assignment.placement
         self._connection = connection
         self._caller = caller
         self.had_first_token = False
         self._guard: asyncio.TimerHandle | None = None
-        self._saves = False
         self.released = False
 
     def finish(self) -> None:
@@ -223,34 +177,10 @@
             priority=max(0, min(LEAST_URGENT, priority)) if placement.chain else None,
             tenant=job.tenant.name if job.tenant else None,
             weights_version=placement.weights_version,
-            cache=self._cache_plan(),
+            cache=placement.cache,
             last_event_id=job.delivered,
         )
 
-    def _cache_plan(self) -> CachePlan | None:
-        placement = self._placement
-        if not placement.chain:
-            return None
-        if sum(tokens for _, tokens in placement.chain[:-1]) < LEAST_MOVED_TOKENS:
-            return CachePlan(placement.salt)
-        store = self._cache_store()
-        fetch_from = store
-        if placement.home_keeps or not store:
-            home = placement.home
-            is_other = home is not None and home is not placement.worker
-            fetch_from = home.info.address if is_other else store
-        save_to = "" if self._services.placement.is_saved(placement) else store
-        self._saves = bool(save_to)
-        return CachePlan(placement.salt, fetch_from, save_to)
-
-    def _cache_store(self) -> str:
-        """Return the store that keeps this prompt; all nodes name the same one."""
-        stores = self._services.registry.configuration.cache_stores
-        shared = self._job.request.metadata.shared_part
-        if not stores or shared is None:
-            return ""
-        return rendezvous.owner(shared.id, [one.address for one in stores])
-
     async def _read_head(self) -> tuple[h11.Response, AnswerMetadata]:
         """Read the head of the answer to this request, passing over others'.
 
@@ -275,15 +205,13 @@
             registry.note_weights(worker_id, model, answer.weights_version)
 
     def _note_outcome(self, failed: bool) -> None:
-        self._services.placement.note_outcome(self._placement.worker.info.id, failed)
+        self._assignment.note_outcome(failed)
 
     def _note_first_token(self) -> None:
         now = self._services.clock()
         self._job.first_event_at = self._job.first_event_at or now
         self._services.metrics.first_byte.observe(now - self._job.request.arrived)
-        self._services.placement.first_token(self._placement, self._began_at)
-        if self._saves:
-            self._services.placement.note_saved(self._placement)
+        self._assignment.first_token()
 
     async def _not_run(self, response: h11.Response, answer: AnswerMetadata) -> AttemptOutcome:
         # Proven by the head alone; the rest only decides about the connection.
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -14,23 +14,23 @@
 from wheelslip.events import LogBudget, LogEvent, log_event
 from wheelslip.forwarding.admission import UNKNOWN_AGE_SECONDS, Admission
 from wheelslip.forwarding.answers import error_answer
+from wheelslip.forwarding.assignment import Assignment, WorkerAssigner
 from wheelslip.forwarding.attempt import (
     Attempt,
     AttemptOutcome,
     AttemptServices,
-    Job,
     pass_on_whole,
 )
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
 from wheelslip.forwarding.http_client import PeerUnreachable
 from wheelslip.forwarding.interface import RequestDialect
+from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import SmoothSplit
-from wheelslip.routing.worker_choice import Placement, WorkerPlacement
 
 OFFER_SHARE = 0.22
 """A request that no worker can take is refused within this share of its target."""
@@ -56,7 +56,7 @@
         self,
         dialect: RequestDialect,
         registry: Registry,
-        placement: WorkerPlacement,
+        assigner: WorkerAssigner,
         pool: WorkerPool,
         bounds: Callable[[], BoundsSection],
         clock: Callable[[], float],
@@ -66,12 +66,12 @@
         self._log = LogBudget(REQUEST_LINES_PER_SECOND, clock)
         self._dialect = dialect
         self._registry = registry
-        self._placement = placement
+        self._assigner = assigner
         self._pool = pool
         self._bounds = bounds
         self._clock = clock
         self._admission = Admission(dialect, registry, bounds)
-        self._services = AttemptServices(dialect, registry, placement, pool, metrics, clock)
+        self._services = AttemptServices(dialect, registry, pool, metrics, clock)
         self._splits: dict[str, SmoothSplit] = {}
         self._budgets: dict[str, RetryWindow] = {}
 
@@ -156,11 +156,11 @@
         budget = self._budget(service)
         budget.record_first(self._clock())
         while True:
-            placement = await self._place(job, service, caller)
-            outcome = await self._attempt(job, placement, caller)
+            assignment = await self._assign(job, service)
+            outcome = await self._attempt(job, assignment, caller)
             if outcome is AttemptOutcome.ANSWERED:
                 return
-            self._note_failed(job, placement, outcome)
+            self._note_failed(job, assignment, outcome)
             if not self._may_go_on(job, outcome, budget):
                 self._end_unserved(job, caller)
                 return
@@ -183,17 +183,16 @@
             )
         return self._budgets[service]
 
-    async def _place(self, job: Job, service: str, caller: CallerConnection) -> Placement:
+    async def _assign(self, job: Job, service: str) -> Assignment:
         """Wait until a worker may take the request.
 
         :raises WheelslipError: when none does within a part of the target.
         """
         give_up_at = self._clock() + OFFER_SHARE * job.route.target_seconds
         while True:
-            excluded = frozenset(job.excluded)
-            placement = self._placement.choose(job.request, job.route, service, job.wall, excluded)
-            if placement is not None:
-                return placement
+            assignment = await self._assigner.assign(job, service)
+            if assignment is not None:
+                return assignment
             remaining = give_up_at - self._clock()
             if remaining <= 0:
                 raise self._unserved_error(job, "no worker may take the request")
@@ -208,7 +207,8 @@
             return WheelslipError(ErrorKind.ENGINE_LOST, f"{message}; {job.reason}")
         return WheelslipError(ErrorKind.NO_ENGINE, message, NO_WORKER_RETRY_SECONDS)
 
-    def _note_failed(self, job: Job, placement: Placement, outcome: AttemptOutcome) -> None:
+    def _note_failed(self, job: Job, assignment: Assignment, outcome: AttemptOutcome) -> None:
+        placement = assignment.placement
         worker_id = placement.worker.info.id
         self._metrics.attempts[outcome.value] += 1
         self._log.log(
@@ -216,14 +216,12 @@
             attempt=job.request.metadata.request_id,
             engine=worker_id,
             weights_version=placement.weights_version,
-            worker_running=self._placement.load(worker_id).running,
+            granted=assignment.granted,
             registry_age=round(self._registry.age(), 3),
             proven_not_run=outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN),
             reason=job.reason,
         )
         job.excluded.add(worker_id)
-        if outcome is AttemptOutcome.NOT_SENT:
-            self._placement.suspect(worker_id)
 
     def _may_go_on(self, job: Job, outcome: AttemptOutcome, budget: RetryWindow) -> bool:
         if self._clock() >= job.deadline:
@@ -247,20 +245,21 @@
     # One attempt
 
     async def _attempt(
-        self, job: Job, placement: Placement, caller: CallerConnection
+        self, job: Job, assignment: Assignment, caller: CallerConnection
     ) -> AttemptOutcome:
-        worker = placement.worker.info
+        worker = assignment.placement.worker.info
         job.worker_id = worker.id
-        job.weights_version = placement.weights_version
+        job.weights_version = assignment.placement.weights_version
         try:
             connection = await self._pool.acquire(worker)
         except PeerUnreachable as error:
             job.reason = str(error)
+            assignment.unreached()
             return AttemptOutcome.NOT_SENT
-        began_at = self._placement.begin(placement)
-        attempt = Attempt(self._services, job, placement, connection, caller, began_at)
+        assignment.begin()
+        attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
             return await attempt.run()
         finally:
             attempt.finish()
-            self._placement.end(placement, began_at, attempt.had_first_token)
+            assignment.end(attempt.had_first_token)
--- a/src/wheelslip/forwarding/holder.py
+++ b/src/wheelslip/forwarding/holder.py
@@ -6,6 +6,7 @@
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.leased_key import LeasedKey
 from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.relay import RELAY_PREFIX
 from wheelslip.forwarding.settings import BoundsSection
 
 HOLDER_KEY = "wheelslip/holder"
@@ -19,7 +20,10 @@
 
 
 class HolderLease(LeasedKey):
-    """The holder's key; a new holder waits before its first order."""
+    """The holder's key; a new holder waits before its first order.
+
+    :param is_relay: whether this node is the relay of its zone.
+    """
 
     def __init__(
         self,
@@ -31,6 +35,7 @@
         clock: Callable[[], float],
         random_source: random.Random,
         last_order_by_others: Callable[[], float],
+        is_relay: Callable[[], bool] = lambda: True,
     ):
         self.identity = f"{name}/{random_source.getrandbits(64):016x}"
         super().__init__(
@@ -44,8 +49,14 @@
         )
         self._bounds = bounds
         self._last_order_by_others = last_order_by_others
+        self._is_relay = is_relay
         self._acts_from = 0.0
 
+    def _may_gain(self) -> bool:
+        # Only relays contend, or at each loss all nodes of the fleet would call the store.
+        relays = self._registry.own_entries(RELAY_PREFIX)
+        return super()._may_gain() and (self._is_relay() or not relays)
+
     def fencing_token(self) -> int | None:
         """Return the token if orders may be given at this moment, else ``None``."""
         return self.token() if self._clock() >= self._acts_from else None
--- /dev/null
+++ b/src/wheelslip/forwarding/job.py
@@ -0,0 +1,42 @@
+"""A forwarded request under way."""
+
+from dataclasses import dataclass, field
+
+import h11
+
+from wheelslip.deployment import ForwardedRequest, Route, Tenant
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """A worker's whole answer that was not passed on yet."""
+
+    response: h11.Response
+    body: bytes
+
+
+@dataclass
+class Job:
+    """One request under way and what has happened to it.
+
+    :ivar sent: attempts that reached a worker, whether it ran them or not.
+    :ivar may_have_run: attempts that were not proven not run.
+    :ivar delivered: id of the last event passed on to the caller.
+    :ivar failure_passed_on: the caller got a worker's own failure as its answer.
+    """
+
+    request: ForwardedRequest
+    route: Route
+    tenant: Tenant | None
+    wall: str
+    deadline: float
+    sent: int = 0
+    may_have_run: int = 0
+    excluded: set[str] = field(default_factory=set)
+    delivered: int | None = None
+    failure: WholeAnswer | None = None
+    failure_passed_on: bool = False
+    reason: str = ""
+    worker_id: str = ""
+    weights_version: int | None = None
+    first_event_at: float = 0.0
--- a/src/wheelslip/forwarding/leased_key.py
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -23,6 +23,7 @@
 
     :param value: what the key tells others about its holder.
     :param lease_seconds: returns how long a lease lasts without a renewal.
+    :param handicap_seconds: returns how long this node lets better suited ones go first.
     """
 
     def __init__(
@@ -34,7 +35,9 @@
         lease_seconds: Callable[[], float],
         clock: Callable[[], float],
         random_source: random.Random,
+        handicap_seconds: Callable[[], float] = lambda: 0.0,
     ):
+        self._handicap_seconds = handicap_seconds
         self._key = key
         self._value = value
         self._store = store
@@ -71,7 +74,8 @@
         if not self._may_gain():
             await asyncio.sleep(POLL_SECONDS)
             return
-        await asyncio.sleep(self._random.uniform(0, ELECTION_JITTER_SECONDS))
+        jitter = self._random.uniform(0, ELECTION_JITTER_SECONDS)
+        await asyncio.sleep(jitter + self._handicap_seconds())
         if self._may_gain() and not self._stopped:
             await self._gain()
 
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
+from wheelslip.forwarding.assignment import WorkerAssigner
 from wheelslip.forwarding.feed import FeedServer
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.holder import HolderLease
@@ -38,6 +39,10 @@
     parse_address,
 )
 from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.peers.datagrams import DatagramSocket
+from wheelslip.peers.dispatch_link import DispatchLink
+from wheelslip.routing.dispatcher import Dispatcher
+from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.settings import SettingsError
@@ -77,17 +82,33 @@
         section = self._settings.node
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
-        self._placement = WorkerPlacement(
-            self._registry, section.zone, clock, random_source, table, self._pool.has_idle
-        )
+        self._placement = WorkerPlacement(self._registry, clock, random_source, table)
+        self._fleet = FleetPlacement(self._registry, clock, random_source, table)
         own_loads = self._placement.own_loads
         self._registry.on_worker_gone = self._forget_worker
         rollout_view = RolloutView(self._registry, clock)
         self._registry.on_own_entry = rollout_view.entry_changed
         self._relay = self._make_relay(store, random_source) if section.peers else None
         self._feed = FeedServer(self._registry, table, own_loads, clock)
+        self._datagrams = DatagramSocket()
         self._relay_link = RelayLink(
-            section.zone, table, own_loads, self._other_relays, clock, random_source
+            section.zone,
+            self._datagrams,
+            table,
+            own_loads,
+            self._other_relays,
+            clock,
+            random_source,
+        )
+        self._dispatcher = Dispatcher(self._fleet, clock)
+        self._dispatch_link = DispatchLink(
+            section.peers,
+            self._datagrams,
+            self._dispatcher,
+            self._placement,
+            self._dispatchers_of,
+            clock,
+            random_source,
         )
         self._sync = RegistrySync(
             store,
@@ -101,10 +122,17 @@
             own_loads,
         )
         self._metrics = self._make_metrics()
+        assigner = WorkerAssigner(
+            section.zone,
+            self._placement,
+            self._pool,
+            self._dispatch_link if section.peers else None,
+            lambda: self._settings.routing.dispatch,
+        )
         self._forwarder = Forwarder(
             requests,
             self._registry,
-            self._placement,
+            assigner,
             self._pool,
             self.bounds,
             clock,
@@ -119,6 +147,7 @@
             clock,
             random_source,
             rollout_view.last_order,
+            self._is_relay,
         )
         self._rollout = WeightsRollout(
             store, control, self._registry, self._placement, self._lease, self.bounds, clock
@@ -170,7 +199,15 @@
 
     def hear_datagram(self, data: bytes) -> None:
         """Take a peer's datagram as if it came from the socket."""
-        self._relay_link.datagram_received(data, ("127.0.0.1", 0))
+        self._datagrams.datagram_received(data, ("127.0.0.1", 0))
+
+    def hear_nothing(self) -> None:
+        """Lose all datagrams from now on, as behind a cut."""
+        self._datagrams.close()
+
+    def known_relays(self) -> list[str]:
+        """Return the addresses of the relays in view."""
+        return self._relay.by_tenure()
 
     def refuses_new(self) -> bool:
         """Whether the stop has come so far that new requests are refused."""
@@ -199,11 +236,30 @@
             self._min_lease_seconds,
             self._clock,
             random_source,
+            lambda: self._settings.limits.link_megabits,
         )
 
     def _other_relays(self) -> list[str]:
         return self._relay.other_zones() if self._relay is not None else []
 
+    def _is_relay(self) -> bool:
+        return self._relay is None or self._relay.token() is not None
+
+    def _dispatchers_of(self, service: str) -> list[str]:
+        """Return who chooses workers of a service, the first choice first.
+
+        Services are dealt out to the relays in order of tenure, those of model engines first:
+        the longest in office knows most, and a new relay takes no service away.
+        """
+        relays = self._relay.by_tenure()
+        cfg = self._registry.configuration
+        if not relays or cfg is None:
+            return relays
+        services = sorted(cfg.services.values(), key=lambda one: (one.engine is None, one.name))
+        names = [one.name for one in services]
+        first = names.index(service) % len(relays) if service in names else 0
+        return relays[first:] + relays[:first]
+
     def _peer_addresses(self) -> list[str]:
         section = self._settings.node
         others = {*section.seed_addresses(), *self._relay.addresses(), *self._feed.heard()}
@@ -221,7 +277,11 @@
             "relay": lambda: float(self._relay is not None and self._relay.token() is not None),
             "followers": lambda: float(len(self._feed.connections)),
             "saved_prompts": lambda: float(len(self._table.saved)),
-            "relay_bytes_sent": lambda: float(self._relay_link.bytes_sent),
+            "datagram_bytes_sent": lambda: float(self._datagrams.bytes_sent),
+            "dispatched_requests": lambda: float(self._dispatch_link.granted),
+            "requests_placed_alone": lambda: float(self._dispatch_link.alone),
+            "grants_given": lambda: float(self._dispatcher.given),
+            "granted_requests": lambda: float(self._dispatcher.granted),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
@@ -229,6 +289,7 @@
     def _forget_worker(self, worker_id: str) -> None:
         self._pool.forget(worker_id)
         self._placement.forget(worker_id)
+        self._fleet.forget(worker_id)
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and that is complete."""
@@ -253,9 +314,13 @@
         if node.metrics:
             await self._metrics_server.listen(*parse_address(node.metrics))
         if node.peers:
-            await self._relay_link.listen(*parse_address(node.peers))
+            await self._datagrams.listen(*parse_address(node.peers))
             await self._feed.listen(*parse_address(node.peers))
-            for name, work in (("relay", self._relay.run), ("relays", self._relay_link.run)):
+            for name, work in (
+                ("relay", self._relay.run),
+                ("relays", self._relay_link.run),
+                ("dispatch", self._dispatch_link.run),
+            ):
                 self._tasks.append(loop.create_task(self._keep_running(name, work)))
         for name, work in (
             ("registry", self._sync.run),
@@ -300,7 +365,7 @@
         self._callers.close()
         self._readiness.close()
         self._metrics_server.close()
-        self._relay_link.close()
+        self._datagrams.close()
         self._feed.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         log_event(LogEvent.NODE_STOPPED)
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -20,10 +20,24 @@
 """Only a node with a view this young offers to read the store for others."""
 
 
+GREATEST_HANDICAP_SECONDS = 0.6
+"""A node whose link is slow lets others of its zone go first by up to this: a change of the
+store goes to all followers at once, some 100 KB for 28 of them, and on a link of 20 Mbit/s
+that holds up the questions to a dispatcher for 50 ms."""
+
+WIDE_LINK_MEGABITS = 100.0
+"""From this bandwidth on, in Mbit/s, a node lets nobody go first."""
+
+
+def _handicap_seconds(link_megabits: float) -> float:
+    return GREATEST_HANDICAP_SECONDS * max(0.0, 1.0 - link_megabits / WIDE_LINK_MEGABITS)
+
+
 class RelayLease(LeasedKey):
     """The key of a zone's relay.
 
     :param address: where this node answers polls, ``IP:PORT``.
+    :param link_megabits: returns the bandwidth of this node's link in Mbit/s.
     """
 
     def __init__(
@@ -35,6 +49,7 @@
         min_lease_seconds: Callable[[], float],
         clock: Callable[[], float],
         random_source: random.Random,
+        link_megabits: Callable[[], float],
     ):
         super().__init__(
             RELAY_PREFIX + zone,
@@ -44,6 +59,7 @@
             lambda: max(min_lease_seconds(), LEASE_SECONDS),
             clock,
             random_source,
+            lambda: _handicap_seconds(link_megabits()),
         )
         self._address = address
 
--- a/src/wheelslip/forwarding/relay_link.py
+++ b/src/wheelslip/forwarding/relay_link.py
@@ -4,8 +4,11 @@
 import random
 from collections.abc import Callable, Iterator
 
+from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable, ZoneLoads
-from wheelslip.wire import FrameError, decode_frame, encode_frame
+
+LOADS = "loads"
+"""Kind of the messages."""
 
 TELL_SECONDS = 0.1
 TELL_SECONDS_PER_RELAY = 0.025
@@ -18,8 +21,8 @@
 """Saved prompts in the first datagram, for the same reason."""
 
 
-class RelayLink(asyncio.DatagramProtocol):
-    """Owns the datagram socket.
+class RelayLink:
+    """Tells the other relays and takes what they tell.
 
     :param own_loads: returns what this node has at its workers now.
     :param other_relays: returns the addresses to tell; nobody while this node is no relay.
@@ -28,6 +31,7 @@
     def __init__(
         self,
         zone: str,
+        socket: DatagramSocket,
         table: LoadTable,
         own_loads: Callable[[], list[LoadAtWorker]],
         other_relays: Callable[[], list[str]],
@@ -35,38 +39,19 @@
         random_source: random.Random,
     ):
         self._zone = zone
+        self._socket = socket
         self._table = table
         self._own_loads = own_loads
         self._other_relays = other_relays
         self._clock = clock
         self._incarnation = random_source.getrandbits(48)
         self._sequence = 0
-        self._transport: asyncio.DatagramTransport | None = None
-        self.bytes_sent = 0
-        self.refused = 0
-
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport
+        socket.register(LOADS, ZoneLoads, self._hear)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a relay's news; bytes that are none are counted and dropped."""
-        try:
-            news = decode_frame(data, ZoneLoads)
-        except FrameError:
-            self.refused += 1
-            return
+    def _hear(self, news: ZoneLoads, sender: str) -> None:
         if news.zone != self._zone:
             self._table.take_zone(news, self._clock())
 
-    def error_received(self, exc: Exception) -> None:
-        """A relay's port is closed: its key will go."""
-
-    async def listen(self, host: str, port: int) -> None:
-        """Bind the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
-
     async def run(self) -> None:
         """Tell the other relays for ever."""
         while True:
@@ -79,15 +64,11 @@
         now = self._clock()
         self._table.forget_old(now)
         addresses = self._other_relays()
-        if not addresses or self._transport is None or self._transport.is_closing():
+        if not addresses or not self._socket.open:
             return
         self._sequence += 1
         for part in self._parts(self._table.own_zone(now, self._own_loads()), now):
-            frame = encode_frame(part)
-            for address in addresses:
-                host, _, port = address.rpartition(":")
-                self._transport.sendto(frame, (host, int(port)))
-                self.bytes_sent += len(frame)
+            self._socket.send_to(addresses, LOADS, part)
 
     def _parts(self, loads: list[LoadAtWorker], now: float) -> Iterator[ZoneLoads]:
         loads = sorted(loads)
@@ -96,8 +77,3 @@
             part = loads[first : first + PART_WORKERS]
             yield ZoneLoads(self._zone, number, self._incarnation, self._sequence, part, saved)
             saved = []
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -49,10 +49,14 @@
 
 
 class LimitsSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Bounds of the machine."""
+    """Bounds of the machine.
+
+    :ivar link_megabits: bandwidth of its link, in Mbit/s.
+    """
 
     memory_megabytes: PositiveInt = 300
     max_descriptors: PositiveInt = 1024
+    link_megabits: PositiveFloat = 1000.0
 
 
 class BoundsSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -82,6 +86,15 @@
     heartbeat_ms: PositiveInt = 1200
 
 
+class RoutingSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Switches of mechanisms, for experiments; all are on by default.
+
+    :ivar dispatch: one node of the fleet chooses the workers of a service for all nodes.
+    """
+
+    dispatch: bool = True
+
+
 class ForwardingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """All settings of a forwarding node."""
 
@@ -89,6 +102,7 @@
     store: StoreSection
     limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
+    routing: RoutingSection = msgspec.field(default_factory=RoutingSection)
 
 
 def load_forwarding_settings(path: str) -> ForwardingSettings:
--- a/src/wheelslip/forwarding/worker_pool.py
+++ b/src/wheelslip/forwarding/worker_pool.py
@@ -39,11 +39,14 @@
         self.opened += 1
         return await connect(worker.address)
 
-    def has_idle(self, worker_id: str) -> bool:
-        """Whether an idle connection to a worker may be used now."""
+    def idle_workers(self) -> frozenset[str]:
+        """Return the workers to which an idle connection may be used now."""
         now = self._clock()
-        idle = self._idle.get(worker_id, ())
-        return any(connection.open and now < usable_until for usable_until, connection in idle)
+        return frozenset(
+            worker_id
+            for worker_id, idle in self._idle.items()
+            if any(conn.open and now < usable_until for usable_until, conn in idle)
+        )
 
     def release(
         self, worker: WorkerInfo, connection: HttpConnection, answer: AnswerMetadata
--- /dev/null
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -0,0 +1,364 @@
+"""Asks the dispatcher of a service for workers, and answers other nodes' questions.
+
+Every node can dispatch; who does for a service, all nodes read from the store alike. A
+dispatcher that does not answer at once is passed by, for the next one, and then the node
+chooses alone: a lost dispatcher costs some milliseconds and exactness, never a request.
+Nodes tell a new dispatcher what they have running and which prompts their workers have read
+of late, so that it knows what the last one knew.
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from wheelslip.deployment import CachePlan
+from wheelslip.events import LogEvent, log_event
+from wheelslip.peers.datagrams import DatagramSocket
+from wheelslip.peers.dispatch_messages import (
+    ASK,
+    GRANT,
+    KEPT,
+    PART_REQUESTS,
+    RUNNING,
+    TELL,
+    KeptTold,
+    ProgressTold,
+    RunningTold,
+    WorkerAsk,
+    WorkerGrant,
+)
+from wheelslip.peers.round_trip import RoundTrip
+from wheelslip.routing.dispatcher import Dispatcher, Progress, TicketId
+from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
+from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.worker_choice import WorkerPlacement
+
+MISSES_OF_A_LOST_DISPATCHER = 3
+"""Questions in a row without an answer after which the next dispatcher is asked. Until then a
+node chooses alone: a dispatcher that is only slow knows more than one that takes over."""
+
+PASSED_BY_SECONDS = (0.4, 1.2)
+"""Range of the time for which a silent dispatcher is not asked; random, so that few nodes
+try it again at one time."""
+
+LOST_SECONDS = 5.0
+"""A dispatcher that is taken for lost is not asked for this long."""
+
+SENDS = 2
+"""Times that a question is sent: datagrams are lost now and then."""
+
+LIST_SECONDS = 1.0
+"""Pause between two lists of what a node has running."""
+
+READ_SECONDS = 8.0
+"""A new dispatcher is told which prompts workers have read within this time: a worker's memory
+is turned over in about as long under load (large deployments, ten seconds)."""
+
+MAX_READ = 256
+"""Most such prompts that a node remembers."""
+
+
+class NoDispatcher(Exception):
+    """No dispatcher answered in time, or none is known."""
+
+
+@dataclass
+class _Peer:
+    """Another node as a dispatcher.
+
+    :ivar misses: questions in a row that it has not answered.
+    """
+
+    round_trip: RoundTrip = field(default_factory=RoundTrip)
+    misses: int = 0
+    passed_by_until: float = 0.0
+    lost_until: float = 0.0
+
+
+class _ReadPrompt(NamedTuple):
+    """A prompt that a worker has read, for a dispatcher that takes over."""
+
+    kept_until: float
+    service: str
+    kept: KeptPrompt
+
+
+@dataclass
+class Grant:
+    """A worker granted to one request of this node.
+
+    :ivar dispatcher: address of the node that granted it.
+    """
+
+    ticket_id: TicketId
+    dispatcher: str
+    service: str
+    placement: Placement
+    had_first_token: bool = False
+
+    def as_running(self) -> RunningRequest:
+        """Return what another dispatcher needs to know of it."""
+        placement = self.placement
+        return RunningRequest(
+            self.ticket_id.ask,
+            placement.worker.info.id,
+            placement.weights_version,
+            placement.chain,
+            0 if self.had_first_token else placement.read_tokens,
+            placement.held_tokens,
+        )
+
+
+class DispatchLink:
+    """A node's side of dispatch, asking and answering.
+
+    :param address: of this node, ``IP:PORT``.
+    :param dispatchers_of: returns the addresses of the nodes that may be asked for a service,
+        the first choice first.
+    :param records: this node's own view of the workers.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        socket: DatagramSocket,
+        dispatcher: Dispatcher,
+        records: WorkerPlacement,
+        dispatchers_of: Callable[[str], list[str]],
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ):
+        self._address = address
+        self._socket = socket
+        self._dispatcher = dispatcher
+        self._records = records
+        self._dispatchers_of = dispatchers_of
+        self._clock = clock
+        self._random = random_source
+        self._incarnation = f"{random_source.getrandbits(48):012x}"
+        self._asks = 0
+        self._waiting: dict[int, asyncio.Future[WorkerGrant]] = {}
+        self._grants: dict[int, Grant] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._current: dict[str, tuple[str, str]] = {}
+        self._read: deque[_ReadPrompt] = deque(maxlen=MAX_READ)
+        self.granted = 0
+        self.alone = 0
+        socket.register(ASK, WorkerAsk, self._asked)
+        socket.register(GRANT, WorkerGrant, self._answered)
+        socket.register(TELL, ProgressTold, self._told)
+        socket.register(RUNNING, RunningTold, self._listed)
+        socket.register(KEPT, KeptTold, self._told_kept)
+
+    # Asking
+
+    async def ask(self, query: PlacementQuery) -> Grant | None:
+        """Return a grant, ``None`` when no worker may take the request now.
+
+        :raises NoDispatcher: when this node has to choose by itself.
+        """
+        try:
+            return await self._ask(query)
+        except NoDispatcher:
+            self.alone += 1
+            raise
+
+    async def _ask(self, query: PlacementQuery) -> Grant | None:
+        address = self._dispatcher_of(query.service)
+        self._asks += 1
+        ticket_id = TicketId(self._incarnation, self._asks)
+        if address == self._address:
+            placement = self._dispatcher.ask(ticket_id, query)
+            self._note_current(query.service, address, self._incarnation)
+            return self._keep(ticket_id, address, query.service, placement)
+        answer = await self._exchange(address, WorkerAsk.of(ticket_id, query))
+        self._note_current(query.service, address, answer.dispatcher)
+        return self._take(ticket_id, address, query, answer)
+
+    def _dispatcher_of(self, service: str) -> str:
+        """Return whom to ask.
+
+        :raises NoDispatcher: when the one to ask does not answer just now.
+        """
+        now = self._clock()
+        for address in self._dispatchers_of(service):
+            peer = self._peer(address)
+            if peer.lost_until > now:
+                continue
+            if peer.passed_by_until > now:
+                raise NoDispatcher
+            return address
+        raise NoDispatcher
+
+    def _peer(self, address: str) -> _Peer:
+        return self._peers.setdefault(address, _Peer())
+
+    async def _exchange(self, address: str, ask: WorkerAsk) -> WorkerGrant:
+        """Ask, and ask once more.
+
+        :raises NoDispatcher: when no answer comes in time.
+        """
+        peer = self._peer(address)
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[ask.ask] = fut
+        sent_at = self._clock()
+        try:
+            for _ in range(SENDS):
+                self._socket.send(address, ASK, ask)
+                await asyncio.wait([fut], timeout=peer.round_trip.timeout_seconds)
+                if fut.done():
+                    peer.round_trip.observe(self._clock() - sent_at)
+                    peer.misses = 0
+                    return fut.result()
+        finally:
+            del self._waiting[ask.ask]
+        self._pass_by(address, peer)
+        raise NoDispatcher
+
+    def _pass_by(self, address: str, peer: _Peer) -> None:
+        now = self._clock()
+        peer.misses += 1
+        peer.round_trip.back_off()
+        peer.passed_by_until = now + self._random.uniform(*PASSED_BY_SECONDS)
+        if peer.misses >= MISSES_OF_A_LOST_DISPATCHER:
+            peer.lost_until = now + LOST_SECONDS
+            peer.misses = 0
+        log_event(LogEvent.DISPATCHER_LOST, dispatcher=address, misses=peer.misses)
+
+    def _take(
+        self, ticket_id: TicketId, address: str, query: PlacementQuery, answer: WorkerGrant
+    ) -> Grant | None:
+        if not answer.worker:
+            return None
+        worker = self._records.worker(answer.worker)
+        if worker is None or not self._records.accepts(worker, query):
+            # This node knows better: the worker leaves, or its weights are too old.
+            self._send(address, ticket_id, Progress.ENDED)
+            raise NoDispatcher
+        version = answer.weights_version
+        chain = query.chain(version)
+        cache = None
+        if chain:
+            cache = CachePlan(query.salt(version), answer.fetch_from, answer.save_to)
+        placement = Placement(
+            worker,
+            version,
+            chain,
+            answer.read_tokens,
+            held_tokens=query.prompt_tokens + query.output_tokens,
+            cache=cache,
+        )
+        return self._keep(ticket_id, address, query.service, placement)
+
+    def _keep(
+        self, ticket_id: TicketId, address: str, service: str, placement: Placement | None
+    ) -> Grant | None:
+        if placement is None:
+            return None
+        self.granted += 1
+        grant = Grant(ticket_id, address, service, placement)
+        self._grants[ticket_id.ask] = grant
+        return grant
+
+    def tell(self, grant: Grant, progress: Progress) -> None:
+        """Tell how a granted request goes on; all but a first token ends it."""
+        if progress is Progress.FIRST_TOKEN:
+            grant.had_first_token = True
+            self._note_read(grant)
+        else:
+            self._grants.pop(grant.ticket_id.ask, None)
+        current, _ = self._current.get(grant.service, (grant.dispatcher, ""))
+        for address in {grant.dispatcher, current}:
+            self._send(address, grant.ticket_id, progress)
+
+    def _note_read(self, grant: Grant) -> None:
+        placement = grant.placement
+        if placement.chain:
+            kept = KeptPrompt(placement.worker.info.id, placement.chain)
+            self._read.append(_ReadPrompt(self._clock() + READ_SECONDS, grant.service, kept))
+
+    def _send(self, address: str, ticket_id: TicketId, progress: Progress) -> None:
+        if address == self._address:
+            self._dispatcher.progress(ticket_id, progress)
+        else:
+            self._socket.send(address, TELL, ProgressTold(*ticket_id, progress))
+
+    # What runs here
+
+    async def run(self) -> None:
+        """List what runs here to the dispatchers, for ever."""
+        while True:
+            await asyncio.sleep(LIST_SECONDS)
+            for service in {one.service for one in self._grants.values()}:
+                self._list(service)
+
+    def _note_current(self, service: str, address: str, incarnation: str) -> None:
+        """Tell a dispatcher that is new for a service what runs here."""
+        if self._current.get(service) == (address, incarnation):
+            return
+        self._current[service] = (address, incarnation)
+        log_event(LogEvent.DISPATCHER_FOLLOWED, dispatcher=address, workload=service)
+        self._list(service)
+        self._tell_read(service, address)
+
+    def _tell_read(self, service: str, address: str) -> None:
+        now = self._clock()
+        kept = [one.kept for one in self._read if one.service == service and now < one.kept_until]
+        for first in range(0, len(kept), PART_REQUESTS):
+            part = kept[first : first + PART_REQUESTS]
+            if address == self._address:
+                self._dispatcher.kept(part)
+            else:
+                self._socket.send(address, KEPT, KeptTold(part))
+
+    def _list(self, service: str) -> None:
+        address, _ = self._current.get(service, ("", ""))
+        grants = [one for one in self._grants.values() if one.service == service]
+        asks = list(self._grants)
+        if not address:
+            return
+        for first in range(0, max(1, len(grants)), PART_REQUESTS):
+            part = [one.as_running() for one in grants[first : first + PART_REQUESTS]]
+            if address == self._address:
+                self._dispatcher.running(self._incarnation, asks, part)
+            else:
+                self._socket.send(address, RUNNING, RunningTold(self._incarnation, asks, part))
+
+    # Answering
+
+    def _asked(self, ask: WorkerAsk, sender: str) -> None:
+        placement = self._dispatcher.ask(ask.ticket_id(), ask.query())
+        if placement is None:
+            self._socket.send(sender, GRANT, WorkerGrant(ask.ask, self._incarnation))
+            return
+        cache = placement.cache or CachePlan("")
+        grant = WorkerGrant(
+            ask.ask,
+            self._incarnation,
+            placement.worker.info.id,
+            placement.weights_version,
+            placement.read_tokens,
+            cache.fetch_from,
+            cache.save_to,
+        )
+        self._socket.send(sender, GRANT, grant)
+
+    def _answered(self, grant: WorkerGrant, sender: str) -> None:
+        fut = self._waiting.get(grant.ask)
+        if fut is not None and not fut.done():
+            fut.set_result(grant)
+        elif grant.worker and grant.ask not in self._grants:
+            # Too late: another dispatcher or this node has chosen meanwhile.
+            self._send(sender, TicketId(self._incarnation, grant.ask), Progress.ENDED)
+
+    def _told(self, told: ProgressTold, sender: str) -> None:
+        self._dispatcher.progress(TicketId(told.node, told.ask), told.progress)
+
+    def _told_kept(self, told: KeptTold, sender: str) -> None:
+        self._dispatcher.kept(told.prompts)
+
+    def _listed(self, told: RunningTold, sender: str) -> None:
+        self._dispatcher.running(told.node, told.asks, told.requests)
--- /dev/null
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -0,0 +1,120 @@
+"""What nodes and dispatchers tell each other, each in one datagram."""
+
+from typing import NamedTuple
+
+from wheelslip.deployment import PromptPart
+from wheelslip.routing.dispatcher import Progress, TicketId
+from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
+from wheelslip.routing.placement import PlacementQuery
+
+ASK = "ask"
+GRANT = "grant"
+TELL = "tell"
+RUNNING = "running"
+KEPT = "kept"
+
+MAX_CONNECTED = 8
+"""Most idle connections that a question names, so that it fits a packet of 1,400 bytes."""
+
+PART_REQUESTS = 8
+"""Running requests in one datagram, for the same reason."""
+
+
+class WorkerAsk(NamedTuple):
+    """Asks for a worker; repeated with the same ticket, it gives the same grant."""
+
+    node: str
+    ask: int
+    service: str
+    stream_group: str
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    prompt: list[tuple[str, int]]
+    wall: str
+    pause_seconds: float
+    zone: str
+    connected: list[str]
+    excluded: list[str]
+
+    @classmethod
+    def of(cls, ticket_id: TicketId, query: PlacementQuery) -> "WorkerAsk":
+        """Return the question for one request."""
+        return cls(
+            *ticket_id,
+            query.service,
+            query.stream_group,
+            query.model,
+            query.prompt_tokens,
+            query.output_tokens,
+            [(part.id, part.tokens) for part in query.prompt],
+            query.wall,
+            query.pause_seconds,
+            query.zone,
+            sorted(query.connected)[:MAX_CONNECTED],
+            sorted(query.excluded),
+        )
+
+    def ticket_id(self) -> TicketId:
+        """Return what names the ticket."""
+        return TicketId(self.node, self.ask)
+
+    def query(self) -> PlacementQuery:
+        """Return the question as the choice of a worker sees it."""
+        return PlacementQuery(
+            self.service,
+            self.stream_group,
+            self.model,
+            self.prompt_tokens,
+            self.output_tokens,
+            tuple(PromptPart(*part) for part in self.prompt),
+            self.wall,
+            self.pause_seconds,
+            self.zone,
+            frozenset(self.connected),
+            frozenset(self.excluded),
+        )
+
+
+class WorkerGrant(NamedTuple):
+    """Answers a question.
+
+    :ivar dispatcher: incarnation of the dispatcher.
+    :ivar worker: id of the worker; empty when none may take the request now.
+    :ivar fetch_from: where the worker fetches KV cache; empty for nowhere.
+    :ivar save_to: the store to which it saves the prompt; empty for none.
+    """
+
+    ask: int
+    dispatcher: str
+    worker: str = ""
+    weights_version: int | None = None
+    read_tokens: int = 0
+    fetch_from: str = ""
+    save_to: str = ""
+
+
+class ProgressTold(NamedTuple):
+    """How a granted request goes on."""
+
+    node: str
+    ask: int
+    progress: Progress
+
+
+class RunningTold(NamedTuple):
+    """What a node has running by grants.
+
+    :ivar asks: the numbers of all of it, so what is not among them has ended.
+    :ivar requests: a part of it, for a dispatcher that does not know it.
+    """
+
+    node: str
+    asks: list[int]
+    requests: list[RunningRequest]
+
+
+class KeptTold(NamedTuple):
+    """Prompts that workers have read of late, the oldest first."""
+
+    prompts: list[KeptPrompt]
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -65,6 +65,7 @@
     kv_store_addr: str = ""
     zone: str = ""
     link_mbps: float = 0.0
+    kv_capacity: int = 0
 
 
 class _Tenant(msgspec.Struct):
@@ -209,4 +210,5 @@
 
 
 def _store(one: _Service) -> CacheStore:
-    return CacheStore(one.name, one.kv_store_addr, one.zone, one.link_mbps * 1e6 / 8)
+    bandwidth = one.link_mbps * 1e6 / 8
+    return CacheStore(one.name, one.kv_store_addr, one.zone, bandwidth, one.kv_capacity)
--- /dev/null
+++ b/src/wheelslip/routing/dispatcher.py
@@ -0,0 +1,160 @@
+"""Grants of workers to the requests of all nodes. Pure: clock and random source are injected.
+
+A node asks with a number of its own; asking again with it gives the same grant. Each grant
+is a ticket until its node tells that the request has ended. Nodes list what they have
+running once in a while, so a ticket whose end was lost goes, and a dispatcher that has just
+taken over learns what runs.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+from wheelslip.routing.fleet_choice import FleetPlacement, KeptPrompt, RunningRequest
+from wheelslip.routing.placement import Placement, PlacementQuery
+
+UNLISTED_SECONDS = 1.0
+"""A ticket this old that its node does not list any more has ended."""
+
+SILENT_NODE_SECONDS = 4.0
+"""The tickets of a node that has not been heard for this long are void: nodes list what they
+have running each second."""
+
+SWEEP_SECONDS = 0.5
+
+
+class Progress(Enum):
+    """What a node tells about a request at a worker."""
+
+    FIRST_TOKEN = "first"
+    ENDED = "ended"
+    FAILED = "failed"
+    UNREACHED = "unreached"
+
+
+class TicketId(NamedTuple):
+    """A node's incarnation and the number of its question."""
+
+    node: str
+    ask: int
+
+
+@dataclass
+class _Ticket:
+    placement: Placement
+    began_at: float
+    had_first_token: bool = False
+
+
+class Dispatcher:
+    """Chooses workers for all nodes and keeps the tickets of what it has granted.
+
+    :ivar given: grants since the start.
+    """
+
+    def __init__(self, placement: FleetPlacement, clock: Callable[[], float]):
+        self.placement = placement
+        self._clock = clock
+        self._tickets: dict[TicketId, _Ticket] = {}
+        self._heard_at: dict[str, float] = {}
+        self._swept_at = clock()
+        self.given = 0
+
+    @property
+    def granted(self) -> int:
+        """Requests that are believed to run by a grant of this dispatcher."""
+        return len(self._tickets)
+
+    def ask(self, ticket_id: TicketId, query: PlacementQuery) -> Placement | None:
+        """Grant a worker; ``None`` when none may take the request now."""
+        self._hear(ticket_id.node)
+        self._sweep()
+        known = self._tickets.get(ticket_id)
+        if known is not None:
+            return known.placement
+        placement = self.placement.choose(query)
+        if placement is not None:
+            self.given += 1
+            self._tickets[ticket_id] = _Ticket(placement, self.placement.begin(placement))
+        return placement
+
+    def progress(self, ticket_id: TicketId, progress: Progress) -> None:
+        """Take what a node tells about a granted request; unknown tickets are passed over."""
+        self._hear(ticket_id.node)
+        ticket = self._tickets.get(ticket_id)
+        if ticket is None:
+            return
+        worker_id = ticket.placement.worker.info.id
+        match progress:
+            case Progress.FIRST_TOKEN:
+                self._first_token(ticket)
+                self.placement.heard(worker_id, ticket_id.node)
+            case Progress.ENDED:
+                if ticket.had_first_token or not ticket.placement.chain:
+                    self.placement.note_outcome(worker_id, failed=False)
+                    self.placement.heard(worker_id, ticket_id.node)
+                self._end(ticket_id)
+            case Progress.FAILED:
+                self.placement.note_outcome(worker_id, failed=True)
+                self._end(ticket_id)
+            case Progress.UNREACHED:
+                self.placement.unreached(worker_id, ticket_id.node)
+                self._end(ticket_id)
+
+    def _first_token(self, ticket: _Ticket) -> None:
+        if not ticket.had_first_token:
+            ticket.had_first_token = True
+            self.placement.first_token(ticket.placement, ticket.began_at)
+
+    def _end(self, ticket_id: TicketId) -> None:
+        ticket = self._tickets.pop(ticket_id)
+        self.placement.end(ticket.placement, ticket.began_at, ticket.had_first_token)
+
+    def running(self, node: str, asks: list[int], requests: list[RunningRequest]) -> None:
+        """Take a node's list of all that it has running by grants.
+
+        :param asks: the numbers of all of it.
+        :param requests: a part of it in full.
+        """
+        self._hear(node)
+        listed = set(asks)
+        now = self._clock()
+        for ticket_id, ticket in list(self._tickets.items()):
+            unlisted = ticket_id.node == node and ticket_id.ask not in listed
+            if unlisted and now - ticket.began_at > UNLISTED_SECONDS:
+                self._end(ticket_id)
+        for one in requests:
+            self._adopt(TicketId(node, one.ask), one)
+
+    def _adopt(self, ticket_id: TicketId, one: RunningRequest) -> None:
+        """Take over a request that another dispatcher has granted, or what was lost of it."""
+        ticket = self._tickets.get(ticket_id)
+        if ticket is None:
+            placement = self.placement.adopted(one)
+            if placement is None:
+                return
+            ticket = _Ticket(placement, self.placement.begin(placement))
+            self._tickets[ticket_id] = ticket
+        if one.unread_tokens == 0:
+            self._first_token(ticket)
+
+    def kept(self, prompts: list[KeptPrompt]) -> None:
+        """Take over prompts that workers have read, as a node remembers them."""
+        for one in prompts:
+            self.placement.learn(one)
+
+    def _hear(self, node: str) -> None:
+        self._heard_at[node] = self._clock()
+
+    def _sweep(self) -> None:
+        """End the tickets of nodes that are silent."""
+        now = self._clock()
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        silent = {node for node, at in self._heard_at.items() if now - at > SILENT_NODE_SECONDS}
+        for node in silent:
+            del self._heard_at[node]
+        for ticket_id in [one for one in self._tickets if one.node not in self._heard_at]:
+            self._end(ticket_id)
--- /dev/null
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -0,0 +1,441 @@
+"""Choice of workers for the requests of all nodes, from exact loads and holdings.
+
+One node, the dispatcher, chooses for all and is told when each request has its first token
+and when it ends. So it knows what runs at each worker, which parts of prompts each worker
+keeps or reads just now, and what each link has to move. It weighs all workers; nobody else
+chooses at the same time, so nothing herds.
+"""
+
+import random
+from collections import Counter, OrderedDict, defaultdict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from wheelslip.deployment import CachePlan, CacheStore, EngineProfile, Worker
+from wheelslip.routing.cache_moves import MoveEnd, MoveSchedule
+from wheelslip.routing.holdings import Chain, WorkerHoldings
+from wheelslip.routing.load_table import LoadAtWorker
+from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.saved_prompts import SavedPrompts
+from wheelslip.routing.worker_choice import (
+    INTERFERENCE,
+    LEAST_MOVED_TOKENS,
+    OTHER_ZONE_SECONDS,
+    PREFILL_TOKENS_PER_SECOND,
+    RUNNING_SECONDS,
+    DeploymentView,
+    WorkerPlacement,
+)
+
+UNKNOWN_STORE_TOKENS = 1_000_000
+"""Room of a store that tells none; a guess, of the order of stores that do."""
+
+ARRIVAL_MEMORY_SECONDS = 2.0
+"""Time constant over which arrivals are counted."""
+
+REREAD_SECONDS_PER_TOKEN = 0.0002
+"""Cost of each token of a shared part that is read although a worker has read it of late. The
+deployments price 1,000 such tokens like a quarter of an answer, and a late answer costs most
+of its worth: so a request rather waits 0.2 s for a worker that keeps 1,000 tokens, or reads
+them just now, than has them read again."""
+
+REREAD_MEMORY_SECONDS = 10.0
+"""A part that has not been used for this long may be read anew without that cost."""
+
+MAX_USED_PARTS = 50_000
+
+MAX_DELAYED = 4.0
+"""Most requests that one more read is taken to delay, in the cost of reading a part again."""
+
+HEARD_SECONDS = 0.5
+"""A worker from which another node heard within this time is not suspected because one node
+does not reach it."""
+
+
+class RunningRequest(NamedTuple):
+    """A request that a node has running, for a dispatcher that does not know it.
+
+    :ivar ask: the number of the node's question.
+    :ivar unread_tokens: 0 once it had its first token.
+    """
+
+    ask: int
+    worker: str
+    weights_version: int | None
+    chain: Chain
+    unread_tokens: int
+    held_tokens: int
+
+
+class KeptPrompt(NamedTuple):
+    """A prompt that a worker has read, for a dispatcher that does not know it."""
+
+    worker: str
+    chain: Chain
+
+
+class _Kept(NamedTuple):
+    """A worker that keeps a part of a prompt, and how many tokens of it."""
+
+    tokens: int
+    worker: Worker
+
+
+class _Prompt(NamedTuple):
+    """A prompt at workers of one version of the weights.
+
+    :ivar cached: tokens from the beginning that each worker keeps or reads just now.
+    :ivar source: from where the shared parts may be fetched; ``None`` from nowhere.
+    :ivar source_tokens: how many tokens from the beginning the source has.
+    :ivar recent: first and last token of each shared part that was used of late.
+    """
+
+    chain: Chain
+    cached: dict[str, int]
+    source: MoveEnd | None
+    source_tokens: int
+    recent: list[tuple[int, int]]
+
+    def reread_tokens(self, first: int) -> int:
+        """Return how many tokens are read again by who reads from a token on."""
+        return sum(max(0, end - max(first, start)) for start, end in self.recent)
+
+
+class _Offer(NamedTuple):
+    cost: float
+    worker: Worker
+    read_tokens: int
+    fetched_tokens: int
+
+
+class FleetPlacement(WorkerPlacement):
+    """Chooses for all nodes.
+
+    :param table: of this node; only the saved prompts in it are used and told on.
+    """
+
+    def __init__(
+        self,
+        registry: DeploymentView,
+        clock: Callable[[], float],
+        random_source: random.Random,
+        table=None,
+    ):
+        super().__init__(registry, clock, random_source, table)
+        self._reading: defaultdict[str, Counter[int]] = defaultdict(Counter)
+        self._stores: dict[str, WorkerHoldings] = {}
+        self._saved = SavedPrompts()
+        self._used_at: OrderedDict[int, float] = OrderedDict()
+        self._moves = MoveSchedule()
+        self._arrivals = 0.0
+        self._arrived_at = 0.0
+        self._heard: dict[str, tuple[str, float]] = {}
+
+    def all_loads(self, worker_id: str) -> LoadAtWorker:
+        """Return what all nodes have at a worker: all that was placed here."""
+        load = self.load(worker_id)
+        return LoadAtWorker(worker_id, load.running, load.prompt_tokens, load.held_tokens)
+
+    def forget(self, worker_id: str) -> None:
+        """A worker is gone."""
+        super().forget(worker_id)
+        self._reading.pop(worker_id, None)
+        self._heard.pop(worker_id, None)
+
+    # Choice
+
+    def _choose_engine(
+        self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
+    ) -> Placement:
+        now = self._clock()
+        preferred = self._preferred(query, candidates)
+        preferred_ids = {one.info.id for one in preferred}
+        home = self._home(query, preferred)
+        store = self._store(query)
+        delayed = self._delayed_requests(candidates, now)
+        by_version: dict[int | None, list[Worker]] = defaultdict(list)
+        for worker in candidates:
+            by_version[worker.weights.get(query.model)].append(worker)
+        best, best_prompt = None, None
+        for version, workers in by_version.items():
+            prompt = self._prompt(query, version, workers, engine, store)
+            for worker in workers:
+                outside = worker.info.id not in preferred_ids
+                offer = self._offer(query, worker, prompt, engine, now, delayed)
+                extra = self._extra_cost(query, worker, outside)
+                extra -= OTHER_ZONE_SECONDS * (worker is home)
+                offer = offer._replace(cost=offer.cost + extra)
+                if best is None or offer.cost < best.cost:
+                    best, best_prompt = offer, prompt
+        return self._placed(query, best, best_prompt, store)
+
+    def _prompt(
+        self,
+        query: PlacementQuery,
+        version: int | None,
+        workers: list[Worker],
+        engine: EngineProfile,
+        store: CacheStore | None,
+    ) -> _Prompt:
+        """Return who keeps what of a prompt, and the best source to fetch it from."""
+        chain = query.chain(version)
+        shared = chain[:-1]
+        cached, keepers = {}, []
+        for worker in workers:
+            holding = self.holding(worker.info.id, engine)
+            tokens = cached[worker.info.id] = holding.cached_tokens(chain)
+            if tokens:
+                kept = self._kept_now(worker.info.id, holding, shared)
+                if kept:
+                    keepers.append(_Kept(kept, worker))
+        best = max((one.tokens for one in keepers), default=0)
+        ends = [_end_of(one.worker, engine) for one in keepers if one.tokens == best]
+        if store is not None:
+            stored = self._store_holding(store).cached_tokens(shared)
+            if stored > best:
+                best, ends = stored, []
+            if stored == best and stored:
+                ends.append(MoveEnd(store.address, store.zone, store.link_bytes_per_second))
+        source = min(ends, key=lambda one: self._moves.busy_until(one.address), default=None)
+        return _Prompt(chain, cached, source, best, self._recent(shared))
+
+    def _recent(self, shared: Chain) -> list[tuple[int, int]]:
+        used_since = self._clock() - REREAD_MEMORY_SECONDS
+        recent, start = [], 0
+        for key, tokens in shared:
+            if self._used_at.get(key, float("-inf")) >= used_since:
+                recent.append((start, start + tokens))
+            start += tokens
+        return recent
+
+    def _note_used(self, shared: Chain) -> None:
+        now = self._clock()
+        for key, _ in shared:
+            self._used_at.pop(key, None)
+            self._used_at[key] = now
+        while len(self._used_at) > MAX_USED_PARTS:
+            self._used_at.popitem(last=False)
+
+    def _kept_now(self, worker_id: str, holding: WorkerHoldings, shared: Chain) -> int:
+        """Return the tokens of shared parts that a worker has read already."""
+        reading = self._reading.get(worker_id)
+        total = 0
+        for key, tokens in shared:
+            if key not in holding or (reading and reading.get(key)):
+                break
+            total += tokens
+        return total
+
+    def _offer(
+        self,
+        query: PlacementQuery,
+        worker: Worker,
+        prompt: _Prompt,
+        engine: EngineProfile,
+        now: float,
+        delayed: float,
+    ) -> _Offer:
+        load = self.load(worker.info.id)
+        cached = prompt.cached[worker.info.id]
+        moved, move_seconds = self._move(worker, prompt, cached, engine, now)
+        read = max(0, query.prompt_tokens - cached - moved)
+        read_seconds = read / PREFILL_TOKENS_PER_SECOND
+        cost = load.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        cost += read_seconds * (1.0 + delayed)
+        cost += REREAD_SECONDS_PER_TOKEN * prompt.reread_tokens(cached + moved)
+        cost += load.running * (RUNNING_SECONDS + INTERFERENCE * read_seconds) + move_seconds
+        held = query.prompt_tokens + query.output_tokens
+        there = LoadAtWorker(worker.info.id, load.running, load.prompt_tokens, load.held_tokens)
+        cost += self._turn_seconds(there, held, engine)
+        return _Offer(cost, worker, read, moved)
+
+    def _move(
+        self, worker: Worker, prompt: _Prompt, cached: int, engine: EngineProfile, now: float
+    ) -> tuple[int, float]:
+        """Return how many tokens are fetched for a worker and how long that takes."""
+        moved = prompt.source_tokens - cached
+        if prompt.source is None or moved < LEAST_MOVED_TOKENS:
+            return 0, 0.0
+        size = moved * engine.token_bytes
+        seconds = self._moves.seconds(prompt.source, _end_of(worker, engine), size, now)
+        return (0, 0.0) if seconds is None else (moved, seconds)
+
+    def _placed(
+        self, query: PlacementQuery, offer: _Offer, prompt: _Prompt, store: CacheStore | None
+    ) -> Placement:
+        worker = offer.worker
+        holding = self._holdings[worker.info.id]
+        unread = tuple(key for key, _ in prompt.chain if key not in holding)
+        version = worker.weights.get(query.model)
+        fetch_from, save_to = "", ""
+        if sum(tokens for _, tokens in prompt.chain[:-1]) >= LEAST_MOVED_TOKENS:
+            fetch_from = self._fetch_from(offer, prompt, store)
+            if store is not None and not self._is_saved(store, prompt.chain):
+                save_to = store.address
+        return Placement(
+            worker,
+            version,
+            prompt.chain,
+            offer.read_tokens,
+            prompt.cached[worker.info.id],
+            query.prompt_tokens + query.output_tokens,
+            CachePlan(query.salt(version), fetch_from, save_to) if prompt.chain else None,
+            offer.fetched_tokens,
+            unread,
+        )
+
+    def _fetch_from(self, offer: _Offer, prompt: _Prompt, store: CacheStore | None) -> str:
+        """Return where a worker fetches what it lacks.
+
+        A miss costs a millisecond and what the worker keeps is not moved, so the store is
+        named even when it is not known to have anything: a dispatcher that has just taken
+        over knows little.
+        """
+        if offer.fetched_tokens:
+            return prompt.source.address
+        return store.address if store is not None else ""
+
+    def _delayed_requests(self, candidates: list[Worker], now: float) -> float:
+        """Return how many requests wait longer when one worker reads for longer.
+
+        While a backlog lasts, each second of work delays all that come to the worker until
+        the backlog is done: the fuller the fleet, the dearer is a part that is read again.
+        """
+        self._note_arrival(now)
+        unread = sum(self.load(one.info.id).prompt_tokens for one in candidates)
+        count = max(1, len(candidates))
+        backlog_seconds = unread / PREFILL_TOKENS_PER_SECOND / count
+        rate = self._arrivals / ARRIVAL_MEMORY_SECONDS / count
+        return min(MAX_DELAYED, rate * backlog_seconds)
+
+    def _note_arrival(self, now: float) -> None:
+        fade = max(0.0, 1.0 - (now - self._arrived_at) / ARRIVAL_MEMORY_SECONDS)
+        self._arrivals = self._arrivals * fade + 1.0
+        self._arrived_at = now
+
+    # Stores
+
+    def _store(self, query: PlacementQuery) -> CacheStore | None:
+        address = self._store_of(query)
+        stores = self._registry.configuration.cache_stores
+        return next((one for one in stores if one.address == address), None)
+
+    def _store_holding(self, store: CacheStore) -> WorkerHoldings:
+        if store.address not in self._stores:
+            room = store.cache_tokens or UNKNOWN_STORE_TOKENS
+            self._stores[store.address] = WorkerHoldings(room)
+        return self._stores[store.address]
+
+    def _is_saved(self, store: CacheStore, chain: Chain) -> bool:
+        key = chain[-2][0] if len(chain) > 1 else chain[-1][0]
+        # Stores restart without a word, so what was saved long ago is saved again.
+        return self._saved.has(key, self._clock()) and key in self._store_holding(store)
+
+    # Feedback
+
+    def begin(self, placement: Placement) -> float:
+        """A request is sent: its worker will keep the prompt, and reads it until then."""
+        began_at = super().begin(placement)
+        worker_id = placement.worker.info.id
+        if placement.chain and worker_id in self._holdings:
+            self._holdings[worker_id].record(placement.chain)
+            self._reading[worker_id].update(placement.unread_keys)
+            self._note_used(placement.chain[:-1])
+        self._begin_moves(placement, began_at)
+        return began_at
+
+    def _begin_moves(self, placement: Placement, now: float) -> None:
+        cache, engine = placement.cache, self._engine(placement.worker.info.service)
+        if cache is None or engine is None or not placement.fetched_tokens:
+            return
+        target = _end_of(placement.worker, engine)
+        source = self._end_at(cache.fetch_from, engine)
+        if source is None:
+            return
+        self._moves.add(source, target, placement.fetched_tokens * engine.token_bytes, now)
+        if cache.fetch_from in self._stores:
+            self._stores[cache.fetch_from].record(placement.chain[:-1])
+
+    def _end_at(self, address: str, engine: EngineProfile) -> MoveEnd | None:
+        for store in self._registry.configuration.cache_stores:
+            if store.address == address:
+                return MoveEnd(address, store.zone, store.link_bytes_per_second)
+        for worker in self._registry.workers.values():
+            if worker.info.address == address:
+                return _end_of(worker, engine)
+        return None
+
+    def first_token(self, placement: Placement, began_at: float) -> None:
+        """The worker has read the prompt, and sends it to the store if it was told to."""
+        super().first_token(placement, began_at)
+        self._read(placement)
+        cache, engine = placement.cache, self._engine(placement.worker.info.service)
+        if cache is None or engine is None or not cache.save_to:
+            return
+        now = self._clock()
+        self._saved.note(placement.shared_key, now)
+        if cache.save_to in self._stores:
+            self._stores[cache.save_to].record(placement.chain)
+        target = self._end_at(cache.save_to, engine)
+        if target is not None:
+            size = sum(tokens for _, tokens in placement.chain) * engine.token_bytes
+            self._moves.add(_end_of(placement.worker, engine), target, size, now)
+
+    def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
+        """A request is no longer at its worker; what was not read is not kept."""
+        super().end(placement, began_at, had_first_token)
+        if had_first_token:
+            return
+        self._read(placement)
+        holding = self._holdings.get(placement.worker.info.id)
+        if holding is not None:
+            reading = self._reading[placement.worker.info.id]
+            holding.discard(key for key in placement.unread_keys if not reading.get(key))
+
+    def _read(self, placement: Placement) -> None:
+        reading = self._reading.get(placement.worker.info.id)
+        if reading is None:
+            return
+        for key in placement.unread_keys:
+            reading[key] -= 1
+            if reading[key] <= 0:
+                del reading[key]
+
+    def adopted(self, running: RunningRequest) -> Placement | None:
+        """Return the placement of a request that runs already, ``None`` at unknown workers."""
+        worker = self._registry.workers.get(running.worker)
+        if worker is None:
+            return None
+        engine = self._engine(worker.info.service)
+        if engine is not None:
+            self.holding(worker.info.id, engine)
+        return Placement(
+            worker,
+            running.weights_version,
+            running.chain,
+            running.unread_tokens,
+            held_tokens=running.held_tokens,
+        )
+
+    def learn(self, kept: KeptPrompt) -> None:
+        """Take over what another dispatcher knew: a worker has read a prompt."""
+        worker = self._registry.workers.get(kept.worker)
+        engine = self._engine(worker.info.service) if worker else None
+        if engine is not None:
+            self.holding(kept.worker, engine).record(kept.chain)
+
+    # Liveness
+
+    def heard(self, worker_id: str, node: str) -> None:
+        """A node has heard from a worker."""
+        self._heard[worker_id] = (node, self._clock())
+
+    def unreached(self, worker_id: str, node: str) -> None:
+        """A node cannot reach a worker; it is avoided unless another node just heard it."""
+        by, at = self._heard.get(worker_id, ("", float("-inf")))
+        if by == node or self._clock() - at > HEARD_SECONDS:
+            self.suspect(worker_id)
+
+
+def _end_of(worker: Worker, engine: EngineProfile) -> MoveEnd:
+    return MoveEnd(worker.info.address, worker.info.zone, engine.link_bytes_per_second)
--- a/src/wheelslip/routing/holdings.py
+++ b/src/wheelslip/routing/holdings.py
@@ -1,9 +1,10 @@
-"""What each worker is believed to keep of prompts, from this node's own requests.
+"""What each worker is believed to keep of prompts, from the requests that were placed.
 
 A hint only: salts and preconditions at the worker decide what may be used.
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import xxhash
 
@@ -41,6 +42,14 @@
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
 
+    def __contains__(self, key: int) -> bool:
+        return key in self._parts
+
+    def discard(self, keys: Iterable[int]) -> None:
+        """The worker has not read these parts after all."""
+        for key in keys:
+            self._tokens -= self._parts.pop(key, 0)
+
     def cached_tokens(self, chain: Chain) -> int:
         """Return how many tokens from the beginning are believed kept."""
         total = 0
--- /dev/null
+++ b/src/wheelslip/routing/placement.py
@@ -0,0 +1,84 @@
+"""What a choice of worker is asked, and what it answers."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from wheelslip.deployment import CachePlan, PromptPart, Worker
+from wheelslip.routing.holdings import Chain, chain_of
+
+
+class PlacementQuery(NamedTuple):
+    """One request as the choice of a worker sees it.
+
+    :ivar service: whose workers may take the request.
+    :ivar stream_group: name under which long and short requests of one kind of worker are
+        counted, see :mod:`wheelslip.routing.separation`.
+    :ivar wall: keeps the cached state of isolated tenants apart.
+    :ivar pause_seconds: longest pause between events that keeps an answer in time.
+    :ivar zone: of the node that has the request.
+    :ivar connected: workers to which that node has an idle connection.
+    :ivar excluded: workers at which the request has failed.
+    """
+
+    service: str
+    stream_group: str = ""
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prompt: tuple[PromptPart, ...] = ()
+    wall: str = ""
+    pause_seconds: float = 0.5
+    zone: str = ""
+    connected: frozenset[str] = frozenset()
+    excluded: frozenset[str] = frozenset()
+
+    @property
+    def shared_part(self) -> PromptPart | None:
+        """The last part that other requests may share: the one before a request's own."""
+        if not self.prompt:
+            return None
+        return self.prompt[-2] if len(self.prompt) > 1 else self.prompt[-1]
+
+    def salt(self, version: int | None) -> str:
+        """Return the text under which workers of a version keep this prompt."""
+        return f"{self.model}:{version}:{self.wall}"
+
+    def chain(self, version: int | None) -> Chain:
+        """Return the chain of the prompt at workers of a version."""
+        parts = tuple((part.id, part.tokens) for part in self.prompt)
+        return chain_of(self.salt(version), parts)
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A chosen worker and what the choice rests on.
+
+    :ivar read_tokens: tokens of the prompt that the worker is expected to read.
+    :ivar cached_tokens: tokens from the beginning that it is believed to keep.
+    :ivar held_tokens: tokens of KV cache that the request needs until it ends.
+    :ivar cache: where the worker fetches and saves; ``None`` without a model.
+    :ivar fetched_tokens: tokens that are moved to the worker before it reads.
+    :ivar unread_keys: keys of the parts that the worker does not keep yet.
+    """
+
+    worker: Worker
+    weights_version: int | None = None
+    chain: Chain = ()
+    read_tokens: int = 0
+    cached_tokens: int = 0
+    held_tokens: int = 0
+    cache: CachePlan | None = None
+    fetched_tokens: int = 0
+    unread_keys: tuple[int, ...] = ()
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return sum(tokens for _, tokens in self.chain[:-1])
+
+    @property
+    def shared_key(self) -> int | None:
+        """The key of the last part that other requests may share."""
+        if not self.chain:
+            return None
+        return self.chain[-2][0] if len(self.chain) > 1 else self.chain[-1][0]
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -12,21 +12,16 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import replace
 from typing import Protocol
 
-from wheelslip.deployment import (
-    EngineProfile,
-    ForwardedRequest,
-    Route,
-    RoutingConfiguration,
-    Worker,
-)
+from wheelslip.deployment import CachePlan, EngineProfile, RoutingConfiguration, Worker
 from wheelslip.routing import rendezvous
-from wheelslip.routing.holdings import Chain, WorkerHoldings, chain_of
+from wheelslip.routing.holdings import Chain
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.separation import PromptSeparation
-from wheelslip.routing.worker_load import WorkerLoad
+from wheelslip.routing.worker_records import WorkerRecords
 
 PREFILL_TOKENS_PER_SECOND = 30_000.0
 """First guess of how fast a worker reads a prompt; only the ratio of costs depends on it."""
@@ -61,9 +56,6 @@
 CONNECT_SHARE = 0.08
 """The same at services without a model, in parts of a worker's capacity."""
 
-SUSPECT_SECONDS = 2.0
-"""A worker that could not be reached is avoided this long."""
-
 BEGIN_MARGIN_SECONDS = 1.0
 """Requests stop going to older weights this long before the bound, since a request may wait
 at its worker before it begins."""
@@ -71,12 +63,10 @@
 BEGIN_WAIT_FACTOR = 2.0
 """The same, as a multiple of the longest wait seen at the worker lately."""
 
-INITIAL_REQUEST_SECONDS = 1.0
-"""First guess of how long a request lasts at a model engine."""
-
-REQUEST_SMOOTHING = 0.05
+LEAST_MOVED_TOKENS = 600
+"""Shorter shared parts are read again rather than moved: reading takes some milliseconds, and
+a move waits behind those of long prompts, for up to two seconds."""
 
-FAILURE_WEIGHT = 0.3
 FAILURE_COST_SECONDS = 1.0
 """Cost of a worker that fails all of its requests."""
 
@@ -85,6 +75,7 @@
     """What a choice reads of a node's view of its deployment."""
 
     configuration: RoutingConfiguration | None
+    workers: dict[str, Worker]
 
     def workers_of(self, service: str) -> list[Worker]:
         """Return the workers of a service that take new requests."""
@@ -96,62 +87,24 @@
         """Return until when a request may begin on a version; infinite for the newest."""
 
 
-@dataclass(frozen=True)
-class Placement:
-    """A chosen worker and what the choice rests on."""
-
-    worker: Worker
-    weights_version: int | None = None
-    chain: Chain = ()
-    salt: str = ""
-    read_tokens: int = 0
-    cached_tokens: int = 0
-    home: Worker | None = None
-    home_keeps: bool = False
-    held_tokens: int = 0
-
-    @property
-    def shared_key(self) -> int | None:
-        """The key of the last part that other requests may share."""
-        if not self.chain:
-            return None
-        return self.chain[-2][0] if len(self.chain) > 1 else self.chain[-1][0]
-
+class WorkerPlacement(WorkerRecords):
+    """Chooses workers by what this node knows of each, and by what others told.
 
-class WorkerPlacement:
-    """Chooses workers and keeps what this node knows of each."""
+    :param table: loads that other nodes told, and prompts that they have saved.
+    """
 
     def __init__(
         self,
         registry: DeploymentView,
-        zone: str,
         clock: Callable[[], float],
         random_source: random.Random,
         table: LoadTable | None = None,
-        has_connection: Callable[[str], bool] = lambda worker_id: False,
     ):
-        self._has_connection = has_connection
+        super().__init__(clock)
         self._table = table or LoadTable()
         self._registry = registry
-        self._zone = zone
-        self._clock = clock
         self._random = random_source
         self._separation: dict[str, PromptSeparation] = {}
-        self._loads: dict[str, WorkerLoad] = {}
-        self._holdings: dict[str, WorkerHoldings] = {}
-        self._request_seconds = INITIAL_REQUEST_SECONDS
-
-    def load(self, worker_id: str) -> WorkerLoad:
-        """Return the load of a worker, new when there is none."""
-        return self._loads.setdefault(worker_id, WorkerLoad())
-
-    def own_loads(self) -> list[LoadAtWorker]:
-        """Return what this node has at its workers, for other nodes."""
-        return [
-            LoadAtWorker(worker_id, load.running, load.prompt_tokens, load.held_tokens)
-            for worker_id, load in sorted(self._loads.items())
-            if load.running
-        ]
 
     def all_loads(self, worker_id: str) -> LoadAtWorker:
         """Return what all nodes have at a worker."""
@@ -164,42 +117,50 @@
             own.held_tokens + others.held_tokens,
         )
 
-    def forget(self, worker_id: str) -> None:
-        """A worker is gone."""
-        self._loads.pop(worker_id, None)
-        self._holdings.pop(worker_id, None)
-
-    def choose(
-        self,
-        request: ForwardedRequest,
-        route: Route,
-        service: str,
-        wall: str,
-        excluded: frozenset[str],
-    ) -> Placement | None:
+    def choose(self, query: PlacementQuery) -> Placement | None:
         """Return the best worker now, or ``None`` when no worker may take the request."""
         candidates = [
-            one for one in self._registry.workers_of(service) if one.info.id not in excluded
+            one
+            for one in self._registry.workers_of(query.service)
+            if one.info.id not in query.excluded
         ]
-        configuration = self._registry.configuration
-        profile = configuration.services.get(service) if configuration else None
-        if profile is None or profile.engine is None:
-            return self._choose_plain(candidates)
-        return self._choose_engine(request, route, candidates, profile.engine, wall)
+        engine = self._engine(query.service)
+        if engine is None:
+            return self._choose_plain(query, candidates)
+        candidates = self._eligible(query, candidates)
+        if not candidates:
+            return None
+        return self._choose_engine(query, candidates, engine)
+
+    def _engine(self, service: str) -> EngineProfile | None:
+        """Return the profile of a service's model engines, ``None`` for other services."""
+        cfg = self._registry.configuration
+        profile = cfg.services.get(service) if cfg else None
+        return profile.engine if profile else None
+
+    def worker(self, worker_id: str) -> Worker | None:
+        """Return a worker of this node's view."""
+        return self._registry.workers.get(worker_id)
 
-    def _choose_plain(self, candidates: list[Worker]) -> Placement | None:
+    def accepts(self, worker: Worker, query: PlacementQuery) -> bool:
+        """Whether this node's own view allows a worker for a request just now."""
+        if worker not in self._registry.workers_of(query.service):
+            return False
+        return not query.model or self._may_begin(worker, query.model)
+
+    def _choose_plain(self, query: PlacementQuery, candidates: list[Worker]) -> Placement | None:
         candidates = self._without_suspects(candidates)
         if not candidates:
             return None
-        return Placement(min(candidates, key=self._plain_cost))
+        return Placement(min(candidates, key=lambda one: self._plain_cost(query, one)))
 
-    def _plain_cost(self, worker: Worker) -> tuple[float, float]:
+    def _plain_cost(self, query: PlacementQuery, worker: Worker) -> tuple[float, float]:
         load = self.load(worker.info.id)
         running = self.all_loads(worker.info.id).running
         share = (running + 1) / max(1, worker.info.capacity)
-        other_zone = worker.info.zone != self._zone
+        other_zone = worker.info.zone != query.zone
         cost = share + 2 * load.recent_failure(self._clock()) + 0.05 * other_zone
-        cost += CONNECT_SHARE * (not self._has_connection(worker.info.id))
+        cost += CONNECT_SHARE * (worker.info.id not in query.connected)
         return cost, self._random.random()
 
     def _without_suspects(self, candidates: list[Worker]) -> list[Worker]:
@@ -208,34 +169,43 @@
         sound = [one for one in candidates if self.load(one.info.id).suspect_until <= now]
         return sound or candidates
 
-    def _choose_engine(
-        self,
-        request: ForwardedRequest,
-        route: Route,
-        candidates: list[Worker],
-        engine: EngineProfile,
-        wall: str,
-    ) -> Placement | None:
-        model = request.metadata.model
-        candidates = [one for one in candidates if self._may_begin(one, model)]
+    def _eligible(self, query: PlacementQuery, candidates: list[Worker]) -> list[Worker]:
+        """Return the workers that may begin a request of a model now."""
+        candidates = [one for one in candidates if self._may_begin(one, query.model)]
         loading = self._registry.loading_now()
         candidates = [one for one in candidates if one.info.id not in loading] or candidates
-        candidates = self._without_suspects(candidates)
-        if not candidates:
-            return None
-        preferred = self._preferred(request, route, candidates)
-        home = self._home(request, preferred)
+        return self._without_suspects(candidates)
+
+    def _choose_engine(
+        self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
+    ) -> Placement:
+        preferred = self._preferred(query, candidates)
+        home = self._home(query, preferred)
         considered = self._considered(candidates, home)
-        placements = [self._placement(request, one, home, engine, wall) for one in considered]
         preferred_ids = {one.info.id for one in preferred}
 
         def cost(placement: Placement) -> float:
-            outside = placement.worker.info.id not in preferred_ids
-            replaced = self._is_replaced(model, placement.weights_version)
-            extra = OUTSIDE_SECONDS * outside + OLD_WEIGHTS_SECONDS * replaced
-            return self._engine_cost(placement, engine) + extra
+            return self._engine_cost(query, placement, engine, home) + self._extra_cost(
+                query, placement.worker, placement.worker.info.id not in preferred_ids
+            )
 
-        return min(placements, key=cost)
+        placements = [self._placement(query, one, home, engine) for one in considered]
+        best = min(placements, key=cost)
+        return replace(best, cache=self._cache_plan(query, best, home, engine))
+
+    def _extra_cost(self, query: PlacementQuery, worker: Worker, outside: bool) -> float:
+        """Return the cost of a worker that does not depend on what it has to do.
+
+        :param outside: it is meant for requests of the other length.
+        """
+        replaced = self._is_replaced(query.model, worker.weights.get(query.model))
+        cost = OUTSIDE_SECONDS * outside + OLD_WEIGHTS_SECONDS * replaced
+        if worker.info.zone != query.zone:
+            cost += OTHER_ZONE_SECONDS
+        if worker.info.id not in query.connected:
+            cost += CONNECT_SECONDS
+        failure = self.load(worker.info.id).recent_failure(self._clock())
+        return cost + FAILURE_COST_SECONDS * failure
 
     def _considered(self, candidates: list[Worker], home: Worker | None) -> list[Worker]:
         """Return the home and a few others at random.
@@ -248,13 +218,11 @@
             considered.append(home)
         return considered
 
-    def _preferred(
-        self, request: ForwardedRequest, route: Route, candidates: list[Worker]
-    ) -> list[Worker]:
+    def _preferred(self, query: PlacementQuery, candidates: list[Worker]) -> list[Worker]:
         """Return the workers that are meant for requests of this length."""
-        separation = self._separation.setdefault(route.split[0].service, PromptSeparation())
-        seconds = request.metadata.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        is_long = seconds > LONG_PAUSE_SHARE * route.pause_seconds
+        separation = self._separation.setdefault(query.stream_group, PromptSeparation())
+        seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        is_long = seconds > LONG_PAUSE_SHARE * query.pause_seconds
         separation.note(seconds, is_long, self._clock())
         short = separation.short_workers([one.info.id for one in candidates])
         if not short:
@@ -274,8 +242,8 @@
         """Whether newer weights than these have been named."""
         return self._registry.begins_until(model, version or 0) != math.inf
 
-    def _home(self, request: ForwardedRequest, candidates: list[Worker]) -> Worker | None:
-        shared = request.metadata.shared_part
+    def _home(self, query: PlacementQuery, candidates: list[Worker]) -> Worker | None:
+        shared = query.shared_part
         if shared is None:
             return None
         by_id = {one.info.id: one for one in candidates}
@@ -283,53 +251,42 @@
 
     def _placement(
         self,
-        request: ForwardedRequest,
+        query: PlacementQuery,
         worker: Worker,
         home: Worker | None,
         engine: EngineProfile,
-        wall: str,
     ) -> Placement:
-        metadata = request.metadata
-        version = worker.weights.get(metadata.model)
-        salt = f"{metadata.model}:{version}:{wall}"
-        parts = tuple((part.id, part.tokens) for part in metadata.prompt)
-        chain = chain_of(salt, parts)
+        version = worker.weights.get(query.model)
+        chain = query.chain(version)
         shared_tokens = sum(tokens for _, tokens in chain[:-1])
-        cached = self._holding(worker.info.id, engine).cached_tokens(chain)
+        cached = self.holding(worker.info.id, engine).cached_tokens(chain)
         if worker is home:
             cached = max(cached, int(HOME_KEEPS_SHARE * shared_tokens))
-        read = max(0, metadata.prompt_tokens - max(cached, shared_tokens))
-        keeps = home is not None and home is not worker and self._keeps(home, engine, chain)
-        held = metadata.prompt_tokens + metadata.output_tokens
-        return Placement(worker, version, chain, salt, read, cached, home, keeps, held)
+        read = max(0, query.prompt_tokens - max(cached, shared_tokens))
+        held = query.prompt_tokens + query.output_tokens
+        return Placement(worker, version, chain, read, cached, held)
 
     def _keeps(self, worker: Worker, engine: EngineProfile, chain: Chain) -> bool:
         """Whether a worker is known to keep all that is shared of a prompt."""
-        held = self._holding(worker.info.id, engine).cached_tokens(chain[:-1])
+        held = self.holding(worker.info.id, engine).cached_tokens(chain[:-1])
         return held >= sum(tokens for _, tokens in chain[:-1])
 
-    def _holding(self, worker_id: str, engine: EngineProfile) -> WorkerHoldings:
-        if worker_id not in self._holdings:
-            self._holdings[worker_id] = WorkerHoldings(engine.cache_tokens)
-        return self._holdings[worker_id]
-
-    def _engine_cost(self, placement: Placement, engine: EngineProfile) -> float:
+    def _engine_cost(
+        self,
+        query: PlacementQuery,
+        placement: Placement,
+        engine: EngineProfile,
+        home: Worker | None,
+    ) -> float:
         worker = placement.worker
-        load = self.load(worker.info.id)
-        shared_tokens = sum(tokens for _, tokens in placement.chain[:-1])
-        moved = max(0, shared_tokens - placement.cached_tokens)
+        moved = max(0, placement.shared_tokens - placement.cached_tokens)
         there = self.all_loads(worker.info.id)
         read_seconds = placement.read_tokens / PREFILL_TOKENS_PER_SECOND
         cost = there.prompt_tokens / PREFILL_TOKENS_PER_SECOND + read_seconds
         cost += there.running * (RUNNING_SECONDS + INTERFERENCE * read_seconds)
         cost += self._turn_seconds(there, placement.held_tokens, engine)
         cost += 2 * moved * engine.token_bytes / max(1.0, engine.link_bytes_per_second)
-        cost += FAILURE_COST_SECONDS * load.recent_failure(self._clock())
-        if worker.info.zone != self._zone:
-            cost += OTHER_ZONE_SECONDS
-        if not self._has_connection(worker.info.id):
-            cost += CONNECT_SECONDS
-        if worker is placement.home:
+        if worker is home:
             cost -= OTHER_ZONE_SECONDS
         return cost
 
@@ -345,58 +302,38 @@
         over_memory = (there.held_tokens + held_tokens - memory) / memory
         return max(0.0, over_slots, over_memory) * self._request_seconds
 
-    # Feedback
+    # Kept cache
 
-    def begin(self, placement: Placement) -> float:
-        """A request is sent to a worker; return when, for :meth:`first_token` and :meth:`end`."""
-        load = self.load(placement.worker.info.id)
-        load.running += 1
-        load.prompt_tokens += placement.read_tokens
-        load.held_tokens += placement.held_tokens
-        began_at = self._clock()
-        load.waiting.add(began_at)
-        return began_at
+    def _cache_plan(
+        self,
+        query: PlacementQuery,
+        placement: Placement,
+        home: Worker | None,
+        engine: EngineProfile,
+    ) -> CachePlan | None:
+        """Return where the worker fetches what it lacks, and where it saves the prompt."""
+        if not placement.chain:
+            return None
+        salt = query.salt(placement.weights_version)
+        if placement.shared_tokens < LEAST_MOVED_TOKENS:
+            return CachePlan(salt)
+        store = self._store_of(query)
+        other_home = home is not None and home is not placement.worker
+        home_keeps = other_home and self._keeps(home, engine, placement.chain)
+        fetch_from = home.info.address if other_home and (home_keeps or not store) else store
+        save_to = "" if self._table.saved.has(placement.shared_key, self._clock()) else store
+        return CachePlan(salt, fetch_from, save_to)
+
+    def _store_of(self, query: PlacementQuery) -> str:
+        """Return the store that keeps this prompt; all nodes name the same one."""
+        cfg = self._registry.configuration
+        shared = query.shared_part
+        if not cfg or not cfg.cache_stores or shared is None:
+            return ""
+        return rendezvous.owner(shared.id, [one.address for one in cfg.cache_stores])
 
     def first_token(self, placement: Placement, began_at: float) -> None:
-        """The worker has read the prompt and keeps it."""
-        load = self.load(placement.worker.info.id)
-        load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
-        load.waiting.discard(began_at)
-        load.note_wait(began_at, self._clock())
-        holdings = self._holdings.get(placement.worker.info.id)
-        if holdings is not None and placement.chain:
-            holdings.record(placement.chain)
-
-    def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
-        """A request is no longer at a worker."""
-        load = self.load(placement.worker.info.id)
-        load.waiting.discard(began_at)
-        load.running = max(0, load.running - 1)
-        load.held_tokens = max(0, load.held_tokens - placement.held_tokens)
-        if had_first_token:
-            lasted = self._clock() - began_at
-            self._request_seconds += REQUEST_SMOOTHING * (lasted - self._request_seconds)
-        if not had_first_token:
-            load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
-
-    def is_saved(self, placement: Placement) -> bool:
-        """Whether the shared part of a prompt is believed to be in its store."""
-        key = placement.shared_key
-        return key is not None and self._table.saved.has(key, self._clock())
-
-    def note_saved(self, placement: Placement) -> None:
-        """A worker has read a prompt that it was told to save."""
-        if placement.shared_key is not None:
+        """The worker has read the prompt, keeps it, and saves it if it was told to."""
+        super().first_token(placement, began_at)
+        if placement.cache is not None and placement.cache.save_to:
             self._table.saved.note(placement.shared_key, self._clock())
-
-    def note_outcome(self, worker_id: str, failed: bool) -> None:
-        """Learn how reliable a worker is."""
-        load = self.load(worker_id)
-        now = self._clock()
-        faded = load.recent_failure(now)
-        load.failure = faded + FAILURE_WEIGHT * (float(failed) - faded)
-        load.failure_at = now
-
-    def suspect(self, worker_id: str) -> None:
-        """A worker could not be reached."""
-        self.load(worker_id).suspect_until = self._clock() + SUSPECT_SECONDS
--- /dev/null
+++ b/tests/unit/forwarding/test_dispatch_messages.py
@@ -0,0 +1,64 @@
+"""Messages between nodes and dispatchers."""
+
+from wheelslip.deployment import PromptPart
+from wheelslip.peers.datagrams import DatagramSocket
+from wheelslip.peers.dispatch_messages import (
+    ASK,
+    KEPT,
+    MAX_CONNECTED,
+    PART_REQUESTS,
+    RUNNING,
+    KeptTold,
+    RunningTold,
+    WorkerAsk,
+)
+from wheelslip.routing.dispatcher import TicketId
+from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
+from wheelslip.routing.placement import PlacementQuery
+from wheelslip.wire import encode_frame
+
+MAX_PACKET_BYTES = 1400
+NODE = "0123456789ab"
+CHAIN = tuple((2**64 - 1 - number, 12_345) for number in range(3))
+WORKER = "i-0123456789"
+
+
+def asked(parts: int = 6) -> WorkerAsk:
+    query = PlacementQuery(
+        "service-name",
+        "service-name",
+        "model-name",
+        123_456,
+        1234,
+        tuple(PromptPart(f"{number:08x}", 12_345) for number in range(parts)),
+        "t0123456789abcdef",
+        0.6,
+        "zone-of-some-length",
+        frozenset(f"i-{number:010x}" for number in range(2 * MAX_CONNECTED)),
+        frozenset({WORKER, "i-1"}),
+    )
+    return WorkerAsk.of(TicketId(NODE, 12_345), query)
+
+
+def test_each_message_fits_a_packet():
+    running = RunningRequest(12_345, WORKER, 12, CHAIN, 12_345, 12_345)
+    asks = list(range(10_000, 10_040))
+    frames = [
+        (ASK, asked()),
+        (RUNNING, RunningTold(NODE, asks, [running] * PART_REQUESTS)),
+        (KEPT, KeptTold([KeptPrompt(WORKER, CHAIN)] * PART_REQUESTS)),
+    ]
+    assert max(len(encode_frame(one)) for one in frames) <= MAX_PACKET_BYTES
+
+
+def test_a_question_arrives_as_it_was_asked_and_garbage_is_counted():
+    heard = []
+    socket = DatagramSocket()
+    socket.register(ASK, WorkerAsk, lambda message, sender: heard.append((message, sender)))
+    socket.datagram_received(encode_frame((ASK, asked())), ("10.0.0.1", 7))
+    for garbage in (b"", b"7:garbage,", encode_frame(("other", 1)), encode_frame((ASK, {"a": 1}))):
+        socket.datagram_received(garbage, ("10.0.0.1", 7))
+    [(message, sender)] = heard
+    assert sender == "10.0.0.1:7" and socket.refused == 4
+    assert message.ticket_id() == TicketId(NODE, 12_345)
+    assert WorkerAsk.of(message.ticket_id(), message.query()) == message
--- /dev/null
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -0,0 +1,179 @@
+"""Grants of one dispatcher for many nodes."""
+
+import json
+import random
+from collections import Counter
+
+from wheelslip.deployment import PromptPart
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.platform.registry import PlatformRegistry
+from wheelslip.routing.dispatcher import (
+    SILENT_NODE_SECONDS,
+    UNLISTED_SECONDS,
+    Dispatcher,
+    Progress,
+    TicketId,
+)
+from wheelslip.routing.fleet_choice import (
+    HEARD_SECONDS,
+    FleetPlacement,
+    KeptPrompt,
+    RunningRequest,
+)
+from wheelslip.routing.placement import PlacementQuery
+
+WORKERS = 6
+STORE = "127.0.0.1:9000"
+PROFILE = {"capacity": 8, "kv_capacity": 100_000, "kv_token_bytes": 1000, "link_mbps": 1e6}
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def dispatcher_of(clock: Clock, workers: int = WORKERS) -> Dispatcher:
+    view = Registry(PlatformRegistry(), BoundsSection, clock)
+    store = {"name": "kept", "kv_store_addr": STORE, "zone": "z", "kv_capacity": 500_000}
+    document = {
+        "version": 1,
+        "services": [
+            {"name": "s", "backend_engine": PROFILE},
+            {"name": "plain"},
+            store | {"link_mbps": 1e6},
+        ],
+    }
+    view.apply("op/config", json.dumps(document).encode(), 1)
+    for number in range(workers):
+        entry = {"service": "s", "address": f"127.0.0.1:{number}", "zone": "z", "capacity": 8}
+        entry["model_ids"] = [{"name": "m", "version": 1}]
+        view.apply(f"servers/w{number}", json.dumps(entry).encode(), 2 + number)
+    return Dispatcher(FleetPlacement(view, clock, random.Random(1)), clock)
+
+
+def query(session: str, own: str = "own", **changes) -> PlacementQuery:
+    parts = (PromptPart("aa", 1000), PromptPart(session, 2000), PromptPart(own, 1000))
+    return PlacementQuery("s", "s", "m", 4000, 10, parts, zone="z")._replace(**changes)
+
+
+def serve(dispatcher: Dispatcher, ticket_id: TicketId, asked: PlacementQuery):
+    placement = dispatcher.ask(ticket_id, asked)
+    dispatcher.progress(ticket_id, Progress.FIRST_TOKEN)
+    dispatcher.progress(ticket_id, Progress.ENDED)
+    return placement
+
+
+def test_a_repeated_question_gets_the_same_grant_and_counts_once():
+    dispatcher = dispatcher_of(Clock())
+    ticket_id = TicketId("n1", 1)
+    first = dispatcher.ask(ticket_id, query("5e55"))
+    assert dispatcher.ask(ticket_id, query("5e55")) is first
+    assert dispatcher.granted == 1
+    assert dispatcher.placement.load(first.worker.info.id).running == 1
+
+
+def test_prompts_of_many_nodes_that_are_all_different_spread_evenly():
+    dispatcher = dispatcher_of(Clock())
+    taken = Counter(
+        dispatcher.ask(TicketId(f"n{n}", 1), query(f"{n:x}")).worker.info.id for n in range(18)
+    )
+    assert len(taken) == WORKERS and max(taken.values()) == 3
+
+
+def test_a_prompt_goes_where_it_is_kept_whichever_node_asks():
+    dispatcher = dispatcher_of(Clock())
+    first = serve(dispatcher, TicketId("n1", 1), query("5e55", "o1"))
+    for node in range(2, 6):
+        again = serve(dispatcher, TicketId(f"n{node}", 1), query("5e55", f"o{node}"))
+        assert again.worker is first.worker
+        assert again.read_tokens == 1000
+
+
+def test_a_prompt_is_read_once_while_many_ask_for_it():
+    dispatcher = dispatcher_of(Clock())
+    reads = [
+        dispatcher.ask(TicketId(f"n{n}", 1), query("5e55", f"o{n}")).read_tokens for n in range(3)
+    ]
+    # The first reads all of it; who comes meanwhile waits behind it and reads its own part.
+    assert reads == [4000, 1000, 1000]
+
+
+def test_a_busy_keeper_is_fetched_from_and_one_that_still_reads_is_not():
+    dispatcher = dispatcher_of(Clock())
+    reading = dispatcher.ask(TicketId("n1", 1), query("5e55", "o1"))
+    elsewhere = frozenset({reading.worker.info.id})
+    while_read = dispatcher.ask(TicketId("n2", 1), query("5e55", "o2", excluded=elsewhere))
+    assert while_read.read_tokens == 4000 and while_read.cache.fetch_from == STORE
+    dispatcher.progress(TicketId("n2", 1), Progress.FAILED)
+    dispatcher.progress(TicketId("n1", 1), Progress.FIRST_TOKEN)
+    fetched = dispatcher.ask(TicketId("n3", 1), query("5e55", "o3", excluded=elsewhere))
+    assert fetched.read_tokens == 1000
+    assert fetched.cache.fetch_from in (reading.worker.info.address, STORE)
+
+
+def test_what_a_failed_request_did_not_read_is_not_believed_kept():
+    dispatcher = dispatcher_of(Clock(), workers=1)
+    dispatcher.ask(TicketId("n1", 1), query("5e55"))
+    dispatcher.progress(TicketId("n1", 1), Progress.FAILED)
+    assert dispatcher.ask(TicketId("n1", 2), query("5e55")).read_tokens == 4000
+
+
+def test_a_new_dispatcher_learns_what_runs_and_what_is_kept():
+    clock = Clock()
+    old, new = dispatcher_of(clock), dispatcher_of(clock)
+    kept = serve(old, TicketId("n1", 1), query("5e55", "o1"))
+    new.kept([KeptPrompt(kept.worker.info.id, kept.chain)])
+    assert new.ask(TicketId("n2", 1), query("5e55", "o2")).worker.info.id == kept.worker.info.id
+    other = next(f"w{n}" for n in range(WORKERS) if f"w{n}" != kept.worker.info.id)
+    running = RunningRequest(7, other, 1, (), 30_000, 30_010)
+    new.running("n1", [7], [running])
+    assert new.placement.load(other).prompt_tokens == 30_000
+    new.running("n1", [7], [running._replace(unread_tokens=0)])
+    assert new.placement.load(other).prompt_tokens == 0
+    assert new.placement.load(other).running == 1
+
+
+def test_a_ticket_whose_end_was_lost_goes_when_its_node_no_longer_lists_it():
+    clock = Clock()
+    dispatcher = dispatcher_of(clock)
+    dispatcher.ask(TicketId("n1", 1), query("5e55"))
+    dispatcher.running("n1", [], [])
+    # The list may have been made before the grant arrived.
+    assert dispatcher.granted == 1
+    clock.now += UNLISTED_SECONDS + 0.01
+    dispatcher.running("n1", [], [])
+    assert dispatcher.granted == 0
+
+
+def test_the_tickets_of_a_silent_node_are_void():
+    clock = Clock()
+    dispatcher = dispatcher_of(clock)
+    worker = dispatcher.ask(TicketId("n1", 1), query("5e55")).worker.info.id
+    clock.now += SILENT_NODE_SECONDS + 0.01
+    dispatcher.ask(TicketId("n2", 1), query("other"))
+    assert dispatcher.granted == 1
+    assert dispatcher.placement.load(worker).running <= 1
+
+
+def test_one_node_that_is_cut_off_does_not_take_workers_from_the_others():
+    clock = Clock()
+    dispatcher = dispatcher_of(clock)
+    held = dispatcher.ask(TicketId("n1", 1), query("5e55", "o1")).worker.info.id
+    serve(dispatcher, TicketId("n2", 1), query("5e55", "o2"))
+    dispatcher.progress(TicketId("n1", 1), Progress.UNREACHED)
+    assert dispatcher.placement.load(held).suspect_until <= clock.now
+    clock.now += HEARD_SECONDS + 0.01
+    dispatcher.ask(TicketId("n1", 2), query("5e55", "o3"))
+    dispatcher.progress(TicketId("n1", 2), Progress.UNREACHED)
+    assert dispatcher.placement.load(held).suspect_until > clock.now
+    assert dispatcher.ask(TicketId("n2", 2), query("5e55", "o4")).worker.info.id != held
+
+
+def test_no_grant_is_given_where_no_worker_may_take_the_request():
+    dispatcher = dispatcher_of(Clock())
+    assert dispatcher.ask(TicketId("n1", 1), query("5e55", service="plain")) is None
+    assert dispatcher.granted == 0
--- a/tests/unit/forwarding/test_load_table.py
+++ b/tests/unit/forwarding/test_load_table.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from wheelslip.forwarding.relay_link import PART_PROMPTS, PART_WORKERS, RelayLink
+from wheelslip.forwarding.relay_link import LOADS, PART_PROMPTS, PART_WORKERS, RelayLink
+from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.routing.load_table import FRESH_SECONDS, LoadAtWorker, LoadTable, ZoneLoads
 from wheelslip.wire import encode_frame
 
@@ -73,15 +74,25 @@
     assert table.at_worker("w", 10.0 + FRESH_SECONDS).running == 1
 
 
-async def hear(link: RelayLink, frames: list[bytes]) -> None:
+async def hear(socket: DatagramSocket, frames: list[bytes]) -> None:
     for frame in frames:
-        link.datagram_received(frame, ("127.0.0.1", 0))
-
-
-def link_of(zone_name: str, table: LoadTable, own=(), others=()) -> RelayLink:
-    return RelayLink(
-        zone_name, table, lambda: list(own), lambda: list(others), lambda: 10.0, random.Random(1)
+        socket.datagram_received(frame, ("127.0.0.1", 0))
+
+
+def link_of(
+    zone_name: str, table: LoadTable, own=(), others=()
+) -> tuple[RelayLink, DatagramSocket]:
+    socket = DatagramSocket()
+    link = RelayLink(
+        zone_name,
+        socket,
+        table,
+        lambda: list(own),
+        lambda: list(others),
+        lambda: 10.0,
+        random.Random(1),
     )
+    return link, socket
 
 
 def test_one_relay_learns_the_sum_of_another_zone_in_datagrams_that_fit_a_packet():
@@ -92,30 +103,31 @@
     first, second = LoadTable(), LoadTable()
     saved = [2**64 - 1 - number for number in range(2 * PART_PROMPTS)]
     first.saved.learn(saved, 10.0)
-    sender = link_of("z1", first, own=many)
-    frames = [encode_frame(part) for part in sender._parts(first.own_zone(10.0, many), 10.0)]
+    sender, _ = link_of("z1", first, own=many)
+    parts = sender._parts(first.own_zone(10.0, many), 10.0)
+    frames = [encode_frame((LOADS, part)) for part in parts]
     assert len(frames) == 3 and max(map(len, frames)) <= MAX_PACKET_BYTES
-    receiver = link_of("z2", second)
+    _, receiver = link_of("z2", second)
     asyncio.run(hear(receiver, [*frames, b"7:garbage,", b"\xff\x00"]))
     assert receiver.refused == 2
     assert all(second.at_worker(one.worker, 10.0) == one for one in many)
     # The newest are told.
     assert [key for key in saved if second.saved.has(key, 10.0)] == saved[-PART_PROMPTS:]
     # News of the own zone come by polls; a datagram would count them twice.
-    asyncio.run(hear(link_of("z1", first), frames))
+    asyncio.run(hear(link_of("z1", first)[1], frames))
     assert first.at_worker(many[0].worker, 10.0).running == 0
 
 
-async def closed_link() -> RelayLink:
-    link = link_of("z1", LoadTable(), own=loads(), others=["127.0.0.1:9"])
-    await link.listen("127.0.0.1", 0)
+async def closed_link() -> DatagramSocket:
+    link, socket = link_of("z1", LoadTable(), own=loads(), others=["127.0.0.1:9"])
+    await socket.listen("127.0.0.1", 0)
     link.tell()
-    sent = link.bytes_sent
-    link.close()
+    sent = socket.bytes_sent
+    socket.close()
     await asyncio.sleep(0.01)
     link.tell()
-    assert link.bytes_sent == sent
-    return link
+    assert socket.bytes_sent == sent
+    return socket
 
 
 def test_news_after_the_socket_was_closed_go_nowhere():
--- a/tests/unit/forwarding/test_worker_choice.py
+++ b/tests/unit/forwarding/test_worker_choice.py
@@ -4,11 +4,12 @@
 import random
 from collections import Counter
 
-from wheelslip.deployment import ForwardedRequest, PromptPart, RequestMetadata
+from wheelslip.deployment import PromptPart
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.platform.registry import PlatformRegistry
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
 
 WORKERS = 40
@@ -37,19 +38,16 @@
     return view
 
 
-def request(session: str) -> ForwardedRequest:
+def query(session: str, **changes) -> PlacementQuery:
     parts = (PromptPart("aa", 1000), PromptPart(session, 2000), PromptPart("own", 1000))
-    metadata = RequestMetadata("r", None, None, "m", 4000, 10, parts, None)
-    return ForwardedRequest("POST", b"/", "h", [], b"", metadata, NOW)
+    return PlacementQuery("s", "s", "m", 4000, 10, parts, zone="z")._replace(**changes)
 
 
 def place(node: int, session: str, loads: list[LoadAtWorker]) -> str:
     view, table = registry(), LoadTable()
     table.take("relay", loads, NOW)
-    placement = WorkerPlacement(view, "z", lambda: NOW, random.Random(node), table)
-    route = view.configuration.routes["h"][0]
-    chosen = placement.choose(request(session), route, "s", "", frozenset())
-    return chosen.worker.info.id
+    placement = WorkerPlacement(view, lambda: NOW, random.Random(node), table)
+    return placement.choose(query(session)).worker.info.id
 
 
 def test_all_nodes_send_a_session_to_one_worker_while_that_is_not_loaded():
@@ -86,14 +84,6 @@
     view = registry()
     view.apply("op/config", json.dumps(PLAIN).encode(), 1000)
     for open_to in ("w3", "w17"):
-        placement = WorkerPlacement(
-            view,
-            "z",
-            lambda: NOW,
-            random.Random(1),
-            None,
-            lambda one, open_to=open_to: one == open_to,
-        )
-        route = view.configuration.routes["h"][0]
-        chosen = placement.choose(request("5e55"), route, "s", "", frozenset())
+        placement = WorkerPlacement(view, lambda: NOW, random.Random(1))
+        chosen = placement.choose(query("5e55", connected=frozenset({open_to})))
         assert chosen.worker.info.id == open_to
