Admission: what no worker can begin within its target gets no worker

Ruled out: reading again alone (2.7 M of 28 M tokens); unanswered questions to the dispatcher. Change: the dispatcher grants a worker only if some worker can begin the request within 0.8 of its target (routing/overload.py; more urgent kinds may wait longer, so they are not refused first); its node asks again for 0.22 of the target and then answers 503, not run, with Retry-After. Left: method-query is refused more often than spec-verdict although it is more urgent.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -85,7 +85,10 @@
         self._dispatches = dispatches
 
     async def assign(self, job: Job, service: str) -> Assignment | None:
-        """Return a worker for a request, ``None`` when none may take it now."""
+        """Return a worker for a request, ``None`` when none may take it now.
+
+        :raises Overloaded: when none can begin it in time.
+        """
         query = self._query(job, service)
         if self._link is not None and self._dispatches():
             try:
@@ -108,6 +111,8 @@
             metadata.prompt,
             job.wall,
             job.route.pause_seconds,
+            job.route.target_seconds,
+            job.priority,
             self._zone,
             self._pool.idle_workers(),
             frozenset(job.excluded),
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -168,13 +168,10 @@
 
     def _dispatch(self) -> Dispatch:
         job, placement = self._job, self._placement
-        priority = job.route.priority
-        if job.tenant is not None and job.tenant.priority is not None:
-            priority = job.tenant.priority
         return Dispatch(
             worker=placement.worker.info,
             remaining_seconds=max(0.001, job.deadline - self._services.clock()),
-            priority=max(0, min(LEAST_URGENT, priority)) if placement.chain else None,
+            priority=max(0, min(LEAST_URGENT, job.priority)) if placement.chain else None,
             tenant=job.tenant.name if job.tenant else None,
             weights_version=placement.weights_version,
             cache=placement.cache,
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.routing.dispatcher import Overloaded
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import SmoothSplit
 
@@ -37,6 +38,8 @@
 
 NO_WORKER_RETRY_SECONDS = 0.4
 
+ASK_AGAIN_SECONDS = 0.08
+"""Pause before a worker is looked for again, when none could take a request."""
 
 MAX_SENDS = 3
 """Most workers one request is sent to, those that proved not to run it included."""
@@ -190,22 +193,29 @@
         """
         give_up_at = self._clock() + OFFER_SHARE * job.route.target_seconds
         while True:
-            assignment = await self._assigner.assign(job, service)
+            retry_seconds, reason = NO_WORKER_RETRY_SECONDS, "no worker may take the request"
+            try:
+                assignment = await self._assigner.assign(job, service)
+            except Overloaded as exc:
+                assignment = None
+                retry_seconds, reason = exc.retry_seconds, str(exc)
             if assignment is not None:
                 return assignment
             remaining = give_up_at - self._clock()
             if remaining <= 0:
-                raise self._unserved_error(job, "no worker may take the request")
+                raise self._unserved_error(job, reason, retry_seconds)
             try:
-                async with asyncio.timeout(remaining):
+                async with asyncio.timeout(min(remaining, ASK_AGAIN_SECONDS)):
                     await self._registry.changed()
             except TimeoutError:
                 continue
 
-    def _unserved_error(self, job: Job, message: str) -> WheelslipError:
+    def _unserved_error(
+        self, job: Job, message: str, retry_seconds: float = NO_WORKER_RETRY_SECONDS
+    ) -> WheelslipError:
         if job.may_have_run:
             return WheelslipError(ErrorKind.ENGINE_LOST, f"{message}; {job.reason}")
-        return WheelslipError(ErrorKind.NO_ENGINE, message, NO_WORKER_RETRY_SECONDS)
+        return WheelslipError(ErrorKind.NO_ENGINE, message, retry_seconds)
 
     def _note_failed(self, job: Job, assignment: Assignment, outcome: AttemptOutcome) -> None:
         placement = assignment.placement
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -40,3 +40,10 @@
     worker_id: str = ""
     weights_version: int | None = None
     first_event_at: float = 0.0
+
+    @property
+    def priority(self) -> int:
+        """The priority of the request, 0 for the most urgent: a tenant's goes before its route's."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -83,7 +83,13 @@
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
         self._placement = WorkerPlacement(self._registry, clock, random_source, table)
-        self._fleet = FleetPlacement(self._registry, clock, random_source, table)
+        self._fleet = FleetPlacement(
+            self._registry,
+            clock,
+            random_source,
+            table,
+            lambda: self._settings.routing.limit_admission,
+        )
         own_loads = self._placement.own_loads
         self._registry.on_worker_gone = self._forget_worker
         rollout_view = RolloutView(self._registry, clock)
@@ -281,6 +287,7 @@
             "dispatched_requests": lambda: float(self._dispatch_link.granted),
             "requests_placed_alone": lambda: float(self._dispatch_link.alone),
             "grants_given": lambda: float(self._dispatcher.given),
+            "requests_held_back": lambda: float(self._dispatcher.held_back),
             "granted_requests": lambda: float(self._dispatcher.granted),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -90,9 +90,11 @@
     """Switches of mechanisms, for experiments; all are on by default.
 
     :ivar dispatch: one node of the fleet chooses the workers of a service for all nodes.
+    :ivar limit_admission: the dispatcher gives no worker to what none can begin in time.
     """
 
     dispatch: bool = True
+    limit_admission: bool = True
 
 
 class ForwardingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -31,7 +31,7 @@
     WorkerGrant,
 )
 from wheelslip.peers.round_trip import RoundTrip
-from wheelslip.routing.dispatcher import Dispatcher, Progress, TicketId
+from wheelslip.routing.dispatcher import Dispatcher, Overloaded, Progress, TicketId
 from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
@@ -159,6 +159,7 @@
         """Return a grant, ``None`` when no worker may take the request now.
 
         :raises NoDispatcher: when this node has to choose by itself.
+        :raises Overloaded: when no worker can begin the request in time.
         """
         try:
             return await self._ask(query)
@@ -231,6 +232,8 @@
     def _take(
         self, ticket_id: TicketId, address: str, query: PlacementQuery, answer: WorkerGrant
     ) -> Grant | None:
+        if answer.retry_seconds:
+            raise Overloaded(answer.retry_seconds)
         if not answer.worker:
             return None
         worker = self._records.worker(answer.worker)
@@ -330,7 +333,12 @@
     # Answering
 
     def _asked(self, ask: WorkerAsk, sender: str) -> None:
-        placement = self._dispatcher.ask(ask.ticket_id(), ask.query())
+        try:
+            placement = self._dispatcher.ask(ask.ticket_id(), ask.query())
+        except Overloaded as exc:
+            refusal = WorkerGrant(ask.ask, self._incarnation, retry_seconds=exc.retry_seconds)
+            self._socket.send(sender, GRANT, refusal)
+            return
         if placement is None:
             self._socket.send(sender, GRANT, WorkerGrant(ask.ask, self._incarnation))
             return
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -33,6 +33,8 @@
     prompt: list[tuple[str, int]]
     wall: str
     pause_seconds: float
+    target_seconds: float
+    priority: int
     zone: str
     connected: list[str]
     excluded: list[str]
@@ -50,6 +52,8 @@
             [(part.id, part.tokens) for part in query.prompt],
             query.wall,
             query.pause_seconds,
+            query.target_seconds,
+            query.priority,
             query.zone,
             sorted(query.connected)[:MAX_CONNECTED],
             sorted(query.excluded),
@@ -70,6 +74,8 @@
             tuple(PromptPart(*part) for part in self.prompt),
             self.wall,
             self.pause_seconds,
+            self.target_seconds,
+            self.priority,
             self.zone,
             frozenset(self.connected),
             frozenset(self.excluded),
@@ -81,6 +87,7 @@
 
     :ivar dispatcher: incarnation of the dispatcher.
     :ivar worker: id of the worker; empty when none may take the request now.
+    :ivar retry_seconds: then, after how long it may be worth asking again.
     :ivar fetch_from: where the worker fetches KV cache; empty for nowhere.
     :ivar save_to: the store to which it saves the prompt; empty for none.
     """
@@ -92,6 +99,7 @@
     read_tokens: int = 0
     fetch_from: str = ""
     save_to: str = ""
+    retry_seconds: float = 0.0
 
 
 class ProgressTold(NamedTuple):
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from wheelslip.routing.fleet_choice import FleetPlacement, KeptPrompt, RunningRequest
+from wheelslip.routing.overload import retry_seconds
 from wheelslip.routing.placement import Placement, PlacementQuery
 
 UNLISTED_SECONDS = 1.0
@@ -33,6 +34,17 @@
     UNREACHED = "unreached"
 
 
+class Overloaded(Exception):
+    """No worker can begin a request within its target.
+
+    :ivar retry_seconds: after how long it may be worth asking again.
+    """
+
+    def __init__(self, seconds: float):
+        super().__init__(f"no worker can begin it in time; {seconds:.2f} s")
+        self.retry_seconds = seconds
+
+
 class TicketId(NamedTuple):
     """A node's incarnation and the number of its question."""
 
@@ -51,6 +63,7 @@
     """Chooses workers for all nodes and keeps the tickets of what it has granted.
 
     :ivar given: grants since the start.
+    :ivar held_back: questions that got no worker since the start, for overload.
     """
 
     def __init__(self, placement: FleetPlacement, clock: Callable[[], float]):
@@ -60,6 +73,7 @@
         self._heard_at: dict[str, float] = {}
         self._swept_at = clock()
         self.given = 0
+        self.held_back = 0
 
     @property
     def granted(self) -> int:
@@ -67,12 +81,19 @@
         return len(self._tickets)
 
     def ask(self, ticket_id: TicketId, query: PlacementQuery) -> Placement | None:
-        """Grant a worker; ``None`` when none may take the request now."""
+        """Grant a worker; ``None`` when none may take the request now.
+
+        :raises Overloaded: when none can begin it in time.
+        """
         self._hear(ticket_id.node)
         self._sweep()
         known = self._tickets.get(ticket_id)
         if known is not None:
             return known.placement
+        wait = self.placement.wait_beyond_limit(query)
+        if wait is not None:
+            self.held_back += 1
+            raise Overloaded(retry_seconds(wait))
         placement = self.placement.choose(query)
         if placement is not None:
             self.given += 1
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -14,7 +14,8 @@
 from wheelslip.deployment import CachePlan, CacheStore, EngineProfile, Worker
 from wheelslip.routing.cache_moves import MoveEnd, MoveSchedule
 from wheelslip.routing.holdings import Chain, WorkerHoldings
-from wheelslip.routing.load_table import LoadAtWorker
+from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.routing.overload import AdmissionLimits
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.saved_prompts import SavedPrompts
 from wheelslip.routing.worker_choice import (
@@ -112,6 +113,7 @@
     """Chooses for all nodes.
 
     :param table: of this node; only the saved prompts in it are used and told on.
+    :param limits_admission: whether requests that no worker can begin in time get no worker.
     """
 
     def __init__(
@@ -119,12 +121,15 @@
         registry: DeploymentView,
         clock: Callable[[], float],
         random_source: random.Random,
-        table=None,
+        table: LoadTable | None = None,
+        limits_admission: Callable[[], bool] = lambda: True,
     ):
         super().__init__(registry, clock, random_source, table)
+        self._limits_admission = limits_admission
         self._reading: defaultdict[str, Counter[int]] = defaultdict(Counter)
         self._stores: dict[str, WorkerHoldings] = {}
         self._saved = SavedPrompts()
+        self._admission: dict[str, AdmissionLimits] = {}
         self._used_at: OrderedDict[int, float] = OrderedDict()
         self._moves = MoveSchedule()
         self._arrivals = 0.0
@@ -144,6 +149,24 @@
 
     # Choice
 
+    def wait_beyond_limit(self, query: PlacementQuery) -> float | None:
+        """Return the shortest wait at the workers of a request when it is too long."""
+        engine = self._engine(query.service)
+        if engine is None or not self._limits_admission():
+            return None
+        limits = self._admission.setdefault(query.service, AdmissionLimits())
+        longest = limits.longest_wait(query.priority, query.target_seconds)
+        candidates = self._eligible(query, self._registry.workers_of(query.service))
+        held = query.prompt_tokens + query.output_tokens
+        shortest = min((self._wait_seconds(one, held, engine) for one in candidates), default=0.0)
+        return shortest if shortest > longest else None
+
+    def _wait_seconds(self, worker: Worker, held_tokens: int, engine: EngineProfile) -> float:
+        """Return how long a request waits at a worker before it is read."""
+        there = self.all_loads(worker.info.id)
+        reading = there.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        return reading + self._turn_seconds(there, held_tokens, engine)
+
     def _choose_engine(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
     ) -> Placement:
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -14,6 +14,8 @@
     :ivar stream_group: name under which long and short requests of one kind of worker are
         counted, see :mod:`wheelslip.routing.separation`.
     :ivar wall: keeps the cached state of isolated tenants apart.
+    :ivar target_seconds: time within which a first token has its full worth.
+    :ivar priority: 0 is the most urgent.
     :ivar pause_seconds: longest pause between events that keeps an answer in time.
     :ivar zone: of the node that has the request.
     :ivar connected: workers to which that node has an idle connection.
@@ -28,6 +30,8 @@
     prompt: tuple[PromptPart, ...] = ()
     wall: str = ""
     pause_seconds: float = 0.5
+    target_seconds: float = 1.0
+    priority: int = 0
     zone: str = ""
     connected: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
--- a/tests/unit/forwarding/test_dispatch_messages.py
+++ b/tests/unit/forwarding/test_dispatch_messages.py
@@ -33,6 +33,8 @@
         tuple(PromptPart(f"{number:08x}", 12_345) for number in range(parts)),
         "t0123456789abcdef",
         0.6,
+        0.8,
+        1,
         "zone-of-some-length",
         frozenset(f"i-{number:010x}" for number in range(2 * MAX_CONNECTED)),
         frozenset({WORKER, "i-1"}),
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -4,6 +4,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from wheelslip.deployment import PromptPart
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
@@ -12,6 +14,7 @@
     SILENT_NODE_SECONDS,
     UNLISTED_SECONDS,
     Dispatcher,
+    Overloaded,
     Progress,
     TicketId,
 )
@@ -21,6 +24,7 @@
     KeptPrompt,
     RunningRequest,
 )
+from wheelslip.routing.overload import LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS, AdmissionLimits
 from wheelslip.routing.placement import PlacementQuery
 
 WORKERS = 6
@@ -177,3 +181,31 @@
     dispatcher = dispatcher_of(Clock())
     assert dispatcher.ask(TicketId("n1", 1), query("5e55", service="plain")) is None
     assert dispatcher.granted == 0
+
+
+def test_in_overload_only_what_can_begin_in_time_gets_a_worker():
+    dispatcher = dispatcher_of(Clock())
+    # One prompt is read in 2 s at the rate that is assumed.
+    long = query("5e55", prompt_tokens=60_000, target_seconds=1.0)
+    for number in range(WORKERS):
+        dispatcher.ask(
+            TicketId("n1", number), long._replace(prompt=(PromptPart(f"{number}", 60_000),))
+        )
+    with pytest.raises(Overloaded) as refused:
+        dispatcher.ask(TicketId("n2", 1), query("5e55", target_seconds=1.0))
+    assert LEAST_RETRY_SECONDS <= refused.value.retry_seconds <= MOST_RETRY_SECONDS
+    assert dispatcher.granted == WORKERS and dispatcher.held_back == 1
+    # A kind of request with more patience still gets one, and so do all once one is read.
+    patient = dispatcher.ask(TicketId("n2", 2), query("5e55", target_seconds=4.0))
+    assert patient is not None
+    dispatcher.progress(TicketId("n2", 2), Progress.ENDED)
+    dispatcher.progress(TicketId("n1", 0), Progress.FIRST_TOKEN)
+    assert dispatcher.ask(TicketId("n2", 3), query("5e55", target_seconds=1.0)) is not None
+
+
+def test_a_more_urgent_kind_of_request_is_never_refused_before_a_less_urgent_one():
+    limits = AdmissionLimits()
+    for _ in range(2):
+        urgent = limits.longest_wait(0, 0.5)
+        patient = limits.longest_wait(1, 0.8)
+    assert urgent > patient
