A worker that gives no report takes no other's turn in a rollout

In a fleet of four with one silent worker nobody else loads. Ruled out: that the wave is too small (near the bound it grew to 22 at once, which is what hurts then). Change: a paused worker is passed over in the turn; its pause doubles up to 4 s while it stays silent.

--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 
@@ -42,6 +43,11 @@
 """Loads wait while the workers have more than this to read on average."""
 
 UNREACHABLE_PAUSE_SECONDS = 1.0
+MOST_PAUSE_SECONDS = 4.0
+"""A worker that gives no report is left alone this long, and twice as long each time that it
+gives none again. It stays short beside the bound within which all workers must have a version
+once trouble is over (14 s at the deployments with the least)."""
+
 LOAD_SMOOTHING = 0.3
 
 _ACCEPTED = (200, 202)
@@ -126,6 +132,11 @@
     expected_sequence: int | None = None
 
 
+class _Pause(NamedTuple):
+    until: float
+    seconds: float
+
+
 class WeightsRollout:
     """The task that orders workers while this node holds the lease."""
 
@@ -147,7 +158,7 @@
         self._bounds = bounds
         self._clock = clock
         self._loads: dict[str, _Load] = {}
-        self._paused_until: dict[str, float] = {}
+        self._pauses: dict[str, _Pause] = {}
         self._tasks: set[asyncio.Task] = set()
         self._load_seconds = INITIAL_LOAD_SECONDS
         self._published: RolloutRecord | None = None
@@ -182,19 +193,28 @@
 
     def _start_loads(self, model: str) -> list[_Load]:
         newest = self._registry.newest_weights(model)
+        now = self._clock()
         workers = self._workers(model)
         states = [self._state(one, model) for one in workers]
         by_id = {one.info.id: one for one in workers}
-        now = self._clock()
         started = []
         for worker_id in next_loads(states, now, self._load_seconds, self._is_behind(workers)):
-            if self._paused_until.get(worker_id, 0.0) > now:
-                continue
             load = _Load(by_id[worker_id], model, newest, now)
             self._loads[worker_id] = load
             started.append(load)
         return started
 
+    def _is_paused(self, worker_id: str) -> bool:
+        pause = self._pauses.get(worker_id)
+        return pause is not None and self._clock() < pause.until
+
+    def _pause(self, worker_id: str) -> None:
+        known = self._pauses.get(worker_id)
+        seconds = UNREACHABLE_PAUSE_SECONDS
+        if known is not None:
+            seconds = min(MOST_PAUSE_SECONDS, 2 * known.seconds)
+        self._pauses[worker_id] = _Pause(self._clock() + seconds, seconds)
+
     def _is_behind(self, workers: list[Worker]) -> bool:
         """Whether prompts wait at the workers, so that none can be spared."""
         unread = sum(self._placement.all_loads(one.info.id).prompt_tokens for one in workers)
@@ -215,7 +235,8 @@
             due = since + self._bounds().weights_deadline_ms / 1000
         worker_id = worker.info.id
         running = self._placement.all_loads(worker_id).running
-        return WorkerWeights(worker_id, version, due, worker_id in self._loads, running)
+        loading, paused = worker_id in self._loads, self._is_paused(worker_id)
+        return WorkerWeights(worker_id, version, due, loading, running, paused)
 
     async def _publish(self) -> None:
         """Write the record when the workers that load have changed."""
@@ -257,7 +278,7 @@
             while not await self._load_step(load):
                 await asyncio.sleep(REPORT_SECONDS)
         except WorkerUnreachable as error:
-            self._paused_until[worker_id] = self._clock() + UNREACHABLE_PAUSE_SECONDS
+            self._pause(worker_id)
             log_event(LogEvent.ORDER_REFUSED, engine=worker_id, reason=str(error))
         finally:
             self._loads.pop(worker_id, None)
@@ -268,6 +289,7 @@
         :raises WorkerUnreachable: when the worker gives no report.
         """
         report = await self._control.report(load.worker.info)
+        self._pauses.pop(load.worker.info.id, None)
         version = report.weights.get(load.model, 0)
         if version >= load.version and not report.busy:
             self._finish(load, version)
--- a/src/wheelslip/weights/schedule.py
+++ b/src/wheelslip/weights/schedule.py
@@ -29,6 +29,7 @@
 
     :ivar due: when requests may no longer begin on its version; ``None`` if it is the newest.
     :ivar loading: an order is under way there.
+    :ivar paused: it did not answer of late, so it takes no other's turn.
     """
 
     id: str
@@ -36,6 +37,7 @@
     due: float | None
     loading: bool
     running: int = 0
+    paused: bool = False
 
 
 def loads_at_once(
@@ -66,6 +68,6 @@
 ) -> list[str]:
     """Return the workers to order now, those with the earliest bound first."""
     room = loads_at_once(workers, now, load_seconds, behind) - sum(one.loading for one in workers)
-    waiting = [one for one in workers if one.due is not None and not one.loading]
+    waiting = [one for one in workers if one.due is not None and not one.loading and not one.paused]
     waiting.sort(key=lambda one: (one.due, one.running, one.id))
     return [one.id for one in waiting[: max(0, room)]]
--- a/tests/probe/forwarding/test_weights.py
+++ b/tests/probe/forwarding/test_weights.py
@@ -185,3 +185,14 @@
     assert [order["version"] for order in orders(fleet)] == [2, 3]
     await until(lambda: fleet[0].version == 3, "version 3")
     assert [order["version"] for order in orders(fleet)] == [2, 3]
+
+
+async def test_a_silent_worker_does_not_hold_the_others_up(site):
+    fleet = await fleet_site(site, weights_deadline_ms=60_000)
+    await asyncio.sleep(1.2)
+    # It has nothing to do, so it is the first in turn, and one worker loads at a time.
+    fleet[0].server.silent = True
+    site.name_weights("m", 2)
+    await until(lambda: all(worker.version == 2 for worker in fleet[1:]), "the others load")
+    fleet[0].server.silent = False
+    await until(lambda: fleet[0].version == 2, "it loads when it answers again")
