Requests that have begun are not held back; what the fleet keeps has a module of its own

Cause: a stream whose worker was lost asked for another one and could be held back by admission, which breaks off what its caller already has in part. Ruled out: nothing; seen by reading. Change: a question tells that its request has been at a worker before; such are granted whatever the wait. The unit test of overload asks for a begun request too.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -116,4 +116,5 @@
             self._zone,
             self._pool.idle_workers(),
             frozenset(job.excluded),
+            job.sent > 0,
         )
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -112,7 +112,7 @@
             self._datagrams,
             self._dispatcher,
             self._placement,
-            self._dispatchers_of,
+            lambda service: self._relay.dispatchers_of(service) if self._relay else [],
             clock,
             random_source,
         )
@@ -251,21 +251,6 @@
     def _is_relay(self) -> bool:
         return self._relay is None or self._relay.token() is not None
 
-    def _dispatchers_of(self, service: str) -> list[str]:
-        """Return who chooses workers of a service, the first choice first.
-
-        Services are dealt out to the relays in order of tenure, those of model engines first:
-        the longest in office knows most, and a new relay takes no service away.
-        """
-        relays = self._relay.by_tenure()
-        cfg = self._registry.configuration
-        if not relays or cfg is None:
-            return relays
-        services = sorted(cfg.services.values(), key=lambda one: (one.engine is None, one.name))
-        names = [one.name for one in services]
-        first = names.index(service) % len(relays) if service in names else 0
-        return relays[first:] + relays[:first]
-
     def _peer_addresses(self) -> list[str]:
         section = self._settings.node
         others = {*section.seed_addresses(), *self._relay.addresses(), *self._feed.heard()}
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -87,6 +87,21 @@
         entries = sorted(self._registry.own_entry(key)[::-1] for key in keys)
         return [value.decode("latin-1") for _, value in entries]
 
+    def dispatchers_of(self, service: str) -> list[str]:
+        """Return who chooses the workers of a service, the first choice first.
+
+        Services are dealt out to the relays in order of tenure, those of model engines first:
+        the longest in office knows most, and a new relay takes no service away.
+        """
+        relays = self.by_tenure()
+        cfg = self._registry.configuration
+        if not relays or cfg is None:
+            return relays
+        services = sorted(cfg.services.values(), key=lambda one: (one.engine is None, one.name))
+        names = [one.name for one in services]
+        first = names.index(service) % len(relays) if service in names else 0
+        return relays[first:] + relays[:first]
+
     def node_to_follow(self) -> str | None:
         """Return the address of the node whose view this node polls, ``None`` for the store.
 
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -32,7 +32,8 @@
 )
 from wheelslip.peers.round_trip import RoundTrip
 from wheelslip.routing.dispatcher import Dispatcher, Overloaded, Progress, TicketId
-from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
+from wheelslip.routing.fleet_choice import RunningRequest
+from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
 
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -4,7 +4,8 @@
 
 from wheelslip.deployment import PromptPart
 from wheelslip.routing.dispatcher import Progress, TicketId
-from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
+from wheelslip.routing.fleet_choice import RunningRequest
+from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.placement import PlacementQuery
 
 ASK = "ask"
@@ -38,6 +39,7 @@
     zone: str
     connected: list[str]
     excluded: list[str]
+    begun: bool
 
     @classmethod
     def of(cls, ticket_id: TicketId, query: PlacementQuery) -> "WorkerAsk":
@@ -57,6 +59,7 @@
             query.zone,
             sorted(query.connected)[:MAX_CONNECTED],
             sorted(query.excluded),
+            query.begun,
         )
 
     def ticket_id(self) -> TicketId:
@@ -79,6 +82,7 @@
             self.zone,
             frozenset(self.connected),
             frozenset(self.excluded),
+            self.begun,
         )
 
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -11,7 +11,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wheelslip.routing.fleet_choice import FleetPlacement, KeptPrompt, RunningRequest
+from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
+from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.overload import retry_seconds
 from wheelslip.routing.placement import Placement, PlacementQuery
 
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -7,17 +7,17 @@
 """
 
 import random
-from collections import Counter, OrderedDict, defaultdict
+from collections import defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
 
 from wheelslip.deployment import CachePlan, CacheStore, EngineProfile, Worker
 from wheelslip.routing.cache_moves import MoveEnd, MoveSchedule
-from wheelslip.routing.holdings import Chain, WorkerHoldings
+from wheelslip.routing.fleet_memory import FleetMemory, KeptPrompt
+from wheelslip.routing.holdings import Chain
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
 from wheelslip.routing.overload import AdmissionLimits
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.saved_prompts import SavedPrompts
 from wheelslip.routing.worker_choice import (
     INTERFERENCE,
     LEAST_MOVED_TOKENS,
@@ -28,9 +28,6 @@
     WorkerPlacement,
 )
 
-UNKNOWN_STORE_TOKENS = 1_000_000
-"""Room of a store that tells none; a guess, of the order of stores that do."""
-
 ARRIVAL_MEMORY_SECONDS = 2.0
 """Time constant over which arrivals are counted."""
 
@@ -40,11 +37,6 @@
 of its worth: so a request rather waits 0.2 s for a worker that keeps 1,000 tokens, or reads
 them just now, than has them read again."""
 
-REREAD_MEMORY_SECONDS = 10.0
-"""A part that has not been used for this long may be read anew without that cost."""
-
-MAX_USED_PARTS = 50_000
-
 MAX_DELAYED = 4.0
 """Most requests that one more read is taken to delay, in the cost of reading a part again."""
 
@@ -68,18 +60,11 @@
     held_tokens: int
 
 
-class KeptPrompt(NamedTuple):
-    """A prompt that a worker has read, for a dispatcher that does not know it."""
-
-    worker: str
-    chain: Chain
-
-
 class _Kept(NamedTuple):
-    """A worker that keeps a part of a prompt, and how many tokens of it."""
+    """A worker or store that keeps a part of a prompt, and how many tokens of it."""
 
     tokens: int
-    worker: Worker
+    end: MoveEnd
 
 
 class _Prompt(NamedTuple):
@@ -126,11 +111,8 @@
     ):
         super().__init__(registry, clock, random_source, table)
         self._limits_admission = limits_admission
-        self._reading: defaultdict[str, Counter[int]] = defaultdict(Counter)
-        self._stores: dict[str, WorkerHoldings] = {}
-        self._saved = SavedPrompts()
         self._admission: dict[str, AdmissionLimits] = {}
-        self._used_at: OrderedDict[int, float] = OrderedDict()
+        self._memory = FleetMemory(clock)
         self._moves = MoveSchedule()
         self._arrivals = 0.0
         self._arrived_at = 0.0
@@ -144,7 +126,7 @@
     def forget(self, worker_id: str) -> None:
         """A worker is gone."""
         super().forget(worker_id)
-        self._reading.pop(worker_id, None)
+        self._memory.forget(worker_id)
         self._heard.pop(worker_id, None)
 
     # Choice
@@ -152,7 +134,7 @@
     def wait_beyond_limit(self, query: PlacementQuery) -> float | None:
         """Return the shortest wait at the workers of a request when it is too long."""
         engine = self._engine(query.service)
-        if engine is None or not self._limits_admission():
+        if engine is None or query.begun or not self._limits_admission():
             return None
         limits = self._admission.setdefault(query.service, AdmissionLimits())
         longest = limits.longest_wait(query.priority, query.target_seconds)
@@ -190,7 +172,7 @@
                 offer = offer._replace(cost=offer.cost + extra)
                 if best is None or offer.cost < best.cost:
                     best, best_prompt = offer, prompt
-        return self._placed(query, best, best_prompt, store)
+        return self._placed(query, best, best_prompt, engine, store)
 
     def _prompt(
         self,
@@ -205,49 +187,20 @@
         shared = chain[:-1]
         cached, keepers = {}, []
         for worker in workers:
-            holding = self.holding(worker.info.id, engine)
-            tokens = cached[worker.info.id] = holding.cached_tokens(chain)
-            if tokens:
-                kept = self._kept_now(worker.info.id, holding, shared)
-                if kept:
-                    keepers.append(_Kept(kept, worker))
-        best = max((one.tokens for one in keepers), default=0)
-        ends = [_end_of(one.worker, engine) for one in keepers if one.tokens == best]
+            worker_id = worker.info.id
+            cached[worker_id] = self._memory.cached_tokens(worker_id, engine, chain)
+            if not cached[worker_id]:
+                continue
+            readable = self._memory.readable_tokens(worker_id, engine, shared)
+            if readable:
+                keepers.append(_Kept(readable, _end_of(worker, engine)))
         if store is not None:
-            stored = self._store_holding(store).cached_tokens(shared)
-            if stored > best:
-                best, ends = stored, []
-            if stored == best and stored:
-                ends.append(MoveEnd(store.address, store.zone, store.link_bytes_per_second))
+            stored = self._memory.stored_tokens(store, shared)
+            keepers.append(_Kept(stored, _end_of_store(store)))
+        most = max((one.tokens for one in keepers), default=0)
+        ends = [one.end for one in keepers if one.tokens == most and most]
         source = min(ends, key=lambda one: self._moves.busy_until(one.address), default=None)
-        return _Prompt(chain, cached, source, best, self._recent(shared))
-
-    def _recent(self, shared: Chain) -> list[tuple[int, int]]:
-        used_since = self._clock() - REREAD_MEMORY_SECONDS
-        recent, start = [], 0
-        for key, tokens in shared:
-            if self._used_at.get(key, float("-inf")) >= used_since:
-                recent.append((start, start + tokens))
-            start += tokens
-        return recent
-
-    def _note_used(self, shared: Chain) -> None:
-        now = self._clock()
-        for key, _ in shared:
-            self._used_at.pop(key, None)
-            self._used_at[key] = now
-        while len(self._used_at) > MAX_USED_PARTS:
-            self._used_at.popitem(last=False)
-
-    def _kept_now(self, worker_id: str, holding: WorkerHoldings, shared: Chain) -> int:
-        """Return the tokens of shared parts that a worker has read already."""
-        reading = self._reading.get(worker_id)
-        total = 0
-        for key, tokens in shared:
-            if key not in holding or (reading and reading.get(key)):
-                break
-            total += tokens
-        return total
+        return _Prompt(chain, cached, source, most, self._memory.recent(shared))
 
     def _offer(
         self,
@@ -284,16 +237,20 @@
         return (0, 0.0) if seconds is None else (moved, seconds)
 
     def _placed(
-        self, query: PlacementQuery, offer: _Offer, prompt: _Prompt, store: CacheStore | None
+        self,
+        query: PlacementQuery,
+        offer: _Offer,
+        prompt: _Prompt,
+        engine: EngineProfile,
+        store: CacheStore | None,
     ) -> Placement:
         worker = offer.worker
-        holding = self._holdings[worker.info.id]
-        unread = tuple(key for key, _ in prompt.chain if key not in holding)
+        unread = self._memory.unread_keys(worker.info.id, engine, prompt.chain)
         version = worker.weights.get(query.model)
         fetch_from, save_to = "", ""
         if sum(tokens for _, tokens in prompt.chain[:-1]) >= LEAST_MOVED_TOKENS:
             fetch_from = self._fetch_from(offer, prompt, store)
-            if store is not None and not self._is_saved(store, prompt.chain):
+            if store is not None and not self._memory.is_saved(store, prompt.chain):
                 save_to = store.address
         return Placement(
             worker,
@@ -339,50 +296,35 @@
     # Stores
 
     def _store(self, query: PlacementQuery) -> CacheStore | None:
-        address = self._store_of(query)
+        return self._store_at(self._store_of(query))
+
+    def _store_at(self, address: str) -> CacheStore | None:
         stores = self._registry.configuration.cache_stores
         return next((one for one in stores if one.address == address), None)
 
-    def _store_holding(self, store: CacheStore) -> WorkerHoldings:
-        if store.address not in self._stores:
-            room = store.cache_tokens or UNKNOWN_STORE_TOKENS
-            self._stores[store.address] = WorkerHoldings(room)
-        return self._stores[store.address]
-
-    def _is_saved(self, store: CacheStore, chain: Chain) -> bool:
-        key = chain[-2][0] if len(chain) > 1 else chain[-1][0]
-        # Stores restart without a word, so what was saved long ago is saved again.
-        return self._saved.has(key, self._clock()) and key in self._store_holding(store)
-
     # Feedback
 
     def begin(self, placement: Placement) -> float:
-        """A request is sent: its worker will keep the prompt, and reads it until then."""
+        """A request is sent: its worker reads the prompt, and will keep it."""
         began_at = super().begin(placement)
-        worker_id = placement.worker.info.id
-        if placement.chain and worker_id in self._holdings:
-            self._holdings[worker_id].record(placement.chain)
-            self._reading[worker_id].update(placement.unread_keys)
-            self._note_used(placement.chain[:-1])
-        self._begin_moves(placement, began_at)
+        engine = self._engine(placement.worker.info.service)
+        if engine is not None and placement.chain:
+            self._memory.begin(placement, engine)
+            if placement.fetched_tokens:
+                self._begin_move(placement, engine, began_at)
         return began_at
 
-    def _begin_moves(self, placement: Placement, now: float) -> None:
-        cache, engine = placement.cache, self._engine(placement.worker.info.service)
-        if cache is None or engine is None or not placement.fetched_tokens:
-            return
-        target = _end_of(placement.worker, engine)
-        source = self._end_at(cache.fetch_from, engine)
-        if source is None:
-            return
-        self._moves.add(source, target, placement.fetched_tokens * engine.token_bytes, now)
-        if cache.fetch_from in self._stores:
-            self._stores[cache.fetch_from].record(placement.chain[:-1])
-
-    def _end_at(self, address: str, engine: EngineProfile) -> MoveEnd | None:
-        for store in self._registry.configuration.cache_stores:
-            if store.address == address:
-                return MoveEnd(address, store.zone, store.link_bytes_per_second)
+    def _begin_move(self, placement: Placement, engine: EngineProfile, now: float) -> None:
+        address = placement.cache.fetch_from
+        store = self._store_at(address)
+        if store is not None:
+            self._memory.note_fetched(store, placement.chain[:-1])
+        source = _end_of_store(store) if store is not None else self._worker_end(address, engine)
+        if source is not None:
+            size = placement.fetched_tokens * engine.token_bytes
+            self._moves.add(source, _end_of(placement.worker, engine), size, now)
+
+    def _worker_end(self, address: str, engine: EngineProfile) -> MoveEnd | None:
         for worker in self._registry.workers.values():
             if worker.info.address == address:
                 return _end_of(worker, engine)
@@ -391,47 +333,28 @@
     def first_token(self, placement: Placement, began_at: float) -> None:
         """The worker has read the prompt, and sends it to the store if it was told to."""
         super().first_token(placement, began_at)
-        self._read(placement)
-        cache, engine = placement.cache, self._engine(placement.worker.info.service)
-        if cache is None or engine is None or not cache.save_to:
+        engine = self._engine(placement.worker.info.service)
+        if engine is None or not placement.chain:
             return
-        now = self._clock()
-        self._saved.note(placement.shared_key, now)
-        if cache.save_to in self._stores:
-            self._stores[cache.save_to].record(placement.chain)
-        target = self._end_at(cache.save_to, engine)
-        if target is not None:
+        self._memory.finish(placement, engine)
+        store = self._store_at(placement.cache.save_to) if placement.cache else None
+        if store is not None:
+            self._memory.note_saved(store, placement)
             size = sum(tokens for _, tokens in placement.chain) * engine.token_bytes
-            self._moves.add(_end_of(placement.worker, engine), target, size, now)
+            source = _end_of(placement.worker, engine)
+            self._moves.add(source, _end_of_store(store), size, self._clock())
 
     def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
         """A request is no longer at its worker; what was not read is not kept."""
         super().end(placement, began_at, had_first_token)
-        if had_first_token:
-            return
-        self._read(placement)
-        holding = self._holdings.get(placement.worker.info.id)
-        if holding is not None:
-            reading = self._reading[placement.worker.info.id]
-            holding.discard(key for key in placement.unread_keys if not reading.get(key))
-
-    def _read(self, placement: Placement) -> None:
-        reading = self._reading.get(placement.worker.info.id)
-        if reading is None:
-            return
-        for key in placement.unread_keys:
-            reading[key] -= 1
-            if reading[key] <= 0:
-                del reading[key]
+        if not had_first_token and placement.chain:
+            self._memory.abandon(placement)
 
     def adopted(self, running: RunningRequest) -> Placement | None:
         """Return the placement of a request that runs already, ``None`` at unknown workers."""
         worker = self._registry.workers.get(running.worker)
         if worker is None:
             return None
-        engine = self._engine(worker.info.service)
-        if engine is not None:
-            self.holding(worker.info.id, engine)
         return Placement(
             worker,
             running.weights_version,
@@ -445,7 +368,7 @@
         worker = self._registry.workers.get(kept.worker)
         engine = self._engine(worker.info.service) if worker else None
         if engine is not None:
-            self.holding(kept.worker, engine).record(kept.chain)
+            self._memory.learn(kept, engine)
 
     # Liveness
 
@@ -460,5 +383,9 @@
             self.suspect(worker_id)
 
 
+def _end_of_store(store: CacheStore) -> MoveEnd:
+    return MoveEnd(store.address, store.zone, store.link_bytes_per_second)
+
+
 def _end_of(worker: Worker, engine: EngineProfile) -> MoveEnd:
     return MoveEnd(worker.info.address, worker.info.zone, engine.link_bytes_per_second)
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -20,6 +20,7 @@
     :ivar zone: of the node that has the request.
     :ivar connected: workers to which that node has an idle connection.
     :ivar excluded: workers at which the request has failed.
+    :ivar begun: the request has been at a worker before, so it is not held back.
     """
 
     service: str
@@ -35,6 +36,7 @@
     zone: str = ""
     connected: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
+    begun: bool = False
 
     @property
     def shared_part(self) -> PromptPart | None:
--- a/tests/unit/forwarding/test_dispatch_messages.py
+++ b/tests/unit/forwarding/test_dispatch_messages.py
@@ -13,7 +13,8 @@
     WorkerAsk,
 )
 from wheelslip.routing.dispatcher import TicketId
-from wheelslip.routing.fleet_choice import KeptPrompt, RunningRequest
+from wheelslip.routing.fleet_choice import RunningRequest
+from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.wire import encode_frame
 
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -18,12 +18,8 @@
     Progress,
     TicketId,
 )
-from wheelslip.routing.fleet_choice import (
-    HEARD_SECONDS,
-    FleetPlacement,
-    KeptPrompt,
-    RunningRequest,
-)
+from wheelslip.routing.fleet_choice import HEARD_SECONDS, FleetPlacement, RunningRequest
+from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.overload import LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS, AdmissionLimits
 from wheelslip.routing.placement import PlacementQuery
 
@@ -195,6 +191,10 @@
         dispatcher.ask(TicketId("n2", 1), query("5e55", target_seconds=1.0))
     assert LEAST_RETRY_SECONDS <= refused.value.retry_seconds <= MOST_RETRY_SECONDS
     assert dispatcher.granted == WORKERS and dispatcher.held_back == 1
+    # One that has been at a worker before goes on.
+    begun = dispatcher.ask(TicketId("n3", 1), query("5e55", target_seconds=1.0, begun=True))
+    assert begun is not None
+    dispatcher.progress(TicketId("n3", 1), Progress.ENDED)
     # A kind of request with more patience still gets one, and so do all once one is read.
     patient = dispatcher.ask(TicketId("n2", 2), query("5e55", target_seconds=4.0))
     assert patient is not None
