--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 
 decision-cost: setup
 	$(RUN) -m bench.decision_cost
+	$(RUN) -m bench.dispatch_cost
 
 claims: setup
 	$(RUN) -m bench.claims
