--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -29,7 +29,8 @@
 """From this bandwidth on, in Mbit/s, a node lets nobody go first."""
 
 
-def _handicap_seconds(link_megabits: float) -> float:
+def handicap_seconds(link_megabits: float) -> float:
+    """Return how long a node with a link of so many Mbit/s lets others go first."""
     return GREATEST_HANDICAP_SECONDS * max(0.0, 1.0 - link_megabits / WIDE_LINK_MEGABITS)
 
 
@@ -59,7 +60,7 @@
             lambda: max(min_lease_seconds(), LEASE_SECONDS),
             clock,
             random_source,
-            lambda: _handicap_seconds(link_megabits()),
+            lambda: handicap_seconds(link_megabits()),
         )
         self._address = address
 
