A request that is never sent ends its grant

Cause: seen by reading. A caller that leaves, or a deadline that passes, while the connection to the granted worker is being opened cancelled the request without a word to the dispatcher; its node listed the grant for ever, so the worker seemed to have one more request and its prompt to read until the node's restart. Ruled out: the same between grant and answer (a late answer to no question ends its ticket already). Change: the node tells the end then. Figures: test_a_caller_that_leaves_before_a_connection_is_up_leaves_no_ticket failed before.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -54,6 +54,10 @@
         self._records.suspect(self.placement.worker.info.id)
         self._tell(Progress.UNREACHED)
 
+    def unused(self) -> None:
+        """The request will not be sent to the worker."""
+        self._tell(Progress.ENDED)
+
     def end(self, had_first_token: bool) -> None:
         """The request is no longer at the worker."""
         self._records.end(self.placement, self._began_at, had_first_token)
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -266,6 +266,10 @@
             job.reason = str(error)
             assignment.unreached()
             return AttemptOutcome.NOT_SENT
+        except asyncio.CancelledError:
+            # The caller has left, or its time is up, while the connection was being opened.
+            assignment.unused()
+            raise
         assignment.begin()
         attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
--- a/tests/probe/forwarding/test_dispatch.py
+++ b/tests/probe/forwarding/test_dispatch.py
@@ -4,6 +4,7 @@
 
 from standins.platform_site import Site, free_port, until
 from standins.platform_worker import PlatformWorker
+from wheelslip.forwarding.worker_pool import WorkerPool
 
 ZONES = ("z1", "z2", "z3")
 
@@ -98,3 +99,21 @@
     for zone in left:
         node = site.nodes[zone]
         await until(lambda node=node: node.gauge("granted_requests") == 0, "all tickets ended")
+
+
+async def test_a_caller_that_leaves_before_a_connection_is_up_leaves_no_ticket(site, monkeypatch):
+    await fleet(site, workers=1)
+
+    async def never(self, worker):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(WorkerPool, "acquire", never)
+    caller = await site.caller("z1")
+    caller.send("/stream/x", "r1", **prompt("01", "a1"))
+
+    def tickets() -> float:
+        return sum(node.gauge("granted_requests") for node in site.nodes.values())
+
+    await until(lambda: tickets() == 1, "granted")
+    caller.leave()
+    await until(lambda: tickets() == 0, "the ticket has ended")
