--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -210,6 +210,17 @@
         self.nodes[name] = node
         return node
 
+    async def add_relays(self, zones: tuple[str, ...]) -> None:
+        """Start a node in each zone, named like it, and wait until each is its zone's relay."""
+        seed = f"127.0.0.1:{free_port()}"
+        for zone in zones:
+            peers = seed if zone == zones[0] else f"127.0.0.1:{free_port()}"
+            await self.add_node(zone, peers=peers, seeds=[seed], zone=zone)
+        for zone in zones:
+            await self.ready(zone)
+            node = self.nodes[zone]
+            await until(lambda node=node: len(node.known_relays()) == len(zones), "all relays")
+
     def cut_from_store(self, name: str) -> None:
         """Give one node an address of the store at which nothing answers."""
         self.lead_to_store(name, "127.0.0.1:9")
--- a/tests/probe/forwarding/test_dispatch.py
+++ b/tests/probe/forwarding/test_dispatch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from standins.platform_site import Site, free_port, until
+from standins.platform_site import Site, until
 from standins.platform_worker import PlatformWorker
 from wheelslip.forwarding.worker_pool import WorkerPool
 
@@ -14,15 +14,7 @@
     site.configure()
     for number in range(workers):
         await site.add_worker(PlatformWorker(f"i-{number}", model="m", **options), "engines")
-    seed = f"127.0.0.1:{free_port()}"
-    for zone in ZONES:
-        peers = seed if zone == "z1" else f"127.0.0.1:{free_port()}"
-        await site.add_node(zone, peers=peers, seeds=[seed], zone=zone)
-    for zone in ZONES:
-        await site.ready(zone)
-        await until(lambda zone=zone: site.nodes[zone].gauge("relay") == 1, f"relay of {zone}")
-    for node in site.nodes.values():
-        await until(lambda node=node: len(node.known_relays()) == 3, "all relays known")
+    await site.add_relays(ZONES)
 
 
 def prompt(session: str, own: str) -> dict[str, str]:
--- a/tests/probe/forwarding/test_one_reader.py
+++ b/tests/probe/forwarding/test_one_reader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from standins.platform_site import Site, configuration, free_port, until
+from standins.platform_site import Site, configuration, until
 from standins.platform_worker import PlatformWorker
 
 WATCH = ("GET", "/kv-watch")
@@ -13,13 +13,7 @@
     """Start a node in each of three zones, each its zone's relay."""
     site.configure()
     await site.add_worker(PlatformWorker("i-1"), "plain")
-    seed = f"127.0.0.1:{free_port()}"
-    for zone in ZONES:
-        peers = seed if zone == "z1" else f"127.0.0.1:{free_port()}"
-        await site.add_node(zone, peers=peers, seeds=[seed], zone=zone)
-    for zone in ZONES:
-        await site.ready(zone)
-        await until(lambda zone=zone: site.nodes[zone].gauge("relay") == 1, f"relay of {zone}")
+    await site.add_relays(ZONES)
     first = site.nodes["z1"]
     await until(lambda: first.gauge("followers") == 2, "the others follow the first relay")
 
