MoveSchedule.forget, which nothing calls, is removed

Cause: found on the last reading of the change; dead code. Change: the method goes, no other. Ruled out: that addresses pile up: one number for each worker's address of the process's life. Conclusion: behaviour as before.

--- a/src/wheelslip/routing/cache_moves.py
+++ b/src/wheelslip/routing/cache_moves.py
@@ -44,10 +44,6 @@
             return
         self._free_at[source.address] = self._free_at[target.address] = now + seconds
 
-    def forget(self, address: str) -> None:
-        """A worker is gone."""
-        self._free_at.pop(address, None)
-
 
 def _duration(source: MoveEnd, target: MoveEnd, size: float) -> float:
     factor = 1.0 if source.zone == target.zone else OTHER_ZONE_FACTOR
