Tenants' limits: one node counts for all, by votes of the nodes

Cause: rate, burst and unit of a tenant were not decoded on the forwarding path; nothing kept a limit.

Ruled out: shares of the rate by node (a large prompt is a second and more of a node's share of a small tenant); ownership by the relay's lease alone (a killed holder leaves all tenants without a meter for up to 3 s).

Change: decoded into typed fields; the dispatcher counts what it grants (no message of its own) in token buckets that fill by its share of the nodes' votes. What was proven not to run is given back. Over the limit: 429 at once, with the time at which the caller's turn comes.

--- a/bench/dispatch_cost.py
+++ b/bench/dispatch_cost.py
@@ -19,7 +19,9 @@
 from wheelslip.peers.dispatch_messages import WorkerAsk, WorkerGrant
 from wheelslip.routing.dispatcher import Dispatcher, Progress, TicketId
 from wheelslip.routing.fleet_choice import FleetPlacement
+from wheelslip.routing.limit_authority import WholeAuthority
 from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.tenant_limits import TenantLimits
 from wheelslip.tables import format_table
 from wheelslip.wire import decode_frame, encode_frame
 
@@ -71,7 +73,9 @@
     """Return the mean time of a request's messages: question, grant, first token, end."""
     ticks = itertools.count()
     clock = lambda: next(ticks) * 1e-5  # noqa: E731
-    dispatcher = Dispatcher(FleetPlacement(_View(workers), clock, random.Random(1)), clock)
+    placement = FleetPlacement(_View(workers), clock, random.Random(1))
+    limits = TenantLimits(dict, WholeAuthority(clock), clock)
+    dispatcher = Dispatcher(placement, limits, clock)
     source, running, spent = random.Random(2), [], 0.0
     for number in range(REQUESTS):
         ticket_id = TicketId("0123456789ab", number)
--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -5,6 +5,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 
 class RouteKind(enum.Enum):
@@ -92,13 +93,38 @@
     cache_tokens: int = 0
 
 
+class TenantLimit(NamedTuple):
+    """What a tenant may have run at workers, over all nodes together.
+
+    :ivar rate: units a second.
+    :ivar burst: units on top of that, at once.
+    :ivar counts_tokens: units are tokens of prompt and output; otherwise requests.
+    :ivar plain_tokens: tokens that a request counts as when it tells none.
+    """
+
+    rate: float
+    burst: float
+    counts_tokens: bool = False
+    plain_tokens: float = 1.0
+
+    def units(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Return how much of the limit a request takes."""
+        if not self.counts_tokens:
+            return 1.0
+        return float(prompt_tokens + output_tokens) or self.plain_tokens
+
+
 @dataclass(frozen=True)
 class Tenant:
-    """A tenant; an isolated one shares no cached state with others."""
+    """A tenant; an isolated one shares no cached state with others.
+
+    :ivar limit: ``None`` when it may have run whatever it sends.
+    """
 
     name: str
     priority: int | None
     isolated: bool
+    limit: TenantLimit | None = None
 
 
 @dataclass(frozen=True)
@@ -118,6 +144,7 @@
     :ivar routes: by host, longest path prefix first.
     :ivar tenants_by_key: tenant by API key; empty when callers need no key.
     :ivar isolated_tenants: names in order; part of the salt of shared cache.
+    :ivar tenant_limits: by name, of the tenants that have one.
     """
 
     version: int
@@ -128,6 +155,7 @@
     keys_required: bool
     isolated_tenants: tuple[str, ...]
     limits: CallerLimits
+    tenant_limits: dict[str, TenantLimit] = field(default_factory=dict)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the longest prefix, or ``None``."""
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -4,9 +4,11 @@
 
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.worker_pool import WorkerPool
-from wheelslip.peers.dispatch_link import DispatchLink, Grant, NoDispatcher
+from wheelslip.peers.dispatch_link import DispatchLink, Grant
+from wheelslip.peers.dispatcher_health import NoDispatcher
 from wheelslip.routing.dispatcher import Progress
 from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.tenant_limits import TenantLimits
 from wheelslip.routing.worker_choice import WorkerPlacement
 
 
@@ -29,6 +31,7 @@
         self._grant = grant
         self._began_at = 0.0
         self._failed = False
+        self._not_run = False
 
     @property
     def granted(self) -> bool:
@@ -49,6 +52,14 @@
         self._failed = failed
         self._records.note_outcome(self.placement.worker.info.id, failed)
 
+    def note_not_run(self, failed: bool) -> None:
+        """The worker has proved that it did not run the request.
+
+        :param failed: it did so by a fault, or since it is full.
+        """
+        self._not_run = True
+        self.note_outcome(failed)
+
     def unreached(self) -> None:
         """No connection to the worker came up; nothing was sent."""
         self._records.suspect(self.placement.worker.info.id)
@@ -56,12 +67,17 @@
 
     def unused(self) -> None:
         """The request will not be sent to the worker."""
-        self._tell(Progress.ENDED)
+        self._tell(Progress.UNUSED)
 
     def end(self, had_first_token: bool) -> None:
         """The request is no longer at the worker."""
         self._records.end(self.placement, self._began_at, had_first_token)
-        self._tell(Progress.FAILED if self._failed else Progress.ENDED)
+        self._tell(self._ending())
+
+    def _ending(self) -> Progress:
+        if self._not_run:
+            return Progress.NOT_RUN if self._failed else Progress.UNUSED
+        return Progress.FAILED if self._failed else Progress.ENDED
 
     def _tell(self, progress: Progress) -> None:
         if self._grant is not None:
@@ -72,6 +88,7 @@
     """Assigns workers to the requests of this node.
 
     :param link: ``None`` where nodes do not reach each other.
+    :param limits: of tenants, for a node without a link.
     """
 
     def __init__(
@@ -80,32 +97,50 @@
         records: WorkerPlacement,
         pool: WorkerPool,
         link: DispatchLink | None,
+        limits: TenantLimits,
         dispatches: Callable[[], bool],
     ):
         self._zone = zone
         self._records = records
         self._pool = pool
         self._link = link
+        self._limits = limits
         self._dispatches = dispatches
 
     async def assign(self, job: Job, service: str) -> Assignment | None:
         """Return a worker for a request, ``None`` when none may take it now.
 
         :raises Overloaded: when none can begin it in time.
+        :raises TenantLimited: when its tenant is over its limit.
         """
         query = self._query(job, service)
         if self._link is not None and self._dispatches():
             try:
                 grant = await self._link.ask(query)
             except NoDispatcher:
-                pass
+                await self._count(job, query)
             else:
                 return grant and Assignment(grant.placement, self._records, self._link, grant)
+        else:
+            await self._count(job, query)
         placement = self._records.choose(query)
         return placement and Assignment(placement, self._records, None, None)
 
+    async def _count(self, job: Job, query: PlacementQuery) -> None:
+        """Count a request, once, whose worker this node chooses by itself."""
+        if not query.limit_units:
+            return
+        if self._link is None:
+            self._limits.take(query)
+        else:
+            await self._link.count(query)
+        job.counted = True
+
     def _query(self, job: Job, service: str) -> PlacementQuery:
         metadata = job.request.metadata
+        is_counted = job.counted or job.may_have_run
+        limit = job.tenant.limit if job.tenant and not is_counted else None
+        units = limit.units(metadata.prompt_tokens, metadata.output_tokens) if limit else 0.0
         return PlacementQuery(
             service,
             job.route.split[0].service,
@@ -121,4 +156,6 @@
             self._pool.idle_workers(),
             frozenset(job.excluded),
             job.sent > 0,
+            job.tenant.name if limit else "",
+            units,
         )
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -213,7 +213,7 @@
     async def _not_run(self, response: h11.Response, answer: AnswerMetadata) -> AttemptOutcome:
         # Proven by the head alone; the rest only decides about the connection.
         self._job.may_have_run -= 1
-        self._note_outcome(failed=response.status_code != 421)
+        self._assignment.note_not_run(failed=response.status_code != 421)
         self._job.reason = f"status {response.status_code}, not executed"
         try:
             await self._read_rest()
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -32,6 +32,7 @@
 from wheelslip.routing.dispatcher import Overloaded
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import SmoothSplit
+from wheelslip.routing.tenant_limits import TenantLimited
 
 OFFER_SHARE = 0.22
 """A request that no worker can take is refused within this share of its target."""
@@ -196,6 +197,9 @@
             retry_seconds, reason = NO_WORKER_RETRY_SECONDS, "no worker may take the request"
             try:
                 assignment = await self._assigner.assign(job, service)
+            except TenantLimited as exc:
+                kind = ErrorKind.TENANT_LIMIT_EXCEEDED
+                raise WheelslipError(kind, str(exc), round(exc.retry_seconds, 3)) from exc
             except Overloaded as exc:
                 assignment = None
                 retry_seconds, reason = exc.retry_seconds, str(exc)
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -22,6 +22,7 @@
     :ivar sent: attempts that reached a worker, whether it ran them or not.
     :ivar may_have_run: attempts that were not proven not run.
     :ivar delivered: id of the last event passed on to the caller.
+    :ivar counted: this node had it counted for its tenant's limit, apart from any grant.
     :ivar failure_passed_on: the caller got a worker's own failure as its answer.
     """
 
@@ -36,6 +37,7 @@
     delivered: int | None = None
     failure: WholeAnswer | None = None
     failure_passed_on: bool = False
+    counted: bool = False
     reason: str = ""
     worker_id: str = ""
     weights_version: int | None = None
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -1,5 +1,7 @@
 """Checked settings of a forwarding node: one TOML file, read again on reload."""
 
+from typing import Annotated
+
 import msgspec
 
 from wheelslip.settings import (
@@ -72,6 +74,7 @@
     :ivar thaw_slack_ms: orders delayed by less than this are excused.
     :ivar weights_deadline_ms: no request begins on older weights later than this.
     :ivar heartbeat_ms: how often a worker renews its entry.
+    :ivar limit_overage: part by which a tenant's limit may be exceeded.
     """
 
     contact_ms: PositiveInt = 3000
@@ -84,6 +87,7 @@
     thaw_slack_ms: PositiveInt = 300
     weights_deadline_ms: PositiveInt = 8000
     heartbeat_ms: PositiveInt = 1200
+    limit_overage: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
 
 
 class RoutingSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -1,4 +1,4 @@
-"""Asks the dispatcher of a service for workers, and answers other nodes' questions.
+"""Asks the dispatcher of a service for workers.
 
 Every node can dispatch; who does for a service, all nodes read from the store alike. A
 dispatcher that does not answer at once is passed by, for the next one, and then the node
@@ -8,10 +8,11 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from wheelslip.deployment import CachePlan
@@ -30,24 +31,15 @@
     WorkerAsk,
     WorkerGrant,
 )
-from wheelslip.peers.round_trip import RoundTrip
+from wheelslip.peers.dispatcher_health import DispatcherHealth, NoDispatcher
 from wheelslip.routing.dispatcher import Dispatcher, Overloaded, Progress, TicketId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import KeptPrompt
+from wheelslip.routing.limit_authority import VOTE_SECONDS
 from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
 from wheelslip.routing.worker_choice import WorkerPlacement
 
-MISSES_OF_A_LOST_DISPATCHER = 3
-"""Questions in a row without an answer after which the next dispatcher is asked. Until then a
-node chooses alone: a dispatcher that is only slow knows more than one that takes over."""
-
-PASSED_BY_SECONDS = (0.4, 1.2)
-"""Range of the time for which a silent dispatcher is not asked; random, so that few nodes
-try it again at one time."""
-
-LOST_SECONDS = 5.0
-"""A dispatcher that is taken for lost is not asked for this long."""
-
 SENDS = 2
 """Times that a question is sent: datagrams are lost now and then."""
 
@@ -62,23 +54,6 @@
 """Most such prompts that a node remembers."""
 
 
-class NoDispatcher(Exception):
-    """No dispatcher answered in time, or none is known."""
-
-
-@dataclass
-class _Peer:
-    """Another node as a dispatcher.
-
-    :ivar misses: questions in a row that it has not answered.
-    """
-
-    round_trip: RoundTrip = field(default_factory=RoundTrip)
-    misses: int = 0
-    passed_by_until: float = 0.0
-    lost_until: float = 0.0
-
-
 class _ReadPrompt(NamedTuple):
     """A prompt that a worker has read, for a dispatcher that takes over."""
 
@@ -120,6 +95,8 @@
     :param dispatchers_of: returns the addresses of the nodes that may be asked for a service,
         the first choice first.
     :param records: this node's own view of the workers.
+    :param meter: returns the node that counts for the tenants' limits when no dispatcher does.
+    :ivar incarnation: of this node, random at each start.
     """
 
     def __init__(
@@ -129,6 +106,8 @@
         dispatcher: Dispatcher,
         records: WorkerPlacement,
         dispatchers_of: Callable[[str], list[str]],
+        health: DispatcherHealth,
+        meter: Callable[[], str],
         clock: Callable[[], float],
         random_source: random.Random,
     ):
@@ -137,22 +116,18 @@
         self._dispatcher = dispatcher
         self._records = records
         self._dispatchers_of = dispatchers_of
+        self._health = health
+        self._meter = meter
         self._clock = clock
-        self._random = random_source
-        self._incarnation = f"{random_source.getrandbits(48):012x}"
+        self.incarnation = f"{random_source.getrandbits(48):012x}"
         self._asks = 0
         self._waiting: dict[int, asyncio.Future[WorkerGrant]] = {}
         self._grants: dict[int, Grant] = {}
-        self._peers: dict[str, _Peer] = {}
         self._current: dict[str, tuple[str, str]] = {}
         self._read: deque[_ReadPrompt] = deque(maxlen=MAX_READ)
         self.granted = 0
         self.alone = 0
-        socket.register(ASK, WorkerAsk, self._asked)
         socket.register(GRANT, WorkerGrant, self._answered)
-        socket.register(TELL, ProgressTold, self._told)
-        socket.register(RUNNING, RunningTold, self._listed)
-        socket.register(KEPT, KeptTold, self._told_kept)
 
     # Asking
 
@@ -161,6 +136,7 @@
 
         :raises NoDispatcher: when this node has to choose by itself.
         :raises Overloaded: when no worker can begin the request in time.
+        :raises TenantLimited: when its tenant is over its limit.
         """
         try:
             return await self._ask(query)
@@ -168,71 +144,66 @@
             self.alone += 1
             raise
 
-    async def _ask(self, query: PlacementQuery) -> Grant | None:
-        address = self._dispatcher_of(query.service)
+    async def count(self, query: PlacementQuery) -> None:
+        """Count a request for its tenant's limit whose worker this node chooses by itself.
+
+        :raises TenantLimited: when the tenant is over its limit.
+        """
+        ticket_id = self._next_ticket()
+        meter = self._meter()
+        if meter != self._address:
+            ask = WorkerAsk.of(ticket_id, query, counts_only=True)
+            with contextlib.suppress(NoDispatcher):
+                answer = await self._exchange(meter, ask)
+                if answer.limited:
+                    raise TenantLimited(query.tenant, answer.retry_seconds)
+                if answer.counted:
+                    return
+        try:
+            self._dispatcher.count(ticket_id, query)
+        except NoAuthority:
+            raise TenantLimited(query.tenant, VOTE_SECONDS) from None
+
+    def _next_ticket(self) -> TicketId:
         self._asks += 1
-        ticket_id = TicketId(self._incarnation, self._asks)
+        return TicketId(self.incarnation, self._asks)
+
+    async def _ask(self, query: PlacementQuery) -> Grant | None:
+        address = self._health.choose(self._dispatchers_of(query.service))
+        ticket_id = self._next_ticket()
         if address == self._address:
             placement = self._dispatcher.ask(ticket_id, query)
-            self._note_current(query.service, address, self._incarnation)
+            self._note_current(query.service, address, self.incarnation)
             return self._keep(ticket_id, address, query.service, placement)
         answer = await self._exchange(address, WorkerAsk.of(ticket_id, query))
         self._note_current(query.service, address, answer.dispatcher)
         return self._take(ticket_id, address, query, answer)
 
-    def _dispatcher_of(self, service: str) -> str:
-        """Return whom to ask.
-
-        :raises NoDispatcher: when the one to ask does not answer just now.
-        """
-        now = self._clock()
-        for address in self._dispatchers_of(service):
-            peer = self._peer(address)
-            if peer.lost_until > now:
-                continue
-            if peer.passed_by_until > now:
-                raise NoDispatcher
-            return address
-        raise NoDispatcher
-
-    def _peer(self, address: str) -> _Peer:
-        return self._peers.setdefault(address, _Peer())
-
     async def _exchange(self, address: str, ask: WorkerAsk) -> WorkerGrant:
         """Ask, and ask once more.
 
         :raises NoDispatcher: when no answer comes in time.
         """
-        peer = self._peer(address)
         fut = asyncio.get_running_loop().create_future()
         self._waiting[ask.ask] = fut
         sent_at = self._clock()
         try:
             for _ in range(SENDS):
                 self._socket.send(address, ASK, ask)
-                await asyncio.wait([fut], timeout=peer.round_trip.timeout_seconds)
+                await asyncio.wait([fut], timeout=self._health.timeout_seconds(address))
                 if fut.done():
-                    peer.round_trip.observe(self._clock() - sent_at)
-                    peer.misses = 0
+                    self._health.answered(address, self._clock() - sent_at)
                     return fut.result()
         finally:
             del self._waiting[ask.ask]
-        self._pass_by(address, peer)
+        self._health.missed(address)
         raise NoDispatcher
 
-    def _pass_by(self, address: str, peer: _Peer) -> None:
-        now = self._clock()
-        peer.misses += 1
-        peer.round_trip.back_off()
-        peer.passed_by_until = now + self._random.uniform(*PASSED_BY_SECONDS)
-        if peer.misses >= MISSES_OF_A_LOST_DISPATCHER:
-            peer.lost_until = now + LOST_SECONDS
-            peer.misses = 0
-        log_event(LogEvent.DISPATCHER_LOST, dispatcher=address, misses=peer.misses)
-
     def _take(
         self, ticket_id: TicketId, address: str, query: PlacementQuery, answer: WorkerGrant
     ) -> Grant | None:
+        if answer.limited:
+            raise TenantLimited(query.tenant, answer.retry_seconds)
         if answer.retry_seconds:
             raise Overloaded(answer.retry_seconds)
         if not answer.worker:
@@ -240,7 +211,7 @@
         worker = self._records.worker(answer.worker)
         if worker is None or not self._records.accepts(worker, query):
             # This node knows better: the worker leaves, or its weights are too old.
-            self._send(address, ticket_id, Progress.ENDED)
+            self._send(address, ticket_id, Progress.UNUSED)
             raise NoDispatcher
         version = answer.weights_version
         chain = query.chain(version)
@@ -327,33 +298,9 @@
         for first in range(0, max(1, len(grants)), PART_REQUESTS):
             part = [one.as_running() for one in grants[first : first + PART_REQUESTS]]
             if address == self._address:
-                self._dispatcher.running(self._incarnation, asks, part)
+                self._dispatcher.running(self.incarnation, asks, part)
             else:
-                self._socket.send(address, RUNNING, RunningTold(self._incarnation, asks, part))
-
-    # Answering
-
-    def _asked(self, ask: WorkerAsk, sender: str) -> None:
-        try:
-            placement = self._dispatcher.ask(ask.ticket_id(), ask.query())
-        except Overloaded as exc:
-            refusal = WorkerGrant(ask.ask, self._incarnation, retry_seconds=exc.retry_seconds)
-            self._socket.send(sender, GRANT, refusal)
-            return
-        if placement is None:
-            self._socket.send(sender, GRANT, WorkerGrant(ask.ask, self._incarnation))
-            return
-        cache = placement.cache or CachePlan("")
-        grant = WorkerGrant(
-            ask.ask,
-            self._incarnation,
-            placement.worker.info.id,
-            placement.weights_version,
-            placement.read_tokens,
-            cache.fetch_from,
-            cache.save_to,
-        )
-        self._socket.send(sender, GRANT, grant)
+                self._socket.send(address, RUNNING, RunningTold(self.incarnation, asks, part))
 
     def _answered(self, grant: WorkerGrant, sender: str) -> None:
         fut = self._waiting.get(grant.ask)
@@ -361,13 +308,4 @@
             fut.set_result(grant)
         elif grant.worker and grant.ask not in self._grants:
             # Too late: another dispatcher or this node has chosen meanwhile.
-            self._send(sender, TicketId(self._incarnation, grant.ask), Progress.ENDED)
-
-    def _told(self, told: ProgressTold, sender: str) -> None:
-        self._dispatcher.progress(TicketId(told.node, told.ask), told.progress)
-
-    def _told_kept(self, told: KeptTold, sender: str) -> None:
-        self._dispatcher.kept(told.prompts)
-
-    def _listed(self, told: RunningTold, sender: str) -> None:
-        self._dispatcher.running(told.node, told.asks, told.requests)
+            self._send(sender, TicketId(self.incarnation, grant.ask), Progress.UNUSED)
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -13,6 +13,10 @@
 TELL = "tell"
 RUNNING = "running"
 KEPT = "kept"
+VOTE = "vote"
+VOTED = "voted"
+VOTES = "votes"
+RELEASED = "released"
 
 MAX_CONNECTED = 8
 """Most idle connections that a question names, so that it fits a packet of 1,400 bytes."""
@@ -22,7 +26,11 @@
 
 
 class WorkerAsk(NamedTuple):
-    """Asks for a worker; repeated with the same ticket, it gives the same grant."""
+    """Asks for a worker; repeated with the same ticket, it gives the same grant.
+
+    :ivar counts_only: the node chooses the worker by itself; the request is only counted for
+        its tenant's limit.
+    """
 
     node: str
     ask: int
@@ -40,9 +48,14 @@
     connected: list[str]
     excluded: list[str]
     begun: bool
+    tenant: str = ""
+    limit_units: float = 0.0
+    counts_only: bool = False
 
     @classmethod
-    def of(cls, ticket_id: TicketId, query: PlacementQuery) -> "WorkerAsk":
+    def of(
+        cls, ticket_id: TicketId, query: PlacementQuery, counts_only: bool = False
+    ) -> "WorkerAsk":
         """Return the question for one request."""
         return cls(
             *ticket_id,
@@ -60,6 +73,9 @@
             sorted(query.connected)[:MAX_CONNECTED],
             sorted(query.excluded),
             query.begun,
+            query.tenant,
+            query.limit_units,
+            counts_only,
         )
 
     def ticket_id(self) -> TicketId:
@@ -83,6 +99,8 @@
             frozenset(self.connected),
             frozenset(self.excluded),
             self.begun,
+            self.tenant,
+            self.limit_units,
         )
 
 
@@ -92,6 +110,8 @@
     :ivar dispatcher: incarnation of the dispatcher.
     :ivar worker: id of the worker; empty when none may take the request now.
     :ivar retry_seconds: then, after how long it may be worth asking again.
+    :ivar limited: the tenant is over its limit, and its turn comes after that time.
+    :ivar counted: the request was counted for its tenant's limit, as was asked.
     :ivar fetch_from: where the worker fetches KV cache; empty for nowhere.
     :ivar save_to: the store to which it saves the prompt; empty for none.
     """
@@ -104,6 +124,8 @@
     fetch_from: str = ""
     save_to: str = ""
     retry_seconds: float = 0.0
+    limited: bool = False
+    counted: bool = False
 
 
 class ProgressTold(NamedTuple):
@@ -130,3 +152,31 @@
     """Prompts that workers have read of late, the oldest first."""
 
     prompts: list[KeptPrompt]
+
+
+class VoteTold(NamedTuple):
+    """Gives the sender's vote for the tenants' limits to the receiver for some seconds."""
+
+    seconds: float
+
+
+class VoteTaken(NamedTuple):
+    """Answers a vote.
+
+    :ivar fleet: number of nodes, as far as the meter knows.
+    """
+
+    fleet: int
+
+
+class VotesTold(NamedTuple):
+    """How many valid votes the sender has, and how long the last of them holds."""
+
+    votes: int
+    seconds: float
+
+
+class VoteReleased(NamedTuple):
+    """The sender stops: what it was given as a vote may go to another at once."""
+
+    votes: int
--- /dev/null
+++ b/src/wheelslip/peers/dispatch_server.py
@@ -0,0 +1,89 @@
+"""Answers other nodes' questions for workers, and hears how their requests go on."""
+
+from wheelslip.deployment import CachePlan
+from wheelslip.peers.datagrams import DatagramSocket
+from wheelslip.peers.dispatch_messages import (
+    ASK,
+    GRANT,
+    KEPT,
+    RUNNING,
+    TELL,
+    KeptTold,
+    ProgressTold,
+    RunningTold,
+    WorkerAsk,
+    WorkerGrant,
+)
+from wheelslip.routing.dispatcher import Dispatcher, Overloaded, TicketId
+from wheelslip.routing.placement import Placement
+from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
+
+
+class DispatchServer:
+    """The dispatcher of this node, as other nodes reach it.
+
+    :param incarnation: of this node, random at each start.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        socket: DatagramSocket,
+        dispatcher: Dispatcher,
+    ):
+        self._incarnation = incarnation
+        self._socket = socket
+        self._dispatcher = dispatcher
+        socket.register(ASK, WorkerAsk, self._asked)
+        socket.register(TELL, ProgressTold, self._told)
+        socket.register(RUNNING, RunningTold, self._listed)
+        socket.register(KEPT, KeptTold, self._told_kept)
+
+    def _asked(self, ask: WorkerAsk, sender: str) -> None:
+        grant = self._count(ask) if ask.counts_only else self._grant(ask)
+        self._socket.send(sender, GRANT, grant)
+
+    def _grant(self, ask: WorkerAsk) -> WorkerGrant:
+        try:
+            placement = self._dispatcher.ask(ask.ticket_id(), ask.query())
+        except Overloaded as exc:
+            return WorkerGrant(ask.ask, self._incarnation, retry_seconds=exc.retry_seconds)
+        except TenantLimited as exc:
+            return self._limited(ask, exc)
+        if placement is None:
+            return WorkerGrant(ask.ask, self._incarnation)
+        return self._granted(ask, placement)
+
+    def _granted(self, ask: WorkerAsk, placement: Placement) -> WorkerGrant:
+        cache = placement.cache or CachePlan("")
+        return WorkerGrant(
+            ask.ask,
+            self._incarnation,
+            placement.worker.info.id,
+            placement.weights_version,
+            placement.read_tokens,
+            cache.fetch_from,
+            cache.save_to,
+        )
+
+    def _count(self, ask: WorkerAsk) -> WorkerGrant:
+        try:
+            self._dispatcher.count(ask.ticket_id(), ask.query())
+        except TenantLimited as exc:
+            return self._limited(ask, exc)
+        except NoAuthority:
+            return WorkerGrant(ask.ask, self._incarnation)
+        return WorkerGrant(ask.ask, self._incarnation, counted=True)
+
+    def _limited(self, ask: WorkerAsk, exc: TenantLimited) -> WorkerGrant:
+        seconds = exc.retry_seconds
+        return WorkerGrant(ask.ask, self._incarnation, retry_seconds=seconds, limited=True)
+
+    def _told(self, told: ProgressTold, sender: str) -> None:
+        self._dispatcher.progress(TicketId(told.node, told.ask), told.progress)
+
+    def _told_kept(self, told: KeptTold, sender: str) -> None:
+        self._dispatcher.kept(told.prompts)
+
+    def _listed(self, told: RunningTold, sender: str) -> None:
+        self._dispatcher.running(told.node, told.asks, told.requests)
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -14,6 +14,7 @@
     Service,
     SplitPart,
     Tenant,
+    TenantLimit,
     WorkerInfo,
     WorkerState,
 )
@@ -22,6 +23,9 @@
 WEIGHTS_PREFIX = "op/version/"
 WORKER_PREFIX = "servers/"
 
+_TOKENS_UNIT = "tokenize"
+"""Value of ``token_unit`` by which a tenant's limit counts tokens; requests without it."""
+
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -69,10 +73,15 @@
 
 
 class _Tenant(msgspec.Struct):
+    # rate_per_s and burst_size are in tokens where token_unit says so, whatever their names tell.
     name: str
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
+    rate_per_s: float = 0.0
+    burst_size: float = 0.0
+    token_unit: str = ""
+    plain_tokens: float = 1.0
 
 
 class _Limits(msgspec.Struct):
@@ -155,8 +164,9 @@
         by_host.setdefault(one.host.lower(), []).append(_route(one))
     for routes in by_host.values():
         routes.sort(key=lambda route: -len(route.path_prefix))
+    limits = {one.name: _tenant_limit(one) for one in document.tenants if one.rate_per_s > 0}
     tenants = {
-        key: Tenant(one.name, one.priority, one.isolated)
+        key: Tenant(one.name, one.priority, one.isolated, limits.get(one.name))
         for one in document.tenants
         for key in one.api_keys
     }
@@ -174,9 +184,15 @@
             header_seconds=document.limits.header_timeout_ms / 1000,
             idle_seconds=document.limits.idle_timeout_ms / 1000,
         ),
+        tenant_limits=limits,
     )
 
 
+def _tenant_limit(one: _Tenant) -> TenantLimit:
+    counts_tokens = one.token_unit == _TOKENS_UNIT
+    return TenantLimit(one.rate_per_s, one.burst_size, counts_tokens, one.plain_tokens)
+
+
 def _route(one: _Route) -> Route:
     parts = one.split or [_Part(one.service)]
     return Route(
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -15,6 +15,7 @@
 from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.overload import retry_seconds
 from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimits
 
 UNLISTED_SECONDS = 1.0
 """A ticket this old that its node does not list any more has ended."""
@@ -25,13 +26,22 @@
 
 SWEEP_SECONDS = 0.5
 
+COUNTED_SECONDS = 2.0
+"""A question that only counts a request may be repeated for this long: an answer is awaited
+for less."""
+
 
 class Progress(Enum):
-    """What a node tells about a request at a worker."""
+    """What a node tells about a request at a worker.
+
+    ``NOT_RUN`` means that the worker refused it before it ran, ``UNUSED`` that it was not sent.
+    """
 
     FIRST_TOKEN = "first"
     ENDED = "ended"
     FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNUSED = "unused"
     UNREACHED = "unreached"
 
 
@@ -58,6 +68,7 @@
     placement: Placement
     began_at: float
     had_first_token: bool = False
+    charge: Charge | None = None
 
 
 class Dispatcher:
@@ -67,9 +78,11 @@
     :ivar held_back: questions that got no worker since the start, for overload.
     """
 
-    def __init__(self, placement: FleetPlacement, clock: Callable[[], float]):
+    def __init__(self, placement: FleetPlacement, limits: TenantLimits, clock: Callable[[], float]):
         self.placement = placement
+        self._limits = limits
         self._clock = clock
+        self._counted: dict[TicketId, float] = {}
         self._tickets: dict[TicketId, _Ticket] = {}
         self._heard_at: dict[str, float] = {}
         self._swept_at = clock()
@@ -84,6 +97,7 @@
     def ask(self, ticket_id: TicketId, query: PlacementQuery) -> Placement | None:
         """Grant a worker; ``None`` when none may take the request now.
 
+        :raises TenantLimited: when its tenant is over its limit.
         :raises Overloaded: when none can begin it in time.
         """
         self._hear(ticket_id.node)
@@ -91,16 +105,42 @@
         known = self._tickets.get(ticket_id)
         if known is not None:
             return known.placement
+        try:
+            charge = self._limits.take(query)
+        except NoAuthority:
+            # The node that asks follows another dispatcher in a moment.
+            return None
+        placement = self._place(query, charge)
+        if placement is not None:
+            self.given += 1
+            began_at = self.placement.begin(placement)
+            self._tickets[ticket_id] = _Ticket(placement, began_at, charge=charge)
+        return placement
+
+    def _place(self, query: PlacementQuery, charge: Charge | None) -> Placement | None:
+        """Choose a worker, and give back what was counted when there is none."""
         wait = self.placement.wait_beyond_limit(query)
         if wait is not None:
+            self._limits.give_back(charge)
             self.held_back += 1
             raise Overloaded(retry_seconds(wait))
         placement = self.placement.choose(query)
-        if placement is not None:
-            self.given += 1
-            self._tickets[ticket_id] = _Ticket(placement, self.placement.begin(placement))
+        if placement is None:
+            self._limits.give_back(charge)
         return placement
 
+    def count(self, ticket_id: TicketId, query: PlacementQuery) -> None:
+        """Count a request for its tenant's limit whose node chooses the worker by itself.
+
+        :raises TenantLimited: when the tenant is over its limit.
+        :raises NoAuthority: when another node has to be asked.
+        """
+        self._hear(ticket_id.node)
+        self._sweep()
+        if ticket_id not in self._counted:
+            self._limits.take(query)
+            self._counted[ticket_id] = self._clock() + COUNTED_SECONDS
+
     def progress(self, ticket_id: TicketId, progress: Progress) -> None:
         """Take what a node tells about a granted request; unknown tickets are passed over."""
         self._hear(ticket_id.node)
@@ -120,9 +160,18 @@
             case Progress.FAILED:
                 self.placement.note_outcome(worker_id, failed=True)
                 self._end(ticket_id)
+            case Progress.NOT_RUN:
+                self.placement.note_outcome(worker_id, failed=True)
+                self._end_not_run(ticket_id)
+            case Progress.UNUSED:
+                self._end_not_run(ticket_id)
             case Progress.UNREACHED:
                 self.placement.unreached(worker_id, ticket_id.node)
-                self._end(ticket_id)
+                self._end_not_run(ticket_id)
+
+    def _end_not_run(self, ticket_id: TicketId) -> None:
+        self._limits.give_back(self._tickets[ticket_id].charge)
+        self._end(ticket_id)
 
     def _first_token(self, ticket: _Ticket) -> None:
         if not ticket.had_first_token:
@@ -175,6 +224,7 @@
         if now - self._swept_at < SWEEP_SECONDS:
             return
         self._swept_at = now
+        self._counted = {one: until for one, until in self._counted.items() if now < until}
         silent = {node for node, at in self._heard_at.items() if now - at > SILENT_NODE_SECONDS}
         for node in silent:
             del self._heard_at[node]
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -21,6 +21,8 @@
     :ivar connected: workers to which that node has an idle connection.
     :ivar excluded: workers at which the request has failed.
     :ivar begun: the request has been at a worker before, so it is not held back.
+    :ivar tenant: whose limit the request counts for; empty without a limit.
+    :ivar limit_units: how much of it; 0 when it has been counted already.
     """
 
     service: str
@@ -37,6 +39,8 @@
     connected: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
     begun: bool = False
+    tenant: str = ""
+    limit_units: float = 0.0
 
     @property
     def shared_part(self) -> PromptPart | None:
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -20,8 +20,10 @@
 )
 from wheelslip.routing.fleet_choice import HEARD_SECONDS, FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import KeptPrompt
+from wheelslip.routing.limit_authority import WholeAuthority
 from wheelslip.routing.overload import LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS, AdmissionLimits
 from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.tenant_limits import TenantLimited, TenantLimits
 
 WORKERS = 6
 STORE = "127.0.0.1:9000"
@@ -41,6 +43,9 @@
     store = {"name": "kept", "kv_store_addr": STORE, "zone": "z", "kv_capacity": 500_000}
     document = {
         "version": 1,
+        "tenants": [
+            {"name": "t", "rate_per_s": 4010, "burst_size": 8020, "token_unit": "tokenize"}
+        ],
         "services": [
             {"name": "s", "backend_engine": PROFILE},
             {"name": "plain"},
@@ -52,7 +57,8 @@
         entry = {"service": "s", "address": f"127.0.0.1:{number}", "zone": "z", "capacity": 8}
         entry["model_ids"] = [{"name": "m", "version": 1}]
         view.apply(f"servers/w{number}", json.dumps(entry).encode(), 2 + number)
-    return Dispatcher(FleetPlacement(view, clock, random.Random(1)), clock)
+    limits = TenantLimits(lambda: view.configuration.tenant_limits, WholeAuthority(clock), clock)
+    return Dispatcher(FleetPlacement(view, clock, random.Random(1)), limits, clock)
 
 
 def query(session: str, own: str = "own", **changes) -> PlacementQuery:
@@ -209,3 +215,61 @@
         urgent = limits.longest_wait(0, 0.5)
         patient = limits.longest_wait(1, 0.8)
     assert urgent > patient
+
+
+def limited(session: str, own: str = "own", **changes) -> PlacementQuery:
+    return query(session, own, tenant="t", limit_units=4010.0, **changes)
+
+
+def fill(clock: Clock, dispatcher: Dispatcher) -> None:
+    """Take notice of the limits, and let the buckets fill."""
+    dispatcher.ask(TicketId("n0", 1), query("first"))
+    dispatcher.progress(TicketId("n0", 1), Progress.ENDED)
+    clock.now += 2.0
+
+
+def test_grants_of_a_tenant_end_at_its_limit_and_a_repeated_question_counts_once():
+    clock = Clock()
+    dispatcher = dispatcher_of(clock)
+    fill(clock, dispatcher)
+    for number in (1, 1, 1, 2):
+        assert dispatcher.ask(TicketId("n1", number), limited(f"s{number}")) is not None
+    with pytest.raises(TenantLimited) as caught:
+        dispatcher.ask(TicketId("n1", 3), limited("s3"))
+    assert 0.9 < caught.value.retry_seconds <= 1.0
+    # Another tenant, or none, is not affected.
+    assert dispatcher.ask(TicketId("n1", 4), query("s4")) is not None
+    clock.now += 1.0
+    assert dispatcher.ask(TicketId("n1", 3), limited("s3")) is not None
+
+
+@pytest.mark.parametrize(
+    ("progress", "runs_again"),
+    [
+        (Progress.UNREACHED, True),
+        (Progress.UNUSED, True),
+        (Progress.NOT_RUN, True),
+        (Progress.ENDED, False),
+        (Progress.FAILED, False),
+    ],
+)
+def test_what_was_proven_not_to_run_is_given_back(progress, runs_again):
+    clock = Clock()
+    dispatcher = dispatcher_of(clock)
+    fill(clock, dispatcher)
+    for number in (1, 2):
+        dispatcher.ask(TicketId("n1", number), limited(f"s{number}"))
+    dispatcher.progress(TicketId("n1", 1), progress)
+    if runs_again:
+        assert dispatcher.ask(TicketId("n1", 3), limited("s3")) is not None
+    else:
+        with pytest.raises(TenantLimited):
+            dispatcher.ask(TicketId("n1", 3), limited("s3"))
+
+
+def test_a_request_that_gets_no_worker_is_not_counted():
+    clock = Clock()
+    dispatcher = dispatcher_of(clock, workers=0)
+    fill(clock, dispatcher)
+    for number in range(1, 9):
+        assert dispatcher.ask(TicketId("n1", number), limited("s1")) is None
