Tenants' limits: a reserve at standby meters, and votes that outlast a pause

Change: a meter that leaves a vote unanswered keeps the votes it has while they are valid, and is asked whether it is there; until then a standby meter counts from a reserve of half of what the limit may be exceeded by in a window. When nobody counts, the answer is 503, not 429.

Ruled out: more patience for the first miss (a dead meter would cost it too).

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -112,6 +112,7 @@
 
         :raises Overloaded: when none can begin it in time.
         :raises TenantLimited: when its tenant is over its limit.
+        :raises NoAuthority: when no node can count it for its tenant's limit just now.
         """
         query = self._query(job, service)
         if self._link is not None and self._dispatches():
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -32,7 +32,7 @@
 from wheelslip.routing.dispatcher import Overloaded
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import SmoothSplit
-from wheelslip.routing.tenant_limits import TenantLimited
+from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
 
 OFFER_SHARE = 0.22
 """A request that no worker can take is refused within this share of its target."""
@@ -200,6 +200,9 @@
             except TenantLimited as exc:
                 kind = ErrorKind.TENANT_LIMIT_EXCEEDED
                 raise WheelslipError(kind, str(exc), round(exc.retry_seconds, 3)) from exc
+            except NoAuthority:
+                assignment = None
+                reason = "no node counts for the tenant's limit just now"
             except Overloaded as exc:
                 assignment = None
                 retry_seconds, reason = exc.retry_seconds, str(exc)
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -49,7 +49,7 @@
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.limit_authority import Authority, VotedAuthority, WholeAuthority
 from wheelslip.routing.load_table import LoadTable
-from wheelslip.routing.tenant_limits import TenantLimits
+from wheelslip.routing.tenant_limits import LimitTolerance, TenantLimits
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.settings import SettingsError
 
@@ -116,7 +116,9 @@
             random_source,
         )
         self._authority = self._make_authority()
-        self._limits = TenantLimits(self._tenant_limits, self._authority, clock)
+        self._limits = TenantLimits(
+            self._tenant_limits, self._authority, clock, self._limit_tolerance
+        )
         self._dispatcher = Dispatcher(self._fleet, self._limits, clock)
         health = DispatcherHealth(clock, random_source)
         self._limit_votes = self._make_limit_votes(health) if section.peers else None
@@ -127,7 +129,7 @@
             self._placement,
             lambda service: self._relay.dispatchers_of(service) if self._relay else [],
             health,
-            lambda: self._limit_votes.meter(),
+            lambda: self._limit_votes.counters(),
             clock,
             random_source,
         )
@@ -279,11 +281,15 @@
             self._authority,
             self._limits,
             self._relay.by_tenure,
-            health.first_answering,
+            health.answers,
             lambda: bool(self._tenant_limits()),
             self._clock,
         )
 
+    def _limit_tolerance(self) -> LimitTolerance:
+        bounds = self.bounds()
+        return LimitTolerance(bounds.limit_window_seconds, bounds.limit_overage, bounds.limit_slack)
+
     def _tenant_limits(self) -> dict[str, TenantLimit]:
         cfg = self._registry.configuration
         return cfg.tenant_limits if cfg is not None else NO_LIMITS
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -13,6 +13,8 @@
     read_settings,
 )
 
+NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0.0)]
+
 
 class NodeSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Who this node is and where it listens.
@@ -74,7 +76,9 @@
     :ivar thaw_slack_ms: orders delayed by less than this are excused.
     :ivar weights_deadline_ms: no request begins on older weights later than this.
     :ivar heartbeat_ms: how often a worker renews its entry.
-    :ivar limit_overage: part by which a tenant's limit may be exceeded.
+    :ivar limit_window_seconds: the window over which a tenant's limit is judged.
+    :ivar limit_overage: part by which a tenant may exceed its limit in a window.
+    :ivar limit_slack: and on top of that, in units of the limits.
     """
 
     contact_ms: PositiveInt = 3000
@@ -87,7 +91,9 @@
     thaw_slack_ms: PositiveInt = 300
     weights_deadline_ms: PositiveInt = 8000
     heartbeat_ms: PositiveInt = 1200
-    limit_overage: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
+    limit_window_seconds: PositiveFloat = 8.0
+    limit_overage: NonNegativeFloat = 0.0
+    limit_slack: NonNegativeFloat = 0.0
 
 
 class RoutingSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -35,14 +35,16 @@
 from wheelslip.routing.dispatcher import Dispatcher, Overloaded, Progress, TicketId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import KeptPrompt
-from wheelslip.routing.limit_authority import VOTE_SECONDS
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
+from wheelslip.routing.tenant_limits import TenantLimited
 from wheelslip.routing.worker_choice import WorkerPlacement
 
 SENDS = 2
 """Times that a question is sent: datagrams are lost now and then."""
 
+MOST_COUNTERS = 2
+"""Most other nodes that are asked to count a request: each silent one costs some 40 ms."""
+
 LIST_SECONDS = 1.0
 """Pause between two lists of what a node has running."""
 
@@ -95,7 +97,8 @@
     :param dispatchers_of: returns the addresses of the nodes that may be asked for a service,
         the first choice first.
     :param records: this node's own view of the workers.
-    :param meter: returns the node that counts for the tenants' limits when no dispatcher does.
+    :param counters: returns the other nodes that may count a request for its tenant's limit when
+        the dispatcher does not answer, the first choice first.
     :ivar incarnation: of this node, random at each start.
     """
 
@@ -107,7 +110,7 @@
         records: WorkerPlacement,
         dispatchers_of: Callable[[str], list[str]],
         health: DispatcherHealth,
-        meter: Callable[[], str],
+        counters: Callable[[], list[str]],
         clock: Callable[[], float],
         random_source: random.Random,
     ):
@@ -117,7 +120,7 @@
         self._records = records
         self._dispatchers_of = dispatchers_of
         self._health = health
-        self._meter = meter
+        self._counters = counters
         self._clock = clock
         self.incarnation = f"{random_source.getrandbits(48):012x}"
         self._asks = 0
@@ -148,21 +151,18 @@
         """Count a request for its tenant's limit whose worker this node chooses by itself.
 
         :raises TenantLimited: when the tenant is over its limit.
+        :raises NoAuthority: when no node can count it just now.
         """
         ticket_id = self._next_ticket()
-        meter = self._meter()
-        if meter != self._address:
-            ask = WorkerAsk.of(ticket_id, query, counts_only=True)
+        ask = WorkerAsk.of(ticket_id, query, counts_only=True)
+        for meter in self._counters()[:MOST_COUNTERS]:
             with contextlib.suppress(NoDispatcher):
                 answer = await self._exchange(meter, ask)
                 if answer.limited:
                     raise TenantLimited(query.tenant, answer.retry_seconds)
                 if answer.counted:
                     return
-        try:
-            self._dispatcher.count(ticket_id, query)
-        except NoAuthority:
-            raise TenantLimited(query.tenant, VOTE_SECONDS) from None
+        self._dispatcher.count(ticket_id, query)
 
     def _next_ticket(self) -> TicketId:
         self._asks += 1
--- a/src/wheelslip/peers/dispatcher_health.py
+++ b/src/wheelslip/peers/dispatcher_health.py
@@ -66,14 +66,10 @@
             return address
         raise NoDispatcher
 
-    def first_answering(self, addresses: list[str]) -> str | None:
-        """Return the first that has not left this node's last question without an answer."""
-        now = self._clock()
-        for address in addresses:
-            peer = self._peer(address)
-            if not peer.misses and peer.lost_until <= now:
-                return address
-        return None
+    def answers(self, address: str) -> bool:
+        """Return whether a dispatcher has answered this node's last question, if there was one."""
+        peer = self._peer(address)
+        return not peer.misses and peer.lost_until <= self._clock()
 
     def answered(self, address: str, seconds: float) -> None:
         """An answer came, this long after its question was first sent."""
--- a/src/wheelslip/peers/limit_votes.py
+++ b/src/wheelslip/peers/limit_votes.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 
 from wheelslip.peers.datagrams import DatagramSocket
@@ -24,12 +23,6 @@
 TICK_SECONDS = 0.25
 """Pause between two votes: a third of their validity."""
 
-SILENT_VOTES = 2
-"""Votes in a row without an answer after which a meter is taken for silent."""
-
-SILENT_SECONDS = 3.0
-"""A silent meter is not voted for again within this time."""
-
 STOPPING_SECONDS = 10.0
 """A meter that stops is not voted for again within this time; its process ends before."""
 
@@ -39,7 +32,7 @@
 
     :param address: of this node.
     :param meters: returns the addresses of the nodes that may count, the first choice first.
-    :param first_answering: returns the first of some meters that answers this node.
+    :param answers: returns whether a meter has answered this node's last question.
     :param active: whether any tenant has a limit.
     """
 
@@ -50,7 +43,7 @@
         authority: VotedAuthority,
         limits: TenantLimits,
         meters: Callable[[], list[str]],
-        first_answering: Callable[[list[str]], str | None],
+        answers: Callable[[str], bool],
         active: Callable[[], bool],
         clock: Callable[[], float],
     ):
@@ -59,12 +52,12 @@
         self._authority = authority
         self._limits = limits
         self._meters = meters
-        self._first_answering = first_answering
+        self._answers = answers
         self._active = active
         self._clock = clock
         self._valid_until: dict[str, float] = {}
         self._passed_by_until: dict[str, float] = {}
-        self._unanswered: Counter[str] = Counter()
+        self._unanswered: set[str] = set()
         socket.register(VOTE, VoteTold, self._voted)
         socket.register(VOTED, VoteTaken, self._taken)
         socket.register(VOTES, VotesTold, self._told)
@@ -91,15 +84,19 @@
         seconds = self._authority.valid_seconds()
         self._socket.send_to(others, VOTES, VotesTold(votes, seconds))
 
-    def meter(self) -> str:
-        """Return whom this node votes for: itself when no meter answers."""
+    def counters(self) -> list[str]:
+        """Return whom this node asks to count a request that no dispatcher counts."""
         now = self._clock()
         meters = [one for one in self._meters() if self._passed_by_until.get(one, 0.0) <= now]
-        return self._first_answering(meters) or self._address
+        return [one for one in meters if one != self._address and self._answers(one)]
 
     def _vote(self, now: float) -> None:
-        self._pass_silent_by(now)
-        meter = self.meter()
+        """Vote for the first meter that answers, or for this node itself.
+
+        A meter that has left the last vote without an answer gets no further one, but is asked
+        whether it is there; it keeps this node's vote while that is valid.
+        """
+        meter = self._meter(now)
         self._valid_until = {key: until for key, until in self._valid_until.items() if now < until}
         if any(one != meter for one in self._valid_until):
             return
@@ -107,14 +104,20 @@
         if meter == self._address:
             self._authority.vote(meter, VOTE_SECONDS)
         else:
-            self._unanswered[meter] += 1
-            self._socket.send(meter, VOTE, VoteTold(VOTE_SECONDS))
+            self._send_vote(meter, VOTE_SECONDS)
+
+    def _meter(self, now: float) -> str:
+        for meter in self._meters():
+            if self._passed_by_until.get(meter, 0.0) > now:
+                continue
+            if meter == self._address or meter not in self._unanswered:
+                return meter
+            self._send_vote(meter, 0.0)
+        return self._address
 
-    def _pass_silent_by(self, now: float) -> None:
-        for meter, votes in list(self._unanswered.items()):
-            if votes >= SILENT_VOTES:
-                del self._unanswered[meter]
-                self._passed_by_until[meter] = now + SILENT_SECONDS
+    def _send_vote(self, meter: str, seconds: float) -> None:
+        self._unanswered.add(meter)
+        self._socket.send(meter, VOTE, VoteTold(seconds))
 
     def release(self) -> None:
         """Give all votes back, before this node stops."""
@@ -124,11 +127,12 @@
         self._socket.send_to(others, RELEASED, VoteReleased(len(voters)))
 
     def _voted(self, vote: VoteTold, sender: str) -> None:
-        self._authority.vote(sender, vote.seconds)
+        if vote.seconds > 0.0:
+            self._authority.vote(sender, vote.seconds)
         self._socket.send(sender, VOTED, VoteTaken(self._authority.fleet))
 
     def _taken(self, taken: VoteTaken, sender: str) -> None:
-        self._unanswered.pop(sender, None)
+        self._unanswered.discard(sender)
         self._authority.note_fleet(taken.fleet)
 
     def _told(self, told: VotesTold, sender: str) -> None:
--- a/src/wheelslip/routing/limit_authority.py
+++ b/src/wheelslip/routing/limit_authority.py
@@ -26,6 +26,10 @@
 """Another meter's number of votes counts for this long: meters tell it each quarter of a second.
 A node that leaves a silent meter votes for the next one later than that, so none counts twice."""
 
+VOTE_OVERAGE_SHARE = 0.25
+"""Part of the overage that makes up for votes that are lost on the way; the rest of what a
+limit may be exceeded by is for the standby meters (``tenant_limits``)."""
+
 ROLE_SECONDS = 0.1
 """How often a meter looks up its place among the relays."""
 
@@ -34,10 +38,13 @@
     """How much of each limit a node may give out.
 
     :ivar fleet: the number of nodes, as far as this one knows; 0 while it knows nothing.
+    :ivar standby_share: this node's share among the meters that stand by, 0 if it is none.
     """
 
     fleet: int
 
+    standby_share: float
+
     def note_fleet(self, nodes: int) -> None:
         """Take the number of nodes from another node that counts."""
 
@@ -52,6 +59,7 @@
     """The authority of a node that is the only one."""
 
     fleet = 1
+    standby_share = 0.0
 
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
@@ -79,9 +87,7 @@
     :param address: of this node.
     :param relays: returns the addresses of the nodes that may be voted for, the first to be
         chosen first.
-    :param overage: part of a limit by which it may be exceeded. Half of it makes up for votes
-        that are lost, the other half lets the other relays serve a little, before they have
-        votes.
+    :param overage: part of a limit by which it may be exceeded.
     :ivar released: this node has given its votes back and takes no more.
     """
 
@@ -114,6 +120,12 @@
         """The number of nodes, as far as this one knows; 0 while it knows nothing."""
         return self._fleet
 
+    @property
+    def standby_share(self) -> float:
+        """This node's share among the meters that stand by, 0 if it is none."""
+        self._look_up_role(self._clock())
+        return 0.0 if self.released else self._standby_share
+
     def voters(self) -> list[str]:
         """Return the nodes whose votes are valid."""
         now = self._clock()
@@ -179,8 +191,9 @@
         fleet = self._fleet
         if not self._is_first and not self._fleet_told:
             fleet = max(fleet, UNKNOWN_FLEET)
-        share = votes / fleet * (1.0 + self._overage() / 2) if votes else 0.0
-        return min(1.0, max(share, self._standby_share))
+        if not votes:
+            return 0.0
+        return min(1.0, votes / fleet * (1.0 + VOTE_OVERAGE_SHARE * self._overage()))
 
     def _look_up_role(self, now: float) -> None:
         if now < self._role_until:
@@ -189,7 +202,7 @@
         relays = self._relays()
         self._is_first = relays[:1] == [self._address]
         is_standby = self._address in relays and not self._is_first
-        self._standby_share = self._overage() / 2 / len(relays) if is_standby else 0.0
+        self._standby_share = 1.0 / (len(relays) - 1) if is_standby else 0.0
 
     def _note_total(self, votes: int, now: float) -> None:
         """Keep the number of nodes: it rises at once, and falls late and by a majority only."""
--- a/src/wheelslip/routing/tenant_limits.py
+++ b/src/wheelslip/routing/tenant_limits.py
@@ -4,8 +4,12 @@
 limit is a token bucket that fills by the node's authority over the limits: a node with half of
 the votes fills it half as fast, and a node that begins starts with an empty one, so a restart
 or a takeover gives no second burst.
+
+While the meter does not answer, a standby meter lets requests pass from a reserve: what a limit
+may be exceeded by, once. So a pause of the meter refuses nothing below the limits.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -28,6 +32,30 @@
 validity of a vote."""
 
 
+RESERVE_SHARE = 0.5
+"""Part of what a limit may be exceeded by in a window that the standby meters hold together."""
+
+RESERVE_WINDOWS = 4.0
+"""A reserve that was used fills again in so many windows, so that one window sees it once."""
+
+
+class LimitTolerance(NamedTuple):
+    """By how much more than its limit a tenant may have run within a window.
+
+    :ivar window_seconds: the window over which that is counted.
+    :ivar overage: as a part of what the limit allows in a window.
+    :ivar slack: and on top of that, in units.
+    """
+
+    window_seconds: float = 8.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def excess(self, limit: TenantLimit) -> float:
+        """Return how many units that are."""
+        return self.overage * (limit.rate * self.window_seconds + limit.burst) + self.slack
+
+
 class TenantLimited(Exception):
     """A tenant is over its limit.
 
@@ -44,7 +72,7 @@
 
 
 class Charge(NamedTuple):
-    """What a request took of a tenant's limit."""
+    """What a request took of a tenant's limit, and gives back if it does not run."""
 
     tenant: str
     units: float
@@ -54,6 +82,7 @@
     """The buckets of all tenants at one node.
 
     :param limits: returns the limits in force by name of tenant.
+    :param tolerance: returns by how much they may be exceeded.
     :ivar refused: requests refused since the start.
     """
 
@@ -62,10 +91,13 @@
         limits: Callable[[], dict[str, TenantLimit]],
         authority: Authority,
         clock: Callable[[], float],
+        tolerance: Callable[[], LimitTolerance] = LimitTolerance,
     ):
         self._limits_in_force = limits
         self._authority = authority
         self._clock = clock
+        self._tolerance = tolerance
+        self._reserves: dict[str, TokenBucket] = {}
         self._limits: dict[str, TenantLimit] | None = None
         self._buckets: dict[str, TokenBucket] = {}
         self._largest: dict[str, float] = {}
@@ -84,17 +116,44 @@
         if limit is None or not query.limit_units:
             return None
         share = self._authority.share()
-        if share <= 0.0:
+        wait = self._take_share(query, limit, share) if share > 0.0 else math.inf
+        if wait <= 0.0:
+            return Charge(query.tenant, query.limit_units)
+        if self._take_reserve(query, limit):
+            return Charge(query.tenant, 0.0)
+        if wait == math.inf:
             raise NoAuthority
+        self.refused += 1
+        raise TenantLimited(query.tenant, self._turn(query, limit, share, wait))
+
+    def _take_share(self, query: PlacementQuery, limit: TenantLimit, share: float) -> float:
+        """Take from this node's share of the limit; return 0, or the seconds to wait for it.
+
+        They are seconds of the whole authority: with a part of it, it takes longer.
+        """
         units = query.limit_units
         self._largest[query.tenant] = max(units, self._largest.get(query.tenant, 0.0))
         bucket = self._bucket(query.tenant, limit, share)
         overdraft = URGENT_OVERDRAFT * limit.burst if self._is_most_urgent(query) else 0.0
-        wait = bucket.take(units, self._authority.seconds(), overdraft)
-        if wait > 0.0:
-            self.refused += 1
-            raise TenantLimited(query.tenant, self._turn(query, limit, share, wait))
-        return Charge(query.tenant, units)
+        return bucket.take(units, self._authority.seconds(), overdraft)
+
+    def _take_reserve(self, query: PlacementQuery, limit: TenantLimit) -> bool:
+        """Take from the reserve of a standby meter."""
+        standby_share = self._authority.standby_share
+        if standby_share <= 0.0:
+            return False
+        tolerance, now = self._tolerance(), self._clock()
+        room = RESERVE_SHARE * standby_share * tolerance.excess(limit)
+        reserve = self._reserves.get(query.tenant)
+        if reserve is None:
+            reserve = self._reserves[query.tenant] = TokenBucket(0.0, room, room, now)
+        reserve.capacity = room
+        reserve.rate = room / (RESERVE_WINDOWS * tolerance.window_seconds)
+        reserve.refill(now)
+        if reserve.level < query.limit_units:
+            return False
+        reserve.level -= query.limit_units
+        return True
 
     def give_back(self, charge: Charge | None) -> None:
         """A request that was counted was proven not to run."""
