--- a/src/wheelslip/forwarding/entry_log.py
+++ b/src/wheelslip/forwarding/entry_log.py
@@ -4,6 +4,7 @@
 Pure state: no clock, no sockets.
 """
 
+import zlib
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -13,12 +14,41 @@
 """Removed keys remembered; whoever asks for changes from before the oldest reads all anew."""
 
 
+PACKED_BYTES = 1024
+"""Values from this size on are kept and passed on packed. A configuration of 30 KB goes to all
+followers of a relay at once, and holds up all else on its link: 26 ms for each on a link of
+10 Mbit/s. Workers' entries are smaller."""
+
+
 class EntryChange(NamedTuple):
-    """One key as it was last changed; ``value`` is ``None`` when it has gone."""
+    """One key as it was last changed; ``value`` is ``None`` when it has gone.
+
+    :ivar packed: the value is compressed (zlib).
+    """
 
     key: str
     value: bytes | None
     revision: int
+    packed: bool = False
+
+    @classmethod
+    def of(cls, key: str, value: bytes, revision: int) -> "EntryChange":
+        """Return a change to a value, packed if that is worth it."""
+        if len(value) < PACKED_BYTES:
+            return cls(key, value, revision)
+        return cls(key, zlib.compress(value), revision, packed=True)
+
+    def unpacked(self) -> "EntryChange":
+        """Return the change with its value as it is in the store.
+
+        :raises ValueError: when it cannot be unpacked.
+        """
+        if not self.packed:
+            return self
+        try:
+            return EntryChange(self.key, zlib.decompress(self.value), self.revision)
+        except (zlib.error, TypeError) as exc:
+            raise ValueError(f"{self.key}: {exc}") from exc
 
 
 class EntryLog:
@@ -55,7 +85,7 @@
             self._forget_oldest()
             return True
         self._gone.pop(key, None)
-        self._entries[key] = EntryChange(key, value, revision)
+        self._entries[key] = EntryChange.of(key, value, revision)
         return True
 
     def _forget_oldest(self) -> None:
--- a/src/wheelslip/forwarding/feed.py
+++ b/src/wheelslip/forwarding/feed.py
@@ -280,12 +280,13 @@
         """
         try:
             batch = await (await self._connection(address)).exchange(poll)
-        except FeedLost:
+            changes = [one.unpacked() for one in batch.changes]
+        except (FeedLost, ValueError) as exc:
             self.close()
-            raise
+            raise FeedLost(str(exc)) from exc
         if batch.confirmed is None:
             raise FeedLost("the node knows nothing itself")
-        return batch
+        return batch._replace(changes=changes)
 
     async def _connection(self, address: str) -> _PollingConnection:
         if self._conn is not None and self._conn.open and self._address == address:
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -195,8 +195,8 @@
             entries = {one.key: (one.value, one.revision) for one in batch.changes}
             self._registry.replace_all(entries, batch.at)
         else:
-            for key, value, revision in batch.changes:
-                self._registry.apply(key, value, revision)
+            for one in batch.changes:
+                self._registry.apply(one.key, one.value, one.revision)
         self._advance(batch.at)
         self._registry.confirm(sent_at + batch.confirmed)
 
--- a/tests/unit/forwarding/test_entry_log.py
+++ b/tests/unit/forwarding/test_entry_log.py
@@ -38,3 +38,14 @@
     with pytest.raises(WatchCompacted):
         log.changes_after(12)
     assert [one.key for one in log.changes_after(13)] == ["k4", "k5"]
+
+
+def test_large_values_are_passed_on_packed_and_come_out_as_they_were():
+    value = b'{"routes":[' + b'{"host":"a.example"},' * 2000 + b"]}"
+    log = EntryLog()
+    log.take("op/config", value, 3)
+    (change,) = log.changes_after(2)
+    assert len(change.value) < len(value) / 10
+    assert change.unpacked() == EntryChange("op/config", value, 3)
+    with pytest.raises(ValueError, match="op/config"):
+        change._replace(value=b"garbage").unpacked()
