Admission by what a worker can begin in time; refused at once, with the caller's turn

Change: the choice of a worker leaves out those that cannot turn to the request within what is left of its target after reading its prompt; when none is left the caller is refused at once and told its turn: when a worker has room, one caller after the other. OFFER_SHARE, ADMITTED_SHARE, URGENT_FACTOR and the bounds of Retry-After are gone. The test of urgent kinds asks for >= over many targets and readings where it asked for > at one: the factor it measured is gone, what it proves is not.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -99,6 +99,7 @@
         link: DispatchLink | None,
         limits: TenantLimits,
         dispatches: Callable[[], bool],
+        clock: Callable[[], float],
     ):
         self._zone = zone
         self._records = records
@@ -106,6 +107,7 @@
         self._link = link
         self._limits = limits
         self._dispatches = dispatches
+        self._clock = clock
 
     async def assign(self, job: Job, service: str) -> Assignment | None:
         """Return a worker for a request, ``None`` when none may take it now.
@@ -151,7 +153,7 @@
             metadata.prompt,
             job.wall,
             job.route.pause_seconds,
-            job.route.target_seconds,
+            job.request.arrived + job.route.target_seconds - self._clock(),
             job.priority,
             self._zone,
             self._pool.idle_workers(),
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -29,15 +29,17 @@
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.forwarding.worker_pool import WorkerPool
-from wheelslip.routing.dispatcher import Overloaded
+from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import SmoothSplit
 from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
 
-OFFER_SHARE = 0.22
-"""A request that no worker can take is refused within this share of its target."""
+WORKER_NEWS_SECONDS = 0.2
+"""How long a request waits while its node knows no worker that may take it: changes of the store
+and a new dispatcher reach all nodes within this."""
 
 NO_WORKER_RETRY_SECONDS = 0.4
+"""After how long its caller is to come back then: twice as long, since another node may know."""
 
 ASK_AGAIN_SECONDS = 0.08
 """Pause before a worker is looked for again, when none could take a request."""
@@ -188,13 +190,13 @@
         return self._budgets[service]
 
     async def _assign(self, job: Job, service: str) -> Assignment:
-        """Wait until a worker may take the request.
+        """Return a worker for a request.
 
-        :raises WheelslipError: when none does within a part of the target.
+        :raises WheelslipError: when none can begin it in time, or its tenant is over its limit.
         """
-        give_up_at = self._clock() + OFFER_SHARE * job.route.target_seconds
+        give_up_at = self._clock() + WORKER_NEWS_SECONDS
         while True:
-            retry_seconds, reason = NO_WORKER_RETRY_SECONDS, "no worker may take the request"
+            reason = "no worker may take the request"
             try:
                 assignment = await self._assigner.assign(job, service)
             except TenantLimited as exc:
@@ -204,13 +206,12 @@
                 assignment = None
                 reason = "no node counts for the tenant's limit just now"
             except Overloaded as exc:
-                assignment = None
-                retry_seconds, reason = exc.retry_seconds, str(exc)
+                raise self._unserved_error(job, str(exc), exc.retry_seconds) from exc
             if assignment is not None:
                 return assignment
             remaining = give_up_at - self._clock()
             if remaining <= 0:
-                raise self._unserved_error(job, reason, retry_seconds)
+                raise self._unserved_error(job, reason)
             try:
                 async with asyncio.timeout(min(remaining, ASK_AGAIN_SECONDS)):
                     await self._registry.changed()
@@ -222,7 +223,7 @@
     ) -> WheelslipError:
         if job.may_have_run:
             return WheelslipError(ErrorKind.ENGINE_LOST, f"{message}; {job.reason}")
-        return WheelslipError(ErrorKind.NO_ENGINE, message, retry_seconds)
+        return WheelslipError(ErrorKind.NO_ENGINE, message, round(retry_seconds, 3))
 
     def _note_failed(self, job: Job, assignment: Assignment, outcome: AttemptOutcome) -> None:
         placement = assignment.placement
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -155,6 +155,7 @@
             self._dispatch_link if section.peers else None,
             self._limits,
             lambda: self._settings.routing.dispatch,
+            clock,
         )
         self._forwarder = Forwarder(
             requests,
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -32,9 +32,10 @@
     WorkerGrant,
 )
 from wheelslip.peers.dispatcher_health import DispatcherHealth, NoDispatcher
-from wheelslip.routing.dispatcher import Dispatcher, Overloaded, Progress, TicketId
+from wheelslip.routing.dispatcher import Dispatcher, Progress, TicketId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import KeptPrompt
+from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimited
 from wheelslip.routing.worker_choice import WorkerPlacement
--- a/src/wheelslip/peers/dispatch_server.py
+++ b/src/wheelslip/peers/dispatch_server.py
@@ -14,7 +14,8 @@
     WorkerAsk,
     WorkerGrant,
 )
-from wheelslip.routing.dispatcher import Dispatcher, Overloaded, TicketId
+from wheelslip.routing.dispatcher import Dispatcher, TicketId
+from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement
 from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -13,7 +13,7 @@
 
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import KeptPrompt
-from wheelslip.routing.overload import retry_seconds
+from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimits
 
@@ -45,17 +45,6 @@
     UNREACHED = "unreached"
 
 
-class Overloaded(Exception):
-    """No worker can begin a request within its target.
-
-    :ivar retry_seconds: after how long it may be worth asking again.
-    """
-
-    def __init__(self, seconds: float):
-        super().__init__(f"no worker can begin it in time; {seconds:.2f} s")
-        self.retry_seconds = seconds
-
-
 class TicketId(NamedTuple):
     """A node's incarnation and the number of its question."""
 
@@ -119,12 +108,12 @@
 
     def _place(self, query: PlacementQuery, charge: Charge | None) -> Placement | None:
         """Choose a worker, and give back what was counted when there is none."""
-        wait = self.placement.wait_beyond_limit(query)
-        if wait is not None:
+        try:
+            placement = self.placement.choose(query)
+        except Overloaded:
             self._limits.give_back(charge)
             self.held_back += 1
-            raise Overloaded(retry_seconds(wait))
-        placement = self.placement.choose(query)
+            raise
         if placement is None:
             self._limits.give_back(charge)
         return placement
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -16,7 +16,7 @@
 from wheelslip.routing.fleet_memory import FleetMemory, KeptPrompt
 from wheelslip.routing.holdings import Chain
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
-from wheelslip.routing.overload import AdmissionLimits
+from wheelslip.routing.overload import AdmissionLimits, Overloaded, Turns
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.worker_choice import (
     INTERFERENCE,
@@ -88,10 +88,18 @@
 
 
 class _Offer(NamedTuple):
+    """What a worker would cost a request.
+
+    :ivar wait_seconds: until the worker turns to the request.
+    :ivar read_seconds: for fetching and reading its prompt then.
+    """
+
     cost: float
     worker: Worker
     read_tokens: int
     fetched_tokens: int
+    wait_seconds: float
+    read_seconds: float
 
 
 class FleetPlacement(WorkerPlacement):
@@ -112,6 +120,7 @@
         super().__init__(registry, clock, random_source, table)
         self._limits_admission = limits_admission
         self._admission: dict[str, AdmissionLimits] = {}
+        self._turns = Turns()
         self._memory = FleetMemory(clock)
         self._moves = MoveSchedule()
         self._arrivals = 0.0
@@ -131,28 +140,13 @@
 
     # Choice
 
-    def wait_beyond_limit(self, query: PlacementQuery) -> float | None:
-        """Return the shortest wait at the workers of a request when it is too long."""
-        engine = self._engine(query.service)
-        if engine is None or query.begun or not self._limits_admission():
-            return None
-        limits = self._admission.setdefault(query.service, AdmissionLimits())
-        longest = limits.longest_wait(query.priority, query.target_seconds)
-        candidates = self._eligible(query, self._registry.workers_of(query.service))
-        held = query.prompt_tokens + query.output_tokens
-        shortest = min((self._wait_seconds(one, held, engine) for one in candidates), default=0.0)
-        return shortest if shortest > longest else None
-
-    def _wait_seconds(self, worker: Worker, held_tokens: int, engine: EngineProfile) -> float:
-        """Return how long a request waits at a worker before it is read."""
-        load = self.load(worker.info.id)
-        reading = load.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        held = load.held_tokens + held_tokens
-        return reading + self._turn_seconds(load.running, held, engine)
-
     def _choose_engine(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
     ) -> Placement:
+        """Return the worker of least cost among those that can begin the request in time.
+
+        :raises Overloaded: when there is none.
+        """
         now = self._clock()
         preferred = self._preferred(query, candidates)
         preferred_ids = {one.info.id for one in preferred}
@@ -162,7 +156,9 @@
         by_version: dict[int | None, list[Worker]] = defaultdict(list)
         for worker in candidates:
             by_version[worker.weights.get(query.model)].append(worker)
-        best, best_prompt, least = None, None, float("inf")
+        limits = self._admission.setdefault(query.service, AdmissionLimits())
+        is_limited = self._limits_admission() and not query.begun
+        best, best_prompt, least, shortest = None, None, float("inf"), float("inf")
         for version, workers in by_version.items():
             prompt = self._prompt(query, version, workers, engine, store)
             replaced = self._is_replaced(query.model, version)
@@ -174,10 +170,25 @@
                 if cost >= least:
                     continue
                 offer = self._offer(query, worker, prompt, engine, now, delayed)
-                if offer.cost + cost < least:
+                longest = limits.longest_wait(
+                    query.priority, query.target_seconds, offer.read_seconds
+                )
+                shortest = min(shortest, offer.wait_seconds - longest)
+                is_late = is_limited and offer.wait_seconds > longest
+                if not is_late and offer.cost + cost < least:
                     best, best_prompt, least = offer, prompt, offer.cost + cost
+        if best is None:
+            raise Overloaded(self._retry_seconds(query, engine, len(candidates), shortest))
         return self._placed(query, best, best_prompt, engine, store)
 
+    def _retry_seconds(
+        self, query: PlacementQuery, engine: EngineProfile, workers: int, wait_seconds: float
+    ) -> float:
+        """Return when the turn of a request comes that no worker can begin in time."""
+        work_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        work_seconds += self._request_seconds / max(1, engine.capacity)
+        return self._turns.retry_seconds(self._clock(), wait_seconds, work_seconds / workers)
+
     def _prompt(
         self,
         query: PlacementQuery,
@@ -220,13 +231,20 @@
         moved, move_seconds = self._move(worker, prompt, cached, engine, now)
         read = max(0, query.prompt_tokens - cached - moved)
         read_seconds = read / PREFILL_TOKENS_PER_SECOND
-        cost = load.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        cost += read_seconds * (1.0 + delayed)
+        unread_seconds = load.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        cost = unread_seconds + read_seconds * (1.0 + delayed)
         cost += REREAD_SECONDS_PER_TOKEN * prompt.reread_tokens(cached + moved)
         cost += load.running * (RUNNING_SECONDS + INTERFERENCE * read_seconds) + move_seconds
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
-        cost += self._turn_seconds(load.running, held, engine)
-        return _Offer(cost, worker, read, moved)
+        turn_seconds = self._turn_seconds(load.running, held, engine)
+        return _Offer(
+            cost + turn_seconds,
+            worker,
+            read,
+            moved,
+            unread_seconds + turn_seconds,
+            read_seconds + move_seconds,
+        )
 
     def _move(
         self, worker: Worker, prompt: _Prompt, cached: int, engine: EngineProfile, now: float
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -14,7 +14,8 @@
     :ivar stream_group: name under which long and short requests of one kind of worker are
         counted, see :mod:`wheelslip.routing.separation`.
     :ivar wall: keeps the cached state of isolated tenants apart.
-    :ivar target_seconds: time within which a first token has its full worth.
+    :ivar target_seconds: what is left of the time within which a first token has its full
+        worth; negative when it has passed.
     :ivar priority: 0 is the most urgent.
     :ivar pause_seconds: longest pause between events that keeps an answer in time.
     :ivar zone: of the node that has the request.
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -14,14 +14,19 @@
     SILENT_NODE_SECONDS,
     UNLISTED_SECONDS,
     Dispatcher,
-    Overloaded,
     Progress,
     TicketId,
 )
 from wheelslip.routing.fleet_choice import HEARD_SECONDS, FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import KeptPrompt
 from wheelslip.routing.limit_authority import WholeAuthority
-from wheelslip.routing.overload import LEAST_RETRY_SECONDS, MOST_RETRY_SECONDS, AdmissionLimits
+from wheelslip.routing.overload import (
+    LEAST_WAIT_SECONDS,
+    MOST_RETRY_SECONDS,
+    AdmissionLimits,
+    Overloaded,
+    Turns,
+)
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimited, TenantLimits
 
@@ -195,7 +200,8 @@
         )
     with pytest.raises(Overloaded) as refused:
         dispatcher.ask(TicketId("n2", 1), query("5e55", target_seconds=1.0))
-    assert LEAST_RETRY_SECONDS <= refused.value.retry_seconds <= MOST_RETRY_SECONDS
+    # 2 s are read before it, and it may wait for what its target leaves after reading it.
+    assert 1.0 < refused.value.retry_seconds < 2.0
     assert dispatcher.granted == WORKERS and dispatcher.held_back == 1
     # One that has been at a worker before goes on.
     begun = dispatcher.ask(TicketId("n3", 1), query("5e55", target_seconds=1.0, begun=True))
@@ -209,12 +215,33 @@
     assert dispatcher.ask(TicketId("n2", 3), query("5e55", target_seconds=1.0)) is not None
 
 
-def test_a_more_urgent_kind_of_request_is_never_refused_before_a_less_urgent_one():
+@pytest.mark.parametrize("urgent_target", [0.1, 0.5, 0.8, 2.0])
+@pytest.mark.parametrize("urgent_reads", [0.0, 0.3, 3.0])
+def test_a_more_urgent_kind_of_request_is_never_refused_before_a_less_urgent_one(
+    urgent_target, urgent_reads
+):
     limits = AdmissionLimits()
     for _ in range(2):
-        urgent = limits.longest_wait(0, 0.5)
-        patient = limits.longest_wait(1, 0.8)
-    assert urgent > patient
+        urgent = limits.longest_wait(0, urgent_target, urgent_reads)
+        patient = limits.longest_wait(1, 0.8, 0.3)
+        assert limits.longest_wait(0, urgent_target, urgent_reads) >= patient
+    assert urgent >= patient
+
+
+def test_what_is_admitted_begins_within_its_target_and_a_late_or_long_one_is_not_shut_out():
+    limits = AdmissionLimits()
+    assert limits.longest_wait(0, 0.8, 0.3) == pytest.approx(0.5)
+    # A prompt that takes longer to read than its target may wait for half of that.
+    assert limits.longest_wait(1, 0.8, 3.0) == pytest.approx(0.4)
+    assert limits.longest_wait(2, -1.0, 0.1) == LEAST_WAIT_SECONDS
+
+
+def test_refused_callers_come_back_one_after_the_other_and_not_before_there_is_room():
+    turns = Turns()
+    told = [turns.retry_seconds(10.0, 0.5, 0.2) for _ in range(3)]
+    assert told == pytest.approx([0.5, 0.7, 0.9])
+    assert turns.retry_seconds(20.0, 0.1, 0.2) == pytest.approx(0.1)
+    assert turns.retry_seconds(20.0, 1e9, 0.2) == MOST_RETRY_SECONDS
 
 
 def limited(session: str, own: str = "own", **changes) -> PlacementQuery:
