--- /dev/null
+++ b/src/wheelslip/forwarding/limit_meter.py
@@ -0,0 +1,89 @@
+"""The parts by which a node counts for tenants' limits, put together."""
+
+from collections.abc import Callable
+
+from wheelslip.deployment import TenantLimit
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.relay import RelayLease
+from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.peers.datagrams import DatagramSocket
+from wheelslip.peers.dispatcher_health import DispatcherHealth
+from wheelslip.peers.limit_votes import LimitVotes
+from wheelslip.routing.limit_authority import Authority, VotedAuthority, WholeAuthority
+from wheelslip.routing.tenant_limits import LimitTolerance, TenantLimits
+
+NO_LIMITS: dict[str, TenantLimit] = {}
+"""The tenants' limits while no configuration is known."""
+
+
+class LimitMeter:
+    """A node's authority over the limits, its counts, and its vote.
+
+    :param address: of this node.
+    :param relay: ``None`` for a node without peers, which counts alone.
+    :ivar votes: ``None`` for such a node.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        registry: Registry,
+        relay: RelayLease | None,
+        datagrams: DatagramSocket,
+        health: DispatcherHealth,
+        bounds: Callable[[], BoundsSection],
+        clock: Callable[[], float],
+    ):
+        self._address = address
+        self._registry = registry
+        self._bounds = bounds
+        self._clock = clock
+        self.authority = self._make_authority(relay)
+        self.limits = TenantLimits(self._in_force, self.authority, clock, self._tolerance)
+        self.votes = self._make_votes(relay, datagrams, health) if relay is not None else None
+
+    def _make_authority(self, relay: RelayLease | None) -> Authority:
+        if relay is None:
+            return WholeAuthority(self._clock)
+        return VotedAuthority(
+            self._address, relay.by_tenure, lambda: self._bounds().limit_overage, self._clock
+        )
+
+    def _make_votes(
+        self, relay: RelayLease, datagrams: DatagramSocket, health: DispatcherHealth
+    ) -> LimitVotes:
+        return LimitVotes(
+            self._address,
+            datagrams,
+            self.authority,
+            self.limits,
+            relay.by_tenure,
+            health.answers,
+            lambda: bool(self._in_force()),
+            self._clock,
+        )
+
+    def _in_force(self) -> dict[str, TenantLimit]:
+        cfg = self._registry.configuration
+        return cfg.tenant_limits if cfg is not None else NO_LIMITS
+
+    def _tolerance(self) -> LimitTolerance:
+        bounds = self._bounds()
+        return LimitTolerance(bounds.limit_window_seconds, bounds.limit_overage, bounds.limit_slack)
+
+    def counters(self) -> list[str]:
+        """Return whom this node asks to count a request that no dispatcher counts."""
+        return self.votes.counters() if self.votes is not None else []
+
+    def release(self) -> None:
+        """Give this node's authority back, before it stops."""
+        if self.votes is not None:
+            self.votes.release()
+
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Return the figures of the metrics by name."""
+        return {
+            "limit_share": self.authority.share,
+            "limit_fleet": lambda: float(self.authority.fleet),
+            "requests_over_tenant_limits": lambda: float(self.limits.refused),
+        }
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -9,7 +9,6 @@
 import time
 from collections.abc import Callable, Coroutine
 
-from wheelslip.deployment import TenantLimit
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
 from wheelslip.forwarding.assignment import WorkerAssigner
 from wheelslip.forwarding.feed import FeedServer
@@ -21,6 +20,7 @@
     RequestDialect,
     WorkerControl,
 )
+from wheelslip.forwarding.limit_meter import LimitMeter
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
@@ -44,12 +44,9 @@
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_server import DispatchServer
 from wheelslip.peers.dispatcher_health import DispatcherHealth
-from wheelslip.peers.limit_votes import LimitVotes
 from wheelslip.routing.dispatcher import Dispatcher
 from wheelslip.routing.fleet_choice import FleetPlacement
-from wheelslip.routing.limit_authority import Authority, VotedAuthority, WholeAuthority
 from wheelslip.routing.load_table import LoadTable
-from wheelslip.routing.tenant_limits import LimitTolerance, TenantLimits
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.settings import SettingsError
 
@@ -61,9 +58,6 @@
 SETTINGS_POLL_SECONDS = 1.0
 TASK_RESTART_SECONDS = 0.2
 
-NO_LIMITS: dict[str, TenantLimit] = {}
-"""The tenants' limits while no configuration is known."""
-
 
 class ForwardingNode:
     """All roles of one machine, in one process.
@@ -115,13 +109,17 @@
             clock,
             random_source,
         )
-        self._authority = self._make_authority()
-        self._limits = TenantLimits(
-            self._tenant_limits, self._authority, clock, self._limit_tolerance
-        )
-        self._dispatcher = Dispatcher(self._fleet, self._limits, clock)
         health = DispatcherHealth(clock, random_source)
-        self._limit_votes = self._make_limit_votes(health) if section.peers else None
+        self._meter = LimitMeter(
+            section.peers,
+            self._registry,
+            self._relay,
+            self._datagrams,
+            health,
+            self.bounds,
+            clock,
+        )
+        self._dispatcher = Dispatcher(self._fleet, self._meter.limits, clock)
         self._dispatch_link = DispatchLink(
             section.peers,
             self._datagrams,
@@ -129,7 +127,7 @@
             self._placement,
             lambda service: self._relay.dispatchers_of(service) if self._relay else [],
             health,
-            lambda: self._limit_votes.counters(),
+            self._meter.counters,
             clock,
             random_source,
         )
@@ -153,7 +151,7 @@
             self._placement,
             self._pool,
             self._dispatch_link if section.peers else None,
-            self._limits,
+            self._meter.limits,
             lambda: self._settings.routing.dispatch,
             clock,
         )
@@ -267,34 +265,6 @@
             lambda: self._settings.limits.link_megabits,
         )
 
-    def _make_authority(self) -> Authority:
-        if self._relay is None:
-            return WholeAuthority(self._clock)
-        address = self._settings.node.peers
-        return VotedAuthority(
-            address, self._relay.by_tenure, lambda: self.bounds().limit_overage, self._clock
-        )
-
-    def _make_limit_votes(self, health: DispatcherHealth) -> LimitVotes:
-        return LimitVotes(
-            self._settings.node.peers,
-            self._datagrams,
-            self._authority,
-            self._limits,
-            self._relay.by_tenure,
-            health.answers,
-            lambda: bool(self._tenant_limits()),
-            self._clock,
-        )
-
-    def _limit_tolerance(self) -> LimitTolerance:
-        bounds = self.bounds()
-        return LimitTolerance(bounds.limit_window_seconds, bounds.limit_overage, bounds.limit_slack)
-
-    def _tenant_limits(self) -> dict[str, TenantLimit]:
-        cfg = self._registry.configuration
-        return cfg.tenant_limits if cfg is not None else NO_LIMITS
-
     def _other_relays(self) -> list[str]:
         return self._relay.other_zones() if self._relay is not None else []
 
@@ -324,9 +294,7 @@
             "grants_given": lambda: float(self._dispatcher.given),
             "requests_held_back": lambda: float(self._dispatcher.held_back),
             "granted_requests": lambda: float(self._dispatcher.granted),
-            "limit_share": lambda: self._authority.share(),
-            "limit_fleet": lambda: float(self._authority.fleet),
-            "requests_over_tenant_limits": lambda: float(self._limits.refused),
+            **self._meter.gauges(),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
@@ -365,7 +333,7 @@
                 ("relay", self._relay.run),
                 ("relays", self._relay_link.run),
                 ("dispatch", self._dispatch_link.run),
-                ("votes", self._limit_votes.run),
+                ("votes", self._meter.votes.run),
             ):
                 self._tasks.append(loop.create_task(self._keep_running(name, work)))
         for name, work in (
@@ -420,7 +388,7 @@
         await self._lease.give_up()
         if self._relay is not None:
             await self._relay.give_up()
-            self._limit_votes.release()
+            self._meter.release()
 
     # Settings
 
