A silent worker gets one request at a time until it is heard

A worker that does not acknowledge what it is sent was not suspected at all.

Ruled out: longer suspicion (a worker that is back would be passed by).

Change: a worker that was silent is on trial: it gets one request at a time until its first token or answer; a send that is not acknowledged counts as silence, told to the dispatcher as such.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -32,6 +32,7 @@
         self._began_at = 0.0
         self._failed = False
         self._not_run = False
+        self._silent = False
 
     @property
     def granted(self) -> bool:
@@ -65,6 +66,11 @@
         self._records.suspect(self.placement.worker.info.id)
         self._tell(Progress.UNREACHED)
 
+    def note_silent(self) -> None:
+        """The worker does not acknowledge what it is sent."""
+        self._silent = True
+        self._records.suspect(self.placement.worker.info.id)
+
     def unused(self) -> None:
         """The request will not be sent to the worker."""
         self._tell(Progress.UNUSED)
@@ -77,6 +83,8 @@
     def _ending(self) -> Progress:
         if self._not_run:
             return Progress.NOT_RUN if self._failed else Progress.UNUSED
+        if self._silent:
+            return Progress.SILENT
         return Progress.FAILED if self._failed else Progress.ENDED
 
     def _tell(self, progress: Progress) -> None:
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -157,6 +157,8 @@
         except PeerLost as error:
             job.reason = str(error)
             self._note_outcome(failed=True)
+            if error.silent:
+                self._assignment.note_silent()
             return AttemptOutcome.LOST
 
     def _send(self) -> None:
--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/forwarding/http_client.py
@@ -28,7 +28,18 @@
 
 
 class PeerLost(Exception):
-    """The connection ended or broke before the answer was whole."""
+    """The connection ended or broke before the answer was whole.
+
+    :ivar silent: the peer did not even acknowledge what was sent.
+    """
+
+    silent = False
+
+
+class PeerSilent(PeerLost):
+    """The peer did not acknowledge what was sent."""
+
+    silent = True
 
 
 class PeerFault(PeerLost):
@@ -95,7 +106,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Take the end of the connection, orderly or not."""
         if not self._ended:
-            self._lost = PeerLost(f"connection reset: {exc!r}")
+            kind = PeerSilent if isinstance(exc, TimeoutError) else PeerLost
+            self._lost = kind(f"connection reset: {exc!r}")
         self._ended = True
         self._wake()
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -34,12 +34,14 @@
 class Progress(Enum):
     """What a node tells about a request at a worker.
 
+    ``SILENT`` means that the worker did not acknowledge what it was sent,
     ``NOT_RUN`` means that the worker refused it before it ran, ``UNUSED`` that it was not sent.
     """
 
     FIRST_TOKEN = "first"
     ENDED = "ended"
     FAILED = "failed"
+    SILENT = "silent"
     NOT_RUN = "not_run"
     UNUSED = "unused"
     UNREACHED = "unreached"
@@ -149,6 +151,10 @@
             case Progress.FAILED:
                 self.placement.note_outcome(worker_id, failed=True)
                 self._end(ticket_id)
+            case Progress.SILENT:
+                self.placement.note_outcome(worker_id, failed=True)
+                self.placement.unreached(worker_id, ticket_id.node)
+                self._end(ticket_id)
             case Progress.NOT_RUN:
                 self.placement.note_outcome(worker_id, failed=True)
                 self._end_not_run(ticket_id)
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -166,7 +166,7 @@
     def _without_suspects(self, candidates: list[Worker]) -> list[Worker]:
         """Leave out workers not reached lately, unless there are no others."""
         now = self._clock()
-        sound = [one for one in candidates if self.load(one.info.id).suspect_until <= now]
+        sound = [one for one in candidates if not self.load(one.info.id).is_avoided(now)]
         return sound or candidates
 
     def _eligible(self, query: PlacementQuery, candidates: list[Worker]) -> list[Worker]:
--- a/src/wheelslip/routing/worker_load.py
+++ b/src/wheelslip/routing/worker_load.py
@@ -17,6 +17,8 @@
     :ivar prompt_tokens: of requests without a first token yet.
     :ivar held_tokens: of KV cache that the requests need until they end.
     :ivar failure: share of failures, exponentially weighted.
+    :ivar on_trial: it was silent, and nothing has been heard of it since; one request at a
+        time finds out whether it is back.
     :ivar waiting: when each request without a first token was sent.
     """
 
@@ -26,10 +28,15 @@
     failure: float = 0.0
     failure_at: float = 0.0
     suspect_until: float = 0.0
+    on_trial: bool = False
     longest_wait: float = 0.0
     longest_wait_at: float = 0.0
     waiting: set[float] = field(default_factory=set)
 
+    def is_avoided(self, now: float) -> bool:
+        """Whether a request had better go elsewhere, since the worker was silent of late."""
+        return now < self.suspect_until or (self.on_trial and bool(self.waiting))
+
     def expected_wait(self, now: float) -> float:
         """Return the longest wait for a first token, faded, or of a request still waiting."""
         faded = self.longest_wait * math.exp((self.longest_wait_at - now) / WAIT_MEMORY_SECONDS)
--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -70,6 +70,7 @@
         load = self.load(placement.worker.info.id)
         load.prompt_tokens = max(0, load.prompt_tokens - placement.read_tokens)
         load.waiting.discard(began_at)
+        load.on_trial = False
         load.note_wait(began_at, self._clock())
         holdings = self._holdings.get(placement.worker.info.id)
         if holdings is not None and placement.chain:
@@ -94,7 +95,11 @@
         faded = load.recent_failure(now)
         load.failure = faded + FAILURE_WEIGHT * (float(failed) - faded)
         load.failure_at = now
+        if not failed:
+            load.on_trial = False
 
     def suspect(self, worker_id: str) -> None:
         """A worker could not be reached."""
-        self.load(worker_id).suspect_until = self._clock() + SUSPECT_SECONDS
+        load = self.load(worker_id)
+        load.suspect_until = self._clock() + SUSPECT_SECONDS
+        load.on_trial = True
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -29,6 +29,7 @@
 )
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimited, TenantLimits
+from wheelslip.routing.worker_records import SUSPECT_SECONDS
 
 WORKERS = 6
 STORE = "127.0.0.1:9000"
@@ -300,3 +301,21 @@
     fill(clock, dispatcher)
     for number in range(1, 9):
         assert dispatcher.ask(TicketId("n1", number), limited("s1")) is None
+
+
+def test_a_silent_worker_gets_one_request_at_a_time_until_it_is_heard():
+    clock = Clock()
+    dispatcher = dispatcher_of(clock)
+    silent = dispatcher.ask(TicketId("n1", 1), query("5e55", "o1")).worker.info.id
+    dispatcher.progress(TicketId("n1", 1), Progress.SILENT)
+    clock.now += SUSPECT_SECONDS + 0.01
+    asked = [query(f"{number:04x}", "o1") for number in range(4 * WORKERS)]
+    grants = {
+        number: dispatcher.ask(TicketId("n2", number), one) for number, one in enumerate(asked)
+    }
+    trials = [number for number, one in grants.items() if one.worker.info.id == silent]
+    assert len(trials) == 1
+    # Once it is heard, it takes its part again.
+    dispatcher.progress(TicketId("n2", trials[0]), Progress.FIRST_TOKEN)
+    more = [dispatcher.ask(TicketId("n3", number), one) for number, one in enumerate(asked)]
+    assert sum(one.worker.info.id == silent for one in more) > 1
