--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -16,6 +16,7 @@
 from wheelslip.routing.fleet_memory import FleetMemory, KeptPrompt
 from wheelslip.routing.holdings import Chain
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.routing.offers import Keeper, Offer, PromptHoldings, end_of, end_of_store
 from wheelslip.routing.overload import AdmissionLimits, Overloaded, Turns
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.worker_choice import (
@@ -60,48 +61,6 @@
     held_tokens: int
 
 
-class _Kept(NamedTuple):
-    """A worker or store that keeps a part of a prompt, and how many tokens of it."""
-
-    tokens: int
-    end: MoveEnd
-
-
-class _Prompt(NamedTuple):
-    """A prompt at workers of one version of the weights.
-
-    :ivar cached: tokens from the beginning that each worker keeps or reads just now.
-    :ivar source: from where the shared parts may be fetched; ``None`` from nowhere.
-    :ivar source_tokens: how many tokens from the beginning the source has.
-    :ivar recent: first and last token of each shared part that was used of late.
-    """
-
-    chain: Chain
-    cached: dict[str, int]
-    source: MoveEnd | None
-    source_tokens: int
-    recent: list[tuple[int, int]]
-
-    def reread_tokens(self, first: int) -> int:
-        """Return how many tokens are read again by who reads from a token on."""
-        return sum(max(0, end - max(first, start)) for start, end in self.recent)
-
-
-class _Offer(NamedTuple):
-    """What a worker would cost a request.
-
-    :ivar wait_seconds: until the worker turns to the request.
-    :ivar read_seconds: for fetching and reading its prompt then.
-    """
-
-    cost: float
-    worker: Worker
-    read_tokens: int
-    fetched_tokens: int
-    wait_seconds: float
-    read_seconds: float
-
-
 class FleetPlacement(WorkerPlacement):
     """Chooses for all nodes.
 
@@ -196,7 +155,7 @@
         workers: list[Worker],
         engine: EngineProfile,
         store: CacheStore | None,
-    ) -> _Prompt:
+    ) -> PromptHoldings:
         """Return who keeps what of a prompt, and the best source to fetch it from."""
         chain = query.chain(version)
         shared = chain[:-1]
@@ -208,24 +167,24 @@
                 continue
             readable = self._memory.readable_tokens(worker_id, engine, shared)
             if readable:
-                keepers.append(_Kept(readable, _end_of(worker, engine)))
+                keepers.append(Keeper(readable, end_of(worker, engine)))
         if store is not None:
             stored = self._memory.stored_tokens(store, shared)
-            keepers.append(_Kept(stored, _end_of_store(store)))
+            keepers.append(Keeper(stored, end_of_store(store)))
         most = max((one.tokens for one in keepers), default=0)
         ends = [one.end for one in keepers if one.tokens == most and most]
         source = min(ends, key=lambda one: self._moves.busy_until(one.address), default=None)
-        return _Prompt(chain, cached, source, most, self._memory.recent(shared))
+        return PromptHoldings(chain, cached, source, most, self._memory.recent(shared))
 
     def _offer(
         self,
         query: PlacementQuery,
         worker: Worker,
-        prompt: _Prompt,
+        prompt: PromptHoldings,
         engine: EngineProfile,
         now: float,
         delayed: float,
-    ) -> _Offer:
+    ) -> Offer:
         load = self.load(worker.info.id)
         cached = prompt.cached[worker.info.id]
         moved, move_seconds = self._move(worker, prompt, cached, engine, now)
@@ -237,7 +196,7 @@
         cost += load.running * (RUNNING_SECONDS + INTERFERENCE * read_seconds) + move_seconds
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
         turn_seconds = self._turn_seconds(load.running, held, engine)
-        return _Offer(
+        return Offer(
             cost + turn_seconds,
             worker,
             read,
@@ -247,21 +206,21 @@
         )
 
     def _move(
-        self, worker: Worker, prompt: _Prompt, cached: int, engine: EngineProfile, now: float
+        self, worker: Worker, prompt: PromptHoldings, cached: int, engine: EngineProfile, now: float
     ) -> tuple[int, float]:
         """Return how many tokens are fetched for a worker and how long that takes."""
         moved = prompt.source_tokens - cached
         if prompt.source is None or moved < LEAST_MOVED_TOKENS:
             return 0, 0.0
         size = moved * engine.token_bytes
-        seconds = self._moves.seconds(prompt.source, _end_of(worker, engine), size, now)
+        seconds = self._moves.seconds(prompt.source, end_of(worker, engine), size, now)
         return (0, 0.0) if seconds is None else (moved, seconds)
 
     def _placed(
         self,
         query: PlacementQuery,
-        offer: _Offer,
-        prompt: _Prompt,
+        offer: Offer,
+        prompt: PromptHoldings,
         engine: EngineProfile,
         store: CacheStore | None,
     ) -> Placement:
@@ -285,7 +244,7 @@
             unread,
         )
 
-    def _fetch_from(self, offer: _Offer, prompt: _Prompt, store: CacheStore | None) -> str:
+    def _fetch_from(self, offer: Offer, prompt: PromptHoldings, store: CacheStore | None) -> str:
         """Return where a worker fetches what it lacks.
 
         A miss costs a millisecond and what the worker keeps is not moved, so the store is
@@ -340,15 +299,15 @@
         store = self._store_at(address)
         if store is not None:
             self._memory.note_fetched(store, placement.chain[:-1])
-        source = _end_of_store(store) if store is not None else self._worker_end(address, engine)
+        source = end_of_store(store) if store is not None else self._worker_end(address, engine)
         if source is not None:
             size = placement.fetched_tokens * engine.token_bytes
-            self._moves.add(source, _end_of(placement.worker, engine), size, now)
+            self._moves.add(source, end_of(placement.worker, engine), size, now)
 
     def _worker_end(self, address: str, engine: EngineProfile) -> MoveEnd | None:
         for worker in self._registry.workers.values():
             if worker.info.address == address:
-                return _end_of(worker, engine)
+                return end_of(worker, engine)
         return None
 
     def first_token(self, placement: Placement, began_at: float) -> None:
@@ -362,8 +321,8 @@
         if store is not None:
             self._memory.note_saved(store, placement)
             size = sum(tokens for _, tokens in placement.chain) * engine.token_bytes
-            source = _end_of(placement.worker, engine)
-            self._moves.add(source, _end_of_store(store), size, self._clock())
+            source = end_of(placement.worker, engine)
+            self._moves.add(source, end_of_store(store), size, self._clock())
 
     def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
         """A request is no longer at its worker; what was not read is not kept."""
@@ -402,11 +361,3 @@
         by, at = self._heard.get(worker_id, ("", float("-inf")))
         if by == node or self._clock() - at > HEARD_SECONDS:
             self.suspect(worker_id)
-
-
-def _end_of_store(store: CacheStore) -> MoveEnd:
-    return MoveEnd(store.address, store.zone, store.link_bytes_per_second)
-
-
-def _end_of(worker: Worker, engine: EngineProfile) -> MoveEnd:
-    return MoveEnd(worker.info.address, worker.info.zone, engine.link_bytes_per_second)
