A vote costs the same however many nodes vote

Change: votes hold equally long, so they are kept in the order in which they came and expire from the front; a probe of a meter is a field of its own, not a vote of no length.

--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -155,9 +155,12 @@
 
 
 class VoteTold(NamedTuple):
-    """Gives the sender's vote for the tenants' limits to the receiver for some seconds."""
+    """Gives the sender's vote for the tenants' limits to the receiver.
 
-    seconds: float
+    :ivar is_probe: gives no vote, only asks whether the receiver is there.
+    """
+
+    is_probe: bool
 
 
 class VoteTaken(NamedTuple):
--- a/src/wheelslip/peers/limit_votes.py
+++ b/src/wheelslip/peers/limit_votes.py
@@ -102,9 +102,9 @@
             return
         self._valid_until[meter] = now + VOTE_SECONDS
         if meter == self._address:
-            self._authority.vote(meter, VOTE_SECONDS)
+            self._authority.vote(meter)
         else:
-            self._send_vote(meter, VOTE_SECONDS)
+            self._send_vote(meter, is_probe=False)
 
     def _meter(self, now: float) -> str:
         for meter in self._meters():
@@ -112,12 +112,12 @@
                 continue
             if meter == self._address or meter not in self._unanswered:
                 return meter
-            self._send_vote(meter, 0.0)
+            self._send_vote(meter, is_probe=True)
         return self._address
 
-    def _send_vote(self, meter: str, seconds: float) -> None:
+    def _send_vote(self, meter: str, is_probe: bool) -> None:
         self._unanswered.add(meter)
-        self._socket.send(meter, VOTE, VoteTold(seconds))
+        self._socket.send(meter, VOTE, VoteTold(is_probe))
 
     def release(self) -> None:
         """Give all votes back, before this node stops."""
@@ -127,8 +127,8 @@
         self._socket.send_to(others, RELEASED, VoteReleased(len(voters)))
 
     def _voted(self, vote: VoteTold, sender: str) -> None:
-        if vote.seconds > 0.0:
-            self._authority.vote(sender, vote.seconds)
+        if not vote.is_probe:
+            self._authority.vote(sender)
         self._socket.send(sender, VOTED, VoteTaken(self._authority.fleet))
 
     def _taken(self, taken: VoteTaken, sender: str) -> None:
--- a/src/wheelslip/routing/limit_authority.py
+++ b/src/wheelslip/routing/limit_authority.py
@@ -128,21 +128,26 @@
 
     def voters(self) -> list[str]:
         """Return the nodes whose votes are valid."""
-        now = self._clock()
-        self._votes = {node: until for node, until in self._votes.items() if now < until}
+        self._expire(self._clock())
         return list(self._votes)
 
-    def vote(self, node: str, seconds: float) -> None:
-        """Take a node's vote, which holds for some seconds."""
+    def _expire(self, now: float) -> None:
+        """Forget the votes that hold no longer; they are in the order in which they came."""
+        while self._votes and next(iter(self._votes.values())) <= now:
+            del self._votes[next(iter(self._votes))]
+
+    def vote(self, node: str) -> None:
+        """Take a node's vote."""
         self._advance()
         if self.released:
             return
-        self._votes[node] = self._clock() + min(seconds, VOTE_SECONDS)
+        self._votes.pop(node, None)
+        self._votes[node] = self._clock() + VOTE_SECONDS
         self._advance()
 
     def valid_seconds(self) -> float:
         """Return how long the last of the votes holds."""
-        return max(self._votes.values(), default=self._clock()) - self._clock()
+        return next(reversed(self._votes.values()), self._clock()) - self._clock()
 
     def told(self, meter: str, votes: int, seconds: float) -> None:
         """Take another meter's number of valid votes, and how long the last of them holds."""
@@ -186,7 +191,8 @@
         if self.released:
             return 0.0
         self._look_up_role(now)
-        votes = len(self.voters())
+        self._expire(now)
+        votes = len(self._votes)
         self._note_total(votes, now)
         fleet = self._fleet
         if not self._is_first and not self._fleet_told:
--- a/tests/unit/forwarding/test_tenant_limits.py
+++ b/tests/unit/forwarding/test_tenant_limits.py
@@ -312,7 +312,7 @@
 def test_a_node_that_never_heard_of_others_keeps_to_a_small_share():
     clock = Clock()
     authority = VotedAuthority("9", lambda: ["1", "2"], lambda: 0.0, clock)
-    authority.vote("9", VOTE_SECONDS)
+    authority.vote("9")
     assert authority.share() == pytest.approx(1 / UNKNOWN_FLEET)
 
 
