A node's own records of engines are told in the order of the table

The kept logs show node-2 read "serving v2" of engine-4 at 33.030 s and show "leaving" at 33.032 s for good. A node's directory shows what it reads at once and publishes it through the membership's mailbox. A peer's older record (version 6, "held") that was in that mailbox first was told to the directory afterwards, and replaced what was shown; the own record then became version 7 and reached all other nodes, but was never told to the node that wrote it. The other reader found the engine as its record said and wrote nothing more.

Beside it: the digest of a table left the values out, so two nodes that write the same version with two values at one time had equal digests, and a lost rumour was never repaired.

Change: Membership.publish reports the record like one of a peer; the digest covers the value.

--- a/src/wheelslip/peers/membership.py
+++ b/src/wheelslip/peers/membership.py
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True)
 class RecordChanged:
-    """A record was replaced by a newer one that came from a peer."""
+    """A record was replaced by a newer one, written here or by a peer."""
 
     record: Record
 
@@ -184,9 +184,11 @@
         """Set addresses to try while no member is known, and now and then after."""
         self._seeds = tuple(seed for seed in seeds if seed != self._me.address)
 
-    def publish(self, key: str, value: object) -> None:
+    def publish(self, key: str, value: object) -> list[Effect]:
         """Write a record and spread it at once."""
-        self._hot.append(self._table.write(key, value, len(self._members)))
+        record = self._table.write(key, value, len(self._members))
+        self._hot.append(record)
+        return [RecordChanged(record)]
 
     def leave(self, now: float) -> list[Effect]:
         """Tell others that this member stops by plan."""
--- a/src/wheelslip/peers/table.py
+++ b/src/wheelslip/peers/table.py
@@ -86,4 +86,6 @@
 
 
 def _record_digest(record: Record) -> int:
-    return xxhash.xxh3_64_intdigest(f"{record.key}\0{record.version}".encode())
+    # Two nodes may write the same version at one time, so the value counts as well.
+    content = f"{record.key}\0{record.version}\0".encode() + bytes(record.value)
+    return xxhash.xxh3_64_intdigest(content)
--- a/src/wheelslip/peers/task.py
+++ b/src/wheelslip/peers/task.py
@@ -97,7 +97,9 @@
     """Runs :class:`Membership` over UDP.
 
     :param on_revision: called with a peer's address and the higher revision it holds.
-    :param on_record: called with each record that a peer wrote.
+    :param on_record: called with each record that enters the table, this node's own ones too:
+        a peer's record may enter before an own one that was written earlier, and only the
+        order of the table is the same at all nodes.
     :param on_member: called with each member whose state changed.
     :param on_prefix: called with each message about prefixes.
     :ivar view: members now, safe to read from any thread.
@@ -206,7 +208,7 @@
     def _take(self, message: _Message, now: float) -> None:
         membership = self._membership
         if isinstance(message, _Publish):
-            membership.publish(message.key, message.value)
+            self._carry_out(membership.publish(message.key, message.value))
         elif isinstance(message, _AnnounceRevision):
             self._carry_out(membership.announce_revision(message.revision))
         elif isinstance(message, _Merge):
