Membership and the forwarding node are split: effects, records, settings file, tasks

Change: peers/membership_effects.py (what the pure code asks for), peers/member_record.py (members as records), forwarding/settings_file.py (reads again what has changed) and forwarding/long_tasks.py (tasks that begin anew). Unit tests and tests/probe/forwarding pass.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -1,13 +1,11 @@
 """One forwarding node: wiring, tasks, reload and planned stop."""
 
 import asyncio
-import contextlib
-import os
 import random
 import signal
 import sys
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
 from wheelslip.forwarding.assignment import WorkerAssigner
@@ -21,6 +19,7 @@
     WorkerControl,
 )
 from wheelslip.forwarding.limit_meter import LimitMeter
+from wheelslip.forwarding.long_tasks import LongTasks
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
@@ -37,9 +36,9 @@
 from wheelslip.forwarding.settings import (
     BoundsSection,
     ForwardingSettings,
-    load_forwarding_settings,
     parse_address,
 )
+from wheelslip.forwarding.settings_file import SettingsFile
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_link import DispatchLink
@@ -49,15 +48,12 @@
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
-from wheelslip.settings import SettingsError
 
 LAME_DUCK_SECONDS = 2.6
 """Time between failing readiness and closing: two questions a second apart must miss."""
 
 STOP_MARGIN_SECONDS = 0.4
 STOP_POLL_SECONDS = 0.05
-SETTINGS_POLL_SECONDS = 1.0
-TASK_RESTART_SECONDS = 0.2
 
 
 class ForwardingNode:
@@ -76,14 +72,12 @@
         control: WorkerControl,
         clock: Callable[[], float] = time.monotonic,
     ):
-        self._path = settings_path
-        self._settings = load_forwarding_settings(settings_path)
-        self._settings_stamp = _stamp(settings_path)
+        self._settings_file = SettingsFile(settings_path)
         self._clock = clock
         random_source = random.Random()
-        store = make_store(lambda: self._settings.store.address)
+        store = make_store(lambda: self.settings.store.address)
         self._registry = Registry(documents, self.bounds, clock)
-        section = self._settings.node
+        section = self.settings.node
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
         self._placement = WorkerPlacement(self._registry, clock, random_source, table)
@@ -92,7 +86,7 @@
             clock,
             random_source,
             table,
-            lambda: self._settings.routing.limit_admission,
+            lambda: self.settings.routing.limit_admission,
         )
         own_loads = self._placement.own_loads
         self._registry.on_worker_gone = self._forget_worker
@@ -153,7 +147,7 @@
             self._pool,
             self._dispatch_link if section.peers else None,
             self._meter.limits,
-            lambda: self._settings.routing.dispatch,
+            lambda: self.settings.routing.dispatch,
             clock,
         )
         self._forwarder = Forwarder(
@@ -168,7 +162,7 @@
         self._lease = HolderLease(
             store,
             self._registry,
-            self._settings.node.name,
+            self.settings.node.name,
             self.bounds,
             self._min_lease_seconds,
             clock,
@@ -189,20 +183,20 @@
             self._forwarder,
             self._registry,
             clock,
-            lambda: self._settings.limits.memory_megabytes,
+            lambda: self.settings.limits.memory_megabytes,
         )
         self._readiness = ReadinessServer(self.is_ready, clock)
         self._metrics_server = MetricsServer(self._metrics, clock)
-        self._tasks: list[asyncio.Task] = []
+        self._tasks = LongTasks()
 
     @property
     def settings(self) -> ForwardingSettings:
         """The settings in force."""
-        return self._settings
+        return self._settings_file.settings
 
     def bounds(self) -> BoundsSection:
         """Return the bounds in force."""
-        return self._settings.bounds
+        return self.settings.bounds
 
     def known_workers(self) -> set[str]:
         """Return the ids of the workers in view."""
@@ -257,10 +251,10 @@
         return known and self._registry.age() < oldest and not self._callers.stopping
 
     def _min_lease_seconds(self) -> float:
-        return self._settings.store.min_lease_ms / 1000
+        return self.settings.store.min_lease_ms / 1000
 
     def _make_relay(self, store: KeyValueStore, random_source: random.Random) -> RelayLease:
-        section = self._settings.node
+        section = self.settings.node
         return RelayLease(
             section.zone,
             section.peers,
@@ -269,7 +263,7 @@
             self._min_lease_seconds,
             self._clock,
             random_source,
-            lambda: self._settings.limits.link_megabits,
+            lambda: self.settings.limits.link_megabits,
         )
 
     def _other_relays(self) -> list[str]:
@@ -279,7 +273,7 @@
         return self._relay is None or self._relay.token() is not None
 
     def _peer_addresses(self) -> list[str]:
-        section = self._settings.node
+        section = self.settings.node
         others = {*section.seed_addresses(), *self._relay.addresses(), *self._feed.heard()}
         return sorted(others - {section.peers})
 
@@ -313,7 +307,7 @@
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop and that is complete."""
-        node = self._settings.node
+        node = self.settings.node
         handler = NonBlockingHandler(sys.stdout.fileno())
         configure_logging(node.name, node.zone, handler)
         loop = asyncio.get_running_loop()
@@ -327,8 +321,7 @@
 
     async def start(self) -> None:
         """Listen and start all tasks."""
-        node = self._settings.node
-        loop = asyncio.get_running_loop()
+        node = self.settings.node
         await self._readiness.listen(*parse_address(node.readiness))
         await self._callers.listen(*parse_address(node.callers))
         if node.metrics:
@@ -342,27 +335,18 @@
                 ("dispatch", self._dispatch_link.run),
                 ("votes", self._meter.votes.run),
             ):
-                self._tasks.append(loop.create_task(self._keep_running(name, work)))
+                self._tasks.start(name, work)
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
             ("rollout", self._rollout.run),
             ("pool", self._pool.sweep),
             ("callers", self._callers.sweep),
-            ("settings", self._watch_settings),
+            ("settings", self._settings_file.watch),
         ):
-            self._tasks.append(loop.create_task(self._keep_running(name, work)))
+            self._tasks.start(name, work)
         log_event(LogEvent.NODE_STARTED, callers=node.callers, peers=node.peers)
 
-    async def _keep_running(self, name: str, work: Callable[[], Coroutine]) -> None:
-        while True:
-            try:
-                await work()
-                return
-            except Exception as error:
-                log_event(LogEvent.TASK_FAILED, task=name, reason=repr(error))
-                await asyncio.sleep(TASK_RESTART_SECONDS)
-
     async def stop(self) -> None:
         """Finish what runs, within the grace time, and end."""
         began = self._clock()
@@ -381,8 +365,7 @@
                 self._callers.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
         giving_up.cancel()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self._callers.close()
         self._readiness.close()
         self._metrics_server.close()
@@ -397,27 +380,6 @@
             await self._relay.give_up()
             self._meter.release()
 
-    # Settings
-
     def reload(self) -> None:
         """Read the settings again; bad ones leave the old ones in force."""
-        self._settings_stamp = _stamp(self._path)
-        try:
-            self._settings = load_forwarding_settings(self._path)
-        except SettingsError as error:
-            log_event(LogEvent.SETTINGS_REFUSED, reason=str(error))
-            return
-        log_event(LogEvent.SETTINGS_RELOADED)
-
-    async def _watch_settings(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_SECONDS)
-            if _stamp(self._path) != self._settings_stamp:
-                self.reload()
-
-
-def _stamp(path: str) -> tuple[int, int] | None:
-    with contextlib.suppress(OSError):
-        status = os.stat(path)
-        return status.st_mtime_ns, status.st_size
-    return None
+        self._settings_file.reload()
--- a/src/wheelslip/peers/membership.py
+++ b/src/wheelslip/peers/membership.py
@@ -12,6 +12,15 @@
 
 import msgspec
 
+from wheelslip.peers.member_record import MEMBER_PREFIX, incarnation_of, member_record
+from wheelslip.peers.membership_effects import (
+    Effect,
+    MemberChanged,
+    RecordChanged,
+    RevisionSeen,
+    Send,
+    SyncWanted,
+)
 from wheelslip.peers.messages import (
     Ack,
     Announce,
@@ -25,7 +34,6 @@
 )
 from wheelslip.peers.table import ReplicatedTable
 
-MEMBER_PREFIX = "m/"
 MAX_RUMOUR_BYTES = 900
 """Rumour bytes in one datagram, so that it stays under a common path MTU."""
 
@@ -36,8 +44,6 @@
 """News kept for further announcements; the rest travels as rumours and by table exchange."""
 
 _SUSPICION_ROUNDS = 5
-_STATES = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT)
-_STATE_COUNT = len(_STATES)
 
 
 @dataclass(frozen=True)
@@ -59,46 +65,6 @@
     late_tick_seconds: float = 0.3
 
 
-@dataclass(frozen=True)
-class Send:
-    """Send a datagram."""
-
-    address: str
-    message: MembershipMessage
-
-
-@dataclass(frozen=True)
-class RevisionSeen:
-    """A peer holds a higher configuration revision than this node."""
-
-    address: str
-    revision: int
-
-
-@dataclass(frozen=True)
-class RecordChanged:
-    """A record was replaced by a newer one, written here or by a peer."""
-
-    record: Record
-
-
-@dataclass(frozen=True)
-class MemberChanged:
-    """A member's state changed, as this node believes it."""
-
-    member: MemberInfo
-
-
-@dataclass(frozen=True)
-class SyncWanted:
-    """Tables differ: exchange them with the peer at this address."""
-
-    address: str
-
-
-Effect = Send | RevisionSeen | RecordChanged | MemberChanged | SyncWanted
-
-
 @dataclass
 class _Probe:
     target: MemberInfo
@@ -332,8 +298,8 @@
     def _declare(self, member: MemberInfo, state: MemberState, now: float) -> list[Effect]:
         """Write another member's suspicion or death at its present incarnation."""
         record = self._table.get(MEMBER_PREFIX + member.name)
-        incarnation = record.version // _STATE_COUNT
-        declared = _member_record(msgspec.structs.replace(member, state=state), incarnation)
+        incarnation = incarnation_of(record)
+        declared = member_record(msgspec.structs.replace(member, state=state), incarnation)
         self._table.merge(declared, len(self._members))
         self._hot.append(declared)
         return self._record_changed(declared, now)
@@ -359,14 +325,14 @@
         mine = self._table.get(record.key)
         if not record.newer_than(mine):
             return
-        self._incarnation = record.version // _STATE_COUNT + 1
+        self._incarnation = incarnation_of(record) + 1
         self._write_myself(self._me.state)
         self._hot.append(self._table.get(record.key))
 
     def _write_myself(self, state: MemberState) -> None:
         self._me = msgspec.structs.replace(self._me, state=state)
         self._members[self.name] = self._me
-        record = _member_record(self._me, self._incarnation)
+        record = member_record(self._me, self._incarnation)
         self._table.merge(record, len(self._members))
 
     def _compare_headers(self, header: Header, now: float) -> list[Effect]:
@@ -434,9 +400,3 @@
 
     def _header(self) -> Header:
         return Header(self.name, self._me.address, self.revision, self._table.digest)
-
-
-def _member_record(member: MemberInfo, incarnation: int) -> Record:
-    """Return a member's record: at one incarnation death outranks suspicion outranks life."""
-    version = incarnation * _STATE_COUNT + _STATES.index(member.state)
-    return Record(MEMBER_PREFIX + member.name, version, msgspec.Raw(msgspec.json.encode(member)))
--- a/src/wheelslip/peers/task.py
+++ b/src/wheelslip/peers/task.py
@@ -13,11 +13,10 @@
 
 from wheelslip.events import LogEvent, log_event
 from wheelslip.peers.connection import PeerCaller, PeerUnreachable, TrafficCounts
-from wheelslip.peers.membership import (
+from wheelslip.peers.membership import Membership, MembershipOptions
+from wheelslip.peers.membership_effects import (
     Effect,
     MemberChanged,
-    Membership,
-    MembershipOptions,
     RecordChanged,
     RevisionSeen,
     Send,
--- a/tests/probe/forwarding/test_dispatch.py
+++ b/tests/probe/forwarding/test_dispatch.py
@@ -5,6 +5,8 @@
 from standins.platform_site import Site, until
 from standins.platform_worker import PlatformWorker
 from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.peers.dispatch_server import DispatchServer
+from wheelslip.peers.dispatcher_health import DispatcherHealth
 
 ZONES = ("z1", "z2", "z3")
 
@@ -109,3 +111,28 @@
     await until(lambda: tickets() == 1, "granted")
     caller.leave()
     await until(lambda: tickets() == 0, "the ticket has ended")
+
+
+async def test_a_caller_that_leaves_while_the_dispatcher_is_asked_leaves_no_ticket(
+    site, monkeypatch
+):
+    held = []
+    answer = DispatchServer._asked
+    monkeypatch.setattr(DispatchServer, "_asked", lambda *question: held.append(question))
+    monkeypatch.setattr(DispatcherHealth, "timeout_seconds", lambda self, address: 30.0)
+    await fleet(site, workers=1)
+    dispatcher = site.nodes["z1"].known_relays()[0]
+    asker = next(zone for zone in ZONES if site.nodes[zone].settings.node.peers != dispatcher)
+    caller = await site.caller(asker)
+    caller.send("/stream/x", "r1", **prompt("01", "a1"))
+    await until(lambda: held, "the dispatcher is asked")
+    caller.leave()
+    await until(lambda: site.nodes[asker].gauge("running_requests") == 0, "the caller has left")
+    answer(*held[0])
+
+    def tickets() -> float:
+        return sum(node.gauge("granted_requests") for node in site.nodes.values())
+
+    assert tickets() == 1
+    await until(lambda: tickets() == 0, "the ticket has ended")
+    assert not site.runs("r1")
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -5,10 +5,9 @@
 
 import pytest
 
-from wheelslip.peers.membership import (
+from wheelslip.peers.membership import Membership, MembershipOptions
+from wheelslip.peers.membership_effects import (
     MemberChanged,
-    Membership,
-    MembershipOptions,
     RecordChanged,
     RevisionSeen,
     Send,
