Short requests begin on workers with the newest weights first

The workers set aside for short requests were the same before, during and after a rollout, so the next ones to load kept getting streams.

Change: while newer weights are named, the workers for short requests are those with the newest ones first, the rendezvous rank among equals. Long prompts, which are done in 0.3 s, go to the others until they load. Two tests, both failing before.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -33,11 +33,7 @@
     MetricsServer,
     ReadinessServer,
 )
-from wheelslip.forwarding.settings import (
-    BoundsSection,
-    ForwardingSettings,
-    parse_address,
-)
+from wheelslip.forwarding.settings import BoundsSection, ForwardingSettings, parse_address
 from wheelslip.forwarding.settings_file import SettingsFile
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.datagrams import DatagramSocket
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -92,8 +92,9 @@
         """Return who chooses the workers of a service, the first choice first.
 
         Where tenants have limits, one relay chooses for all services, since it counts for the
-        limits as it does so. Otherwise services are dealt out to the relays in order of tenure, those of model engines first:
-        the longest in office knows most, and a new relay takes no service away.
+        limits as it does so. Otherwise services are dealt out to the relays in order of tenure,
+        those of model engines first: the longest in office knows most, and a new relay takes no
+        service away.
         """
         relays = self.by_tenure()
         cfg = self._registry.configuration
--- a/src/wheelslip/routing/separation.py
+++ b/src/wheelslip/routing/separation.py
@@ -38,8 +38,11 @@
         self._short = self._short * fade + (0.0 if is_long else seconds)
         self._counted_at = now
 
-    def short_workers(self, workers: Collection[str]) -> frozenset[str]:
-        """Return the workers for short requests; none while there is only one kind."""
+    def short_workers(self, workers: Collection[str], last: Collection[str] = ()) -> frozenset[str]:
+        """Return the workers for short requests; none while there is only one kind.
+
+        :param last: workers that are taken only when there are not enough others.
+        """
         total = self._long + self._short
         if len(workers) < 2 or self._long == 0.0 or self._short == 0.0:
             return frozenset()
@@ -47,4 +50,6 @@
         count = max(1, min(len(workers) - 1, wanted))
         if self._ranked_of != workers:
             self._ranked_of, self._ranked = workers, rendezvous.rank(_RANK_KEY, workers)
-        return frozenset(self._ranked[:count])
+        # The sort is stable: among either kind the rendezvous rank decides.
+        ranked = sorted(self._ranked, key=lambda one: one in last) if last else self._ranked
+        return frozenset(ranked[:count])
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -235,11 +235,20 @@
         seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
         is_long = seconds > LONG_PAUSE_SHARE * query.pause_seconds
         separation.note(seconds, is_long, self._clock())
-        short = separation.short_workers([one.info.id for one in candidates])
+        # A stream of a short request lasts longest, and an order to load waits for it: begun on
+        # the newest weights, it holds no load up.
+        replaced = self._on_replaced_weights(query.model, candidates)
+        short = separation.short_workers([one.info.id for one in candidates], replaced)
         if not short:
             return candidates
         return [one for one in candidates if (one.info.id in short) != is_long]
 
+    def _on_replaced_weights(self, model: str, workers: list[Worker]) -> frozenset[str]:
+        """Return the workers for whose weights newer ones have been named."""
+        versions = {one.weights.get(model) for one in workers}
+        replaced = {one for one in versions if self._is_replaced(model, one)}
+        return frozenset(one.info.id for one in workers if one.weights.get(model) in replaced)
+
     def _may_begin(self, worker: Worker, model: str) -> bool:
         """Whether a request sent now begins before its weights are too old."""
         return self._begins_before(
--- a/tests/unit/forwarding/test_separation.py
+++ b/tests/unit/forwarding/test_separation.py
@@ -29,3 +29,16 @@
         second.note(0.31, True, tick * 0.13)
         second.note(0.021, False, tick * 0.13)
     assert first.short_workers(WORKERS) == second.short_workers(list(reversed(WORKERS)))
+
+
+def test_workers_that_are_to_be_taken_last_get_short_requests_only_when_others_lack():
+    separation = PromptSeparation()
+    for tick in range(100):
+        separation.note(0.3, True, tick * 0.1)
+        separation.note(0.15, False, tick * 0.1)
+    usual = separation.short_workers(WORKERS)
+    others = [one for one in WORKERS if one not in usual]
+    assert separation.short_workers(WORKERS, last=usual) == frozenset(others)
+    assert separation.short_workers(WORKERS, last=WORKERS) == usual
+    mixed = separation.short_workers(WORKERS, last=[*others, *sorted(usual)[:1]])
+    assert set(sorted(usual)[1:]) < mixed and len(mixed) == len(usual)
--- a/tests/unit/forwarding/test_worker_choice.py
+++ b/tests/unit/forwarding/test_worker_choice.py
@@ -32,12 +32,16 @@
     }
     view.apply("op/config", json.dumps(document).encode(), 1)
     for number in range(WORKERS):
-        entry = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "capacity": 8}
-        entry["model_ids"] = [{"name": "m", "version": 1}]
-        view.apply(f"servers/w{number}", json.dumps(entry).encode(), 2 + number)
+        view.apply(f"servers/w{number}", worker_entry(version=1), 2 + number)
     return view
 
 
+def worker_entry(version: int) -> bytes:
+    entry = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "capacity": 8}
+    entry["model_ids"] = [{"name": "m", "version": version}]
+    return json.dumps(entry).encode()
+
+
 def query(session: str, **changes) -> PlacementQuery:
     parts = (PromptPart("aa", 1000), PromptPart(session, 2000), PromptPart("own", 1000))
     return PlacementQuery("s", "s", "m", 4000, 10, parts, zone="z")._replace(**changes)
@@ -87,3 +91,19 @@
         placement = WorkerPlacement(view, lambda: NOW, random.Random(1))
         chosen = placement.choose(query("5e55", connected=frozenset({open_to})))
         assert chosen.worker.info.id == open_to
+
+
+def test_while_weights_are_replaced_short_requests_begin_on_the_newest_ones():
+    view = registry()
+    newest = {f"w{number}" for number in range(0, WORKERS, 2)}
+    for number, worker in enumerate(sorted(newest)):
+        view.apply(f"servers/{worker}", worker_entry(version=2), 2000 + number)
+    view.apply("op/version/m", b'{"model_id":"m","version":2}', 3000)
+    placement = WorkerPlacement(view, lambda: NOW, random.Random(1))
+    workers = view.workers_of("s")
+    long = query("5e55", prompt_tokens=9000, pause_seconds=0.5)
+    short = query("5e55", prompt_tokens=900, pause_seconds=0.5)
+    for _ in range(50):
+        placement._preferred(long, workers)
+        preferred = {one.info.id for one in placement._preferred(short, workers)}
+    assert preferred and preferred < newest
