--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := PYTHONPATH=src:. $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: setup demo test format pages prove-failing soak forwarding-soak replay overhead decision-cost claims
+.PHONY: setup demo test format pages prove-failing soak forwarding-soak replay overhead decision-cost claims journal-index
 
 setup: $(STAMP)
 
@@ -51,3 +51,6 @@
 
 claims: setup
 	$(RUN) -m bench.claims
+
+journal-index: setup
+	$(RUN) scripts/generate_journal_index.py
