Mutations of prove_failing are held to the source by a test; two new ones

A unit test checks that each mutation's text stands once in the source and that its test exists (it fails for number 27 before).

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -273,8 +273,8 @@
     _one(
         "older revisions taken",
         FORWARDING,
-        "forwarding/registry.py",
-        "if revision <= self._revisions.get(key, 0):",
+        "forwarding/entry_log.py",
+        "if revision <= self.revision_of(key):",
         "if False:",
         "../unit/forwarding/test_registry.py::test_an_older_change_of_a_key_is_passed_over",
     ),
@@ -334,6 +334,22 @@
         "if self._token:",
         "../unit/forwarding/test_holder.py::test_a_holder_that_slept_past_its_lease_gives_no_order",
     ),
+    _one(
+        "a new holder orders at once where the last one has ordered",
+        FORWARDING,
+        "forwarding/rollout.py",
+        'return self._clock() >= self._orders_from.get(worker_id, float("-inf"))',
+        "return True",
+        "forwarding/test_holder_faults.py::test_a_new_holder_waits_at_a_worker_that_the_last_one_has_ordered",
+    ),
+    _one(
+        "a node is not told of its own records",
+        7,
+        "peers/task.py",
+        "self._carry_out(membership.publish(message.key, message.value))",
+        "membership.publish(message.key, message.value)",
+        "../unit/test_engine_records.py::test_a_peers_record_that_came_first_is_followed_by_the_own_one",
+    ),
 )
 
 
--- a/tests/unit/test_catalogues.py
+++ b/tests/unit/test_catalogues.py
@@ -6,6 +6,7 @@
 import pytest
 
 from scripts.generate_error_page import PAGE, render
+from scripts.prove_failing import MUTATIONS
 from wheelslip.errors import ERROR_TABLE, ErrorKind, RunState, WheelslipError
 from wheelslip.events import LogEvent
 from wheelslip.http_service import error_response
@@ -74,3 +75,11 @@
         if not (ROOT / file).exists() or f"def {name}(" not in (ROOT / file).read_text()
     ]
     assert named and missing == []
+
+
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda one: one.name)
+def test_every_mutation_takes_out_what_the_source_holds(mutation):
+    for edit in mutation.edits:
+        assert (SOURCE / edit.file).read_text().count(edit.old) == 1
+    path, _, name = mutation.test.partition("::")
+    assert f"def {name.partition('[')[0]}(" in (ROOT / path).resolve().read_text()
