An engine whose entry has gone and that is held in doubt is written to the log

Cause: an engine that left without saying so first, and stayed in use beside trouble with the store, left no line in any log until it was dropped, so the hypotheses of the incident could not be told apart. Change: engine_doubtful (305) with the age of that trouble. Beside key_value_unavailable (400), which a node writes for its own calls only, it tells whether the trouble was the node's own. No logic is changed. Checked: tests/unit/test_catalogues.py holds page and code together.

--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -173,9 +173,19 @@
             # An entry that vanishes around an outage is no proof that its worker is gone.
             heartbeats = DOUBT_HEARTBEATS * self._bounds().heartbeat_ms / 1000
             worker.doubtful_until = self._clock() + heartbeats
+            self._log_doubtful(worker.info)
             return
         self._drop_worker(worker_id)
 
+    def _log_doubtful(self, info: WorkerInfo) -> None:
+        log_event(
+            LogEvent.ENGINE_DOUBTFUL,
+            engine=info.id,
+            incarnation=info.id,
+            zone=info.zone,
+            trouble_age=round(self._clock() - self.trouble_at, 3),
+        )
+
     def expire_doubtful(self) -> None:
         """Drop workers that did not come back although the store has been well."""
         for worker_id, worker in list(self.workers.items()):
