Failing tests: a node that the store turns away has all others hold an engine that left

Cause, settled by engine_doubtful: one node's trouble with the store goes to every node that polls it, and each makes it its own. Ruled out: an answer of the store without the change, and a change passed over by its revision (the watch brought it at the next revision after 6 ms).

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -210,12 +210,12 @@
         self.nodes[name] = node
         return node
 
-    async def add_relays(self, zones: tuple[str, ...]) -> None:
+    async def add_relays(self, zones: tuple[str, ...], **bounds) -> None:
         """Start a node in each zone, named like it, and wait until each is its zone's relay."""
         seed = f"127.0.0.1:{free_port()}"
         for zone in zones:
             peers = seed if zone == zones[0] else f"127.0.0.1:{free_port()}"
-            await self.add_node(zone, peers=peers, seeds=[seed], zone=zone)
+            await self.add_node(zone, peers=peers, seeds=[seed], zone=zone, **bounds)
         for zone in zones:
             await self.ready(zone)
             node = self.nodes[zone]
