Test of replaced weights: its worker really stays on the old version

The first form said that 12 of 12 requests began on version 1. Wrong: ignore_orders of the stand-in takes an order without an answer, so its worker was on version 2 and the requests were rightly served. Now the worker refuses a version that it does not know, and the test names the version of each run. As strict: no run at all after the bound.

--- a/tests/probe/forwarding/test_turned_away_node.py
+++ b/tests/probe/forwarding/test_turned_away_node.py
@@ -18,7 +18,7 @@
 import time
 
 from standins.platform_site import Site, until
-from standins.platform_worker import PlatformWorker, WorkerFaults
+from standins.platform_worker import PlatformWorker
 from tests.probe.forwarding.test_path import PROMPT
 
 ZONES = ("z1", "z2", "z3")
@@ -59,12 +59,13 @@
 
 
 async def test_no_request_begins_on_replaced_weights_after_the_bound(site):
-    worker = PlatformWorker("i-1", model="m", faults=WorkerFaults(ignore_orders=10_000))
+    worker = PlatformWorker("i-1", model="m")
     site.model.put("op/version/m", b'{"model_id":"m","version":1}')
     await relays_of(site, worker, "engines")
     # A version seen named within a second of a node's start may have been named long before.
     await asyncio.sleep(1.2)
-    site.name_weights("m", 2)
+    # Unknown to the worker, which refuses to load it and goes on with version 1.
+    site.model.put("op/version/m", b'{"model_id":"m","version":2}')
     bound_at = time.monotonic() + WEIGHTS_DEADLINE_MS / 1000
     answers = [await site.ask("/stream/x", f"early-{zone}", zone, **PROMPT) for zone in ZONES]
     assert [one.status for one in answers] == [200] * 3
@@ -74,4 +75,4 @@
         for zone in ZONES:
             await site.ask("/stream/x", f"late-{round_number}-{zone}", zone, **PROMPT)
         await asyncio.sleep(0.3)
-    assert [one.request_id for one in worker.runs if one.request_id.startswith("late")] == []
+    assert [(one.request_id, one.version) for one in worker.runs[3:]] == []
