--- /dev/null
+++ b/tests/unit/forwarding/test_review.py
@@ -0,0 +1,226 @@
+"""Suspicions of the review of 6994a96, each as a test."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from wheelslip.forwarding import registry_sync
+from wheelslip.forwarding.entry_log import EntryChange
+from wheelslip.forwarding.feed import FeedBatch, FeedPoll, FeedServer
+from wheelslip.forwarding.registry import Registry
+from wheelslip.forwarding.registry_sync import UNANSWERED_SECONDS, RegistrySync
+from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.keyvalue.model import KeyValueUnavailable, WatchBatch, WatchCompacted
+from wheelslip.platform.registry import PlatformRegistry
+from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+
+BOUNDS = BoundsSection()
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def registry(clock):
+    return Registry(PlatformRegistry(), lambda: BOUNDS, clock)
+
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch):
+    monkeypatch.setattr(registry_sync, "RETRY_SECONDS", (0.0, 0.0))
+    monkeypatch.setattr(registry_sync, "GATHER_SECONDS", 0.0)
+
+
+def entry():
+    document = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "capacity": 1}
+    document |= {"state": "ready", "model_ids": [{"name": "m", "version": 1}]}
+    return json.dumps(document).encode()
+
+
+def enter(registry, worker_id, revision):
+    registry.apply(f"servers/{worker_id}", entry(), revision)
+
+
+def serving(registry):
+    return [one.info.id for one in registry.workers_of("s")]
+
+
+class FirstRelay:
+    """The key of the node that reads the store for all."""
+
+    def token(self):
+        return 1
+
+    def node_to_follow(self):
+        return None
+
+
+class TimedStore:
+    """Each call takes so many seconds, then fails or answers."""
+
+    def __init__(self, clock, *outcomes):
+        self.clock = clock
+        self.outcomes = list(outcomes)
+
+    async def _next(self):
+        seconds, outcome = self.outcomes.pop(0)
+        self.clock.now += seconds
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    async def watch(self, prefix, after, wait_seconds):
+        return await self._next()
+
+    async def range(self, prefix):
+        return await self._next()
+
+
+class TimedFeed:
+    """Each poll takes so many seconds, then brings a batch."""
+
+    def __init__(self, clock, *answers):
+        self.clock = clock
+        self.answers = list(answers)
+
+    async def poll(self, address, poll):
+        seconds, batch = self.answers.pop(0)
+        self.clock.now += seconds
+        return batch
+
+
+def reader(registry, clock, store, feed=None):
+    sync = RegistrySync(
+        store, registry, clock, random.Random(1), FirstRelay(), lambda: ["peer:1"], "own:1"
+    )
+    sync._feed = feed
+    sync._advance(5)
+    return sync
+
+
+def refused():
+    return KeyValueUnavailable("refused")
+
+
+def test_an_outage_is_not_forgotten_when_another_node_is_answered_first_after_it(registry, clock):
+    """The store is down for all from 100.2 to 104.0, and entries lapse meanwhile.
+
+    This node's last call is refused at 103.95. While it asks a peer, the store returns and answers
+    that peer. That is no proof that the store served others during the outage, so the engine whose
+    entry lapsed has the time to return that an outage gives.
+    """
+    enter(registry, "a", 5)
+    registry.confirm(100.0)
+    removed = [EntryChange("servers/a", None, 9)]
+    stale = FeedBatch(5, False, [], -2.0, 0.5)
+    back = FeedBatch(9, False, removed, 0.1, None)
+    store = TimedStore(clock, (0.0, refused()), (0.0, refused()))
+    sync = reader(registry, clock, store, TimedFeed(clock, (0.1, stale), (0.2, back)))
+    clock.now = 103.5
+    asyncio.run(sync._read_store())
+    assert registry.recently_troubled()
+    clock.now = 103.95
+    asyncio.run(sync._read_store())
+    registry.expire_doubtful()
+    # 0.15 s after the store's return; its engines are back within two seconds of that.
+    assert serving(registry) == ["a"]
+
+
+def test_an_outage_stays_known_to_a_node_that_hears_of_its_end_from_its_relay(registry, clock):
+    """A follower looked once during an outage, and was current again by its relay.
+
+    It had no call of its own answered, so a single reset call later counts to the same series,
+    and takes the outage back.
+    """
+    registry.confirm(100.0)
+    clock.now = 104.1
+    registry.note_failed_call(102.6, UNANSWERED_SECONDS)
+    registry.confirm(104.05)
+    clock.now = 104.9
+    registry.note_failed_call(104.9, UNANSWERED_SECONDS)
+    assert registry.trouble_at == 102.6
+
+
+def test_an_outage_that_one_call_outlasts_is_noticed(registry, clock):
+    """The store is silent for four seconds, and the reader's one watch is answered after that."""
+    enter(registry, "a", 5)
+    registry.confirm(100.0)
+    clock.now = 100.6
+    store = TimedStore(clock, (2.1, refused()), (1.9, WatchBatch(9, (("servers/a", None, 9),))))
+    feed = TimedFeed(clock, (0.1, FeedBatch(5, False, [], -2.0, 0.5)))
+    sync = reader(registry, clock, store, feed)
+    asyncio.run(sync._read_store())
+    asyncio.run(sync._read_store())
+    registry.expire_doubtful()
+    assert serving(registry) == ["a"]
+
+
+def test_trouble_is_taken_back_by_news_that_another_was_answered_just_before(registry, clock):
+    """The peer that was asked first knew nothing; the next tells that it was answered at 102.8.
+
+    Then the store answers this node again, so no failed call follows that would take it back.
+    """
+    registry.confirm(100.0)
+    clock.now = 103.0
+    registry.note_failed_call(103.0, UNANSWERED_SECONDS)
+    clock.now = 103.1
+    registry.confirm(102.8)
+    registry.note_answered()
+    assert not registry.recently_troubled()
+
+
+def test_a_relay_that_the_store_turns_away_in_silence_has_its_followers_look(registry, clock):
+    """Its watch fails after 2.1 s without a sign, and so does each after it."""
+    registry.confirm(100.0)
+    feed = TimedFeed(clock, (0.1, FeedBatch(5, False, [], -0.2, None)))
+    store = TimedStore(clock, (2.1, refused()))
+    relay = reader(registry, clock, store, feed)
+    asyncio.run(relay._read_store())
+    server = FeedServer(registry, LoadTable(), list, clock)
+    batch = server._batch(FeedPoll(5), [], False, clock())
+    other = Registry(PlatformRegistry(), lambda: BOUNDS, clock)
+    follower = RegistrySync(None, other, clock, random.Random(1))
+    follower._take(batch, clock())
+    assert follower._has_reason_to_look()
+
+
+def test_a_peer_that_is_behind_removes_nothing_that_is_newer_than_its_view(registry, clock):
+    """History is lost, the listing fails, and the peer that is asked has an older view.
+
+    What was entered after that view is not gone.
+    """
+    enter(registry, "a", 5)
+    enter(registry, "b", 100)
+    registry.confirm(100.0)
+    old = FeedBatch(90, True, [EntryChange("servers/a", entry(), 5)], -1.0, None)
+    store = TimedStore(clock, (0.0, WatchCompacted("gone")), (0.0, refused()))
+    sync = reader(registry, clock, store, TimedFeed(clock, (0.1, old)))
+    asyncio.run(sync._read_store())
+    asyncio.run(sync._read_store())
+    assert sorted(serving(registry)) == ["a", "b"]
+
+
+def test_nodes_that_ask_each_other_do_not_count_loads_again_and_again():
+    """Without a relay, nodes poll one another while the store is silent."""
+    tables = {"A": LoadTable(), "B": LoadTable()}
+    own = {"A": [LoadAtWorker("w", 1, 0)], "B": [LoadAtWorker("w", 1, 0)]}
+    now = 0.0
+    for _ in range(5):
+        for asker, asked in (("A", "B"), ("B", "A")):
+            now += 0.3
+            tables[asked].take(asker, own[asker], now)
+            told = tables[asked].others(now, own[asked], asker)
+            tables[asker].take("", told, now)
+    assert tables["A"].at_worker("w", now).running == 1
