An outage moves the bound on replaced weights only if it begins before that bound has passed

Ruled out: ending the bound's extension altogether. An outage that begins before the bound does stop the rollout, and the rule counts one stretch without it; requests would be refused at all engines of a model until the store is back and they are loaded.

Change: a node keeps its last outage from its first to its last failed call, not only the last. It moves a bound that had not passed when it began; as the next outage begins, what the one before has moved is kept with the named version. An outage that is taken back leaves the one before in force, as before.

--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -34,10 +34,25 @@
 
     :ivar since: the latest moment at which it was surely not named yet; ``None`` when it was
         there at this node's first view.
+    :ivar counts_from: the moment from which the bound on the weights that it replaced counts,
+        as far as outages that are over have moved it.
     """
 
     version: int
     since: float | None
+    counts_from: float | None
+
+
+@dataclass
+class _Outage:
+    """A time in which the store answered nobody.
+
+    :ivar began: when the first call was sent that is known to belong to it.
+    :ivar last: when the last one was sent.
+    """
+
+    began: float
+    last: float
 
 
 class Registry:
@@ -60,9 +75,9 @@
         self._own: dict[str, tuple[bytes, int]] = {}
         self._named: dict[str, list[_Named]] = {}
         self.confirmed_at: float | None = None
-        self.trouble_at: float | None = None
+        self._outage: _Outage | None = None
+        self._outage_before: _Outage | None = None
         self._failed_at: float | None = None
-        self._trouble_before: float | None = None
         self._changed = asyncio.Event()
         self.configuration: RoutingConfiguration | None = None
         self.workers: dict[str, Worker] = {}
@@ -92,13 +107,21 @@
             within so long before the call.
         """
         if self._failed_at is None:
-            self._trouble_before = self.trouble_at
+            self._outage_before = self._outage
         self._failed_at = sent_at
         if self._is_confirmed_since(sent_at - unanswered_seconds):
             # Others are answered meanwhile, so earlier failures of this series were no outage.
-            self.trouble_at = self._trouble_before
+            self._outage = self._outage_before
+        elif self._outage is self._outage_before:
+            self._settle_bounds()
+            self._outage = _Outage(sent_at, sent_at)
         else:
-            self.trouble_at = sent_at
+            self._outage.last = sent_at
+
+    @property
+    def trouble_at(self) -> float | None:
+        """When the last call was sent that belongs to an outage; ``None`` before the first."""
+        return None if self._outage is None else self._outage.last
 
     def _is_confirmed_since(self, moment: float) -> bool:
         return self.confirmed_at is not None and self.confirmed_at > moment
@@ -186,7 +209,8 @@
         versions = self._named.setdefault(named.model, [])
         if not versions or named.version > versions[-1].version:
             # Learnt now, named at any moment since the view was last known to be current.
-            versions.append(_Named(named.version, self.confirmed_at))
+            since = self.confirmed_at
+            versions.append(_Named(named.version, since, since))
 
     def _remove(self, key: str) -> None:
         if self._own.pop(key, None) is not None:
@@ -306,8 +330,8 @@
     def begins_until(self, model: str, version: int) -> float:
         """Return until when a request may begin on a version; infinite for the newest.
 
-        The bound counts stretches without disruption, so it begins anew after trouble with
-        the store.
+        The bound counts stretches without disruption, so it begins anew after an outage of the
+        store. Once it has passed, no outage opens it again.
         """
         for named in self._named.get(model, ()):
             if named.version > version:
@@ -319,5 +343,20 @@
         if named.since is None:
             # Perhaps named long ago: a node that has just started is not judged before this.
             return self._started + self._bounds().contact_ms / 1000
-        begins = max(named.since, self.trouble_at or named.since)
-        return begins + self._bounds().weights_deadline_ms / 1000
+        return self._counts_from(named) + self._weights_deadline_seconds()
+
+    def _counts_from(self, named: _Named) -> float:
+        outage, counts_from = self._outage, named.counts_from
+        if outage is None or outage.began >= counts_from + self._weights_deadline_seconds():
+            return counts_from
+        return max(counts_from, outage.last)
+
+    def _settle_bounds(self) -> None:
+        """Keep what the last outage has moved, as another one begins."""
+        for versions in self._named.values():
+            for named in versions:
+                if named.since is not None:
+                    named.counts_from = self._counts_from(named)
+
+    def _weights_deadline_seconds(self) -> float:
+        return self._bounds().weights_deadline_ms / 1000
