--- a/src/wheelslip/forwarding/store_health.py
+++ b/src/wheelslip/forwarding/store_health.py
@@ -9,10 +9,14 @@
 """For so long before a call that fails nobody was answered in an outage. Others look at the store
 within 0.5 s of the first failed call that a node tells of, or when their view is 1.8 s old."""
 
-LONG_UNANSWERED_SECONDS = 3.0
+LONG_UNANSWERED_SECONDS = 2.5
 """The same for an outage that puts off what is due: where it is taken for longer than it was, work
 is done on replaced weights, so a node that is alone in its trouble must have heard of others."""
 
+FAILING_FOR_SECONDS = 1.0
+"""Calls have failed for so long in such an outage. While the node that reads for all stands still,
+nobody is answered since nobody calls: a view 2.1 s old and two resets 0.45 s apart are no outage."""
+
 FAILING_SECONDS = 3.0
 """A node that called in vain so long ago does not call any more; it was current by others since."""
 
@@ -24,7 +28,8 @@
 
     :ivar confirmed_at: the view was complete at this moment, whoever was answered.
     :ivar trouble_at: when the last call was sent that failed, or was answered late, in an outage.
-    :ivar outage_at: the same for outages of :data:`LONG_UNANSWERED_SECONDS` and more.
+    :ivar outage_at: the same for outages of :data:`LONG_UNANSWERED_SECONDS` and more in which
+        calls have failed for :data:`FAILING_FOR_SECONDS`.
     """
 
     def __init__(self):
@@ -33,10 +38,13 @@
         self.outage_at: float | None = None
         self._trouble_before: float | None = None
         self._failed_at: float | None = None
+        self._failing_since: float | None = None
 
     def confirm(self, at: float) -> None:
         """The view was complete at a moment: some node was answered then."""
         self.confirmed_at = max(at, self.confirmed_at or at)
+        if self._failing_since is not None and self._failing_since <= at:
+            self._failing_since = None
         trouble_at = self.trouble_at
         if trouble_at is not None and trouble_at - UNANSWERED_SECONDS < at <= trouble_at:
             # Somebody was served while this node's call failed.
@@ -52,9 +60,12 @@
     def note_failed(self, sent_at: float, now: float) -> None:
         """The store did not answer a call of this node."""
         self._failed_at = now
+        if self._failing_since is None:
+            self._failing_since = sent_at
         if self._unanswered(sent_at, UNANSWERED_SECONDS):
             self._note_trouble(sent_at)
-        if self._unanswered(sent_at, LONG_UNANSWERED_SECONDS):
+        is_long = sent_at - self._failing_since >= FAILING_FOR_SECONDS
+        if is_long and self._unanswered(sent_at, LONG_UNANSWERED_SECONDS):
             self.outage_at = sent_at
 
     def note_outage(self, sent_at: float) -> None:
