--- a/src/wheelslip/routing/cost.py
+++ b/src/wheelslip/routing/cost.py
@@ -10,6 +10,7 @@
 the prefix. It shrinks again as blocks age.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from wheelslip.routing import rendezvous
@@ -164,8 +165,25 @@
         Those already waiting for the same prefill are counted, so that a long row of them
         makes a second engine compute the prefix: that is how a hot prefix widens.
         """
+        for leader, cost, rest in self._leaders(request, best, now, following):
+            if cost < best.cost_seconds + HOME_PREFERENCE_SECONDS:
+                following[leader] = following.get(leader, 0.0) + rest
+                return True
+        return False
+
+    def passed_over(
+        self, request: RoutingRequest, best: Choice, now: float, following: dict[str, float]
+    ) -> tuple[tuple[str, float], ...]:
+        """Return the computations that a request might wait for, and at what cost."""
+        leaders = self._leaders(request, best, now, following)
+        return tuple((leader, round(cost, 3)) for leader, cost, _ in leaders)
+
+    def _leaders(
+        self, request: RoutingRequest, best: Choice, now: float, following: dict[str, float]
+    ) -> Iterator[tuple[str, float, float]]:
+        """Yield computations of enough of a prompt: name, cost of waiting, seconds for the rest."""
         if request.prompt_tokens - best.cached_tokens < FOLLOW_MIN_TOKENS:
-            return False
+            return
         for leader, prefill in self._prefills:
             view = self._engines.get(prefill.engine)
             if view is None or now - prefill.started_at > MAX_FOLLOW_SECONDS:
@@ -175,13 +193,7 @@
                 continue
             rest = view.prefill_seconds(request.prompt_tokens - shared * BLOCK_TOKENS)
             ahead = max(0.0, prefill.expected_end - now) + following.get(leader, 0.0)
-            if (
-                ahead + request.recompute_weight * rest
-                < best.cost_seconds + HOME_PREFERENCE_SECONDS
-            ):
-                following[leader] = following.get(leader, 0.0) + rest
-                return True
-        return False
+            yield leader, ahead + request.recompute_weight * rest, rest
 
 
 def eligible(view: EngineView, request: RoutingRequest) -> bool:
--- a/src/wheelslip/routing/model.py
+++ b/src/wheelslip/routing/model.py
@@ -80,6 +80,24 @@
         return self._keys[weights_version]
 
 
+@dataclass(frozen=True)
+class LongPrefill:
+    """Why a long prompt is computed now, for the log.
+
+    :param uncached_tokens: what this node does not know to be cached.
+    :param guessed_tokens: what is taken to be cached all the same, since other nodes send there.
+    :param cost_seconds: what the engine costs the request.
+    :param following: engine and cost of each computation of the same prompt that was not
+        waited for.
+    """
+
+    uncached_tokens: int
+    guessed_tokens: int
+    waited_seconds: float
+    cost_seconds: float
+    following: tuple[tuple[str, float], ...]
+
+
 @dataclass(frozen=True)
 class Dispatch:
     """The scheduler's decision to send a request to one engine incarnation."""
@@ -87,6 +105,7 @@
     request_id: str
     engine: EngineInfo
     predicted_cached_tokens: int
+    long_prefill: LongPrefill | None = None
 
 
 @dataclass(frozen=True)
--- a/src/wheelslip/routing/scheduler.py
+++ b/src/wheelslip/routing/scheduler.py
@@ -19,7 +19,14 @@
 from wheelslip.routing.engine_view import EngineView
 from wheelslip.routing.fair_queue import FairQueue
 from wheelslip.routing.index import PrefixIndex
-from wheelslip.routing.model import Decision, Dispatch, EngineInfo, Refusal, RoutingRequest
+from wheelslip.routing.model import (
+    Decision,
+    Dispatch,
+    EngineInfo,
+    LongPrefill,
+    Refusal,
+    RoutingRequest,
+)
 from wheelslip.routing.prefills import Prefill, PrefillBoard
 from wheelslip.routing.prefix import BLOCK_TOKENS
 from wheelslip.routing.prefix_registry import PrefixHint, registry_head
@@ -215,7 +222,8 @@
                 decisions += question
                 continue
             self._queue.remove(request.request_id)
-            decisions += self._send(request, choice, now)
+            long_prefill = self._long_prefill(request, choice, now, following)
+            decisions += self._send(request, choice, long_prefill, now)
         return decisions
 
     def next_wakeup(self, now: float) -> float | None:
@@ -256,7 +264,23 @@
             return []
         return self._sharing.news(sent.engine, sent.keys, seconds, now, urgent)
 
-    def _send(self, request: RoutingRequest, choice: Choice, now: float) -> list[Decision]:
+    def _long_prefill(
+        self, request: RoutingRequest, choice: Choice, now: float, following: dict[str, float]
+    ) -> LongPrefill | None:
+        uncached = request.prompt_tokens - choice.known_blocks * BLOCK_TOKENS
+        if uncached < SHARE_MIN_TOKENS:
+            return None
+        return LongPrefill(
+            uncached_tokens=uncached,
+            guessed_tokens=choice.cached_tokens - (request.prompt_tokens - uncached),
+            waited_seconds=round(now - request.arrived, 3),
+            cost_seconds=round(choice.cost_seconds, 3),
+            following=self._chooser.passed_over(request, choice, now, following),
+        )
+
+    def _send(
+        self, request: RoutingRequest, choice: Choice, long_prefill: LongPrefill | None, now: float
+    ) -> list[Decision]:
         view = choice.engine
         keys = request.keys(view.info.weights_version)
         uncached = max(1, request.prompt_tokens - choice.cached_tokens)
@@ -272,7 +296,8 @@
             self._prefills.add(request.request_id, prefill)
         if uncached >= SHARE_MIN_TOKENS:
             news = self._news(sent, expected - now, now, urgent=True)
-        return [Dispatch(request.request_id, view.info, choice.cached_tokens), *news]
+        dispatch = Dispatch(request.request_id, view.info, choice.cached_tokens, long_prefill)
+        return [dispatch, *news]
 
     def _is_hopeless(self, request: RoutingRequest, now: float) -> bool:
         """Whether the requests ahead will take longer than the deadline allows."""
--- a/src/wheelslip/routing/task.py
+++ b/src/wheelslip/routing/task.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Protocol
 
 from wheelslip.errors import WheelslipError
@@ -182,6 +182,7 @@
                 self._talk_to_home(decision, now)
             else:
                 self._replies.pop(decision.request_id).put(decision)
+                _log_long_prefill(decision)
 
     def _talk_to_home(self, message: AskHome | TellHome, now: float) -> None:
         address = self._home_link.home_of(message.head)
@@ -201,3 +202,13 @@
             len(scheduler.engines()),
             scheduler.known_blocks,
         )
+
+
+def _log_long_prefill(decision: Dispatch | Refusal) -> None:
+    if isinstance(decision, Dispatch) and decision.long_prefill is not None:
+        log_event(
+            LogEvent.PROMPT_COMPUTED,
+            request=decision.request_id,
+            engine=decision.engine.name,
+            **asdict(decision.long_prefill),
+        )
