What another node computes on an engine is not guessed to be cached there

Told by the prefix's home node that another node's request computes the prompt on this very engine, it compared waiting for that (1.787 s) with computing half of the prompt there (1.639 s) and computed; the engine found 0 tokens cached. The machine's load only shifts which of the two figures is the smaller.

Change: beside a computation of another node on the engine in question, the cost is taken without the guess. Elsewhere the guess stands.

--- a/src/wheelslip/routing/cost.py
+++ b/src/wheelslip/routing/cost.py
@@ -65,16 +65,31 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """One engine for one request, with what it costs and why."""
+    """One engine for one request, with what it costs and why.
+
+    :param known_cost_seconds: the cost if no more is cached than this node knows of.
+    """
 
     engine: EngineView
     cost_seconds: float
+    known_cost_seconds: float
     wait_seconds: float
     cached_tokens: int
+    known_tokens: int
     known_blocks: int
     is_home: bool
 
 
+@dataclass(frozen=True)
+class _Leader:
+    """A computation that a request may wait for, in place of computing beside it."""
+
+    name: str
+    following_cost: float
+    computing_cost: float
+    rest_seconds: float
+
+
 class EngineChooser:
     """Prices engines from views, prefix index and prefills that the scheduler owns."""
 
@@ -130,23 +145,26 @@
         for view in views:
             keys = request.keys(view.info.weights_version)
             blocks = self._index.cached_blocks(view.info.name, keys, now)
-            cached = min(blocks * BLOCK_TOKENS, request.prompt_tokens)
-            if view.info.name == home:
+            known = min(blocks * BLOCK_TOKENS, request.prompt_tokens)
+            is_home = view.info.name == home
+            cached = known
+            if is_home:
                 # Other nodes send this prefix there too, so it is likely to be cached.
-                cached = max(cached, int(self._home_hit_share * len(keys) * BLOCK_TOKENS))
-            uncached = max(1, request.prompt_tokens - cached)
+                cached = max(known, int(self._home_hit_share * len(keys) * BLOCK_TOKENS))
             wait = view.wait_seconds(now)
             running = view.running(now)
-            cost = wait + running * RUNNING_REQUEST_SECONDS
-            # Computing a prompt slows every stream that runs beside it.
-            interference = 1 + PREFILL_INTERFERENCE * running
-            cost += request.recompute_weight * interference * view.prefill_seconds(uncached)
+            base = wait + running * RUNNING_REQUEST_SECONDS
             if view.info.zone != self._options.zone:
-                cost += OTHER_ZONE_SECONDS
-            if view.info.name == home:
-                cost -= HOME_PREFERENCE_SECONDS
-            is_home = view.info.name == home
-            choices.append(Choice(view, cost, wait, cached, blocks, is_home))
+                base += OTHER_ZONE_SECONDS
+            if is_home:
+                base -= HOME_PREFERENCE_SECONDS
+            # Computing a prompt slows every stream that runs beside it.
+            weight = request.recompute_weight * (1 + PREFILL_INTERFERENCE * running)
+            cost, known_cost = (
+                base + weight * view.prefill_seconds(max(1, request.prompt_tokens - tokens))
+                for tokens in (cached, known)
+            )
+            choices.append(Choice(view, cost, known_cost, wait, cached, known, blocks, is_home))
         return choices
 
     def _home(self, request: RoutingRequest, views: list[EngineView]) -> str | None:
@@ -165,9 +183,9 @@
         Those already waiting for the same prefill are counted, so that a long row of them
         makes a second engine compute the prefix: that is how a hot prefix widens.
         """
-        for leader, cost, rest in self._leaders(request, best, now, following):
-            if cost < best.cost_seconds + HOME_PREFERENCE_SECONDS:
-                following[leader] = following.get(leader, 0.0) + rest
+        for leader in self._leaders(request, best, now, following):
+            if leader.following_cost < leader.computing_cost + HOME_PREFERENCE_SECONDS:
+                following[leader.name] = following.get(leader.name, 0.0) + leader.rest_seconds
                 return True
         return False
 
@@ -176,24 +194,32 @@
     ) -> tuple[tuple[str, float], ...]:
         """Return the computations that a request might wait for, and at what cost."""
         leaders = self._leaders(request, best, now, following)
-        return tuple((leader, round(cost, 3)) for leader, cost, _ in leaders)
+        return tuple((leader.name, round(leader.following_cost, 3)) for leader in leaders)
 
     def _leaders(
         self, request: RoutingRequest, best: Choice, now: float, following: dict[str, float]
-    ) -> Iterator[tuple[str, float, float]]:
-        """Yield computations of enough of a prompt: name, cost of waiting, seconds for the rest."""
-        if request.prompt_tokens - best.cached_tokens < FOLLOW_MIN_TOKENS:
+    ) -> Iterator[_Leader]:
+        """Yield the computations of enough of a prompt to be worth a wait."""
+        if request.prompt_tokens - best.known_tokens < FOLLOW_MIN_TOKENS:
             return
         for leader, prefill in self._prefills:
             view = self._engines.get(prefill.engine)
             if view is None or now - prefill.started_at > MAX_FOLLOW_SECONDS:
                 continue
+            cached, computing = best.cached_tokens, best.cost_seconds
+            if prefill.elsewhere is not None and view is best.engine:
+                # The guess stands for what other nodes sent here, and its home has just told
+                # of that: what this engine still computes for one of them it does not hold yet.
+                cached, computing = best.known_tokens, best.known_cost_seconds
+            if request.prompt_tokens - cached < FOLLOW_MIN_TOKENS:
+                continue
             shared = prefill.shared_blocks(request.keys(view.info.weights_version))
-            if shared * BLOCK_TOKENS - best.cached_tokens < FOLLOW_MIN_TOKENS:
+            if shared * BLOCK_TOKENS - cached < FOLLOW_MIN_TOKENS:
                 continue
             rest = view.prefill_seconds(request.prompt_tokens - shared * BLOCK_TOKENS)
             ahead = max(0.0, prefill.expected_end - now) + following.get(leader, 0.0)
-            yield leader, ahead + request.recompute_weight * rest, rest
+            following_cost = ahead + request.recompute_weight * rest
+            yield _Leader(leader, following_cost, computing, rest)
 
 
 def eligible(view: EngineView, request: RoutingRequest) -> bool:
