Probe clusters begin once the declarations are in force at every node

In one of 23 plays of the cold prefix test 33 of 36 requests were whole: three came to node-3 when it did not have the tenant's key yet. node-1 accepted revision 2 at 03.466, node-3 had it in force at 03.850, the other nodes computed the first prompt at 03.844. The fixture says that the declarations are in force at every node, but waited for engines and members only; apply waits for the zones that its node knows, and node-1 learnt of the others at 03.771, after the change. The fixture now waits for the revision at each node. How fast a change spreads is judged by tests/probe/test_configuration.py, as before.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -280,6 +280,15 @@
                 f"{node} sees {count} members",
             )
 
+    def wait_revision_of(self, node: str) -> None:
+        """Wait until every node holds the configuration that ``node`` has in force."""
+        revision = self.status(node)["revision"]
+        for other in self.nodes:
+            wait_until(
+                lambda other=other: self.status(other)["revision"] >= revision,
+                f"{other} has revision {revision} in force",
+            )
+
     def wait_http(self, url: str) -> None:
         """Wait until a URL answers 200."""
 
--- a/tests/probe/conftest.py
+++ b/tests/probe/conftest.py
@@ -26,6 +26,8 @@
         started.append(cluster)
         cluster.start()
         cluster.apply("node-1", "examples/thibodeau")
+        # It reaches the other nodes a moment later: a request there is refused until then.
+        cluster.wait_revision_of("node-1")
         cluster.wait_engines(engines)
         cluster.wait_members(nodes)
         return cluster
