--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -224,8 +224,9 @@
     nodes' requests. That guess made computing there look cheaper than waiting for another
     node's computation on this very engine, of which nothing was cached yet. Event 207 of the
     second node: guessed_tokens 6560 of 13140, cost_seconds 1.639, following [["engine-3/...",
-    1.787]]; the engine found 0 cached. In 8 runs at a load of 5 to 18 on 16 cores, 4 to 7 of
-    36 requests computed one of four prefixes; 3 of 36 did so for one of them, one a node.
+    1.787]]; the engine found 0 cached. In 23 runs at a load of 5 to 44 on 16 cores 4 to 7 of 36
+    requests computed one of four prefixes, up to three of them the same one, each from another
+    node.
     """
     registry = PrefixRegistry()
     nodes = [asking_scheduler() for _ in range(3)]
