The forwarding soak turns single nodes away, has engines leave and names weights in series

With some node struck every second, hardly any node was ever in touch.

Change: the soak is split by job (record, world, callers, faults, judge). Each node has its own front of the one store, which refuses (503), resets or is silent to that node alone, mostly the one that reads for all. Workers leave by draining or by removal of their entry, serve on, end, and come again as new instances on older weights; engines restart alone or together; some fail to load newer weights for longer than the bound; versions and configurations come in series; history is lost. Signals of one series overlap. A run has a storm and a calm; in the calm store and links are left alone, so that bounds are judged.

--- /dev/null
+++ b/bench/forwarding_faults.py
@@ -0,0 +1,317 @@
+"""The faults of a randomised run of forwarding nodes, in an order drawn from its seed.
+
+A storm strikes everything. In a calm the store as a whole and the links are left alone, so that
+promises with a bound in time are judged; single nodes are still turned away, struck by series
+of signals and restarted, workers leave and restart, and configurations and weights change.
+"""
+
+import asyncio
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from bench.forwarding_record import Part
+from bench.forwarding_world import FOREVER, World
+from standins.fault_proxy import Fault, FaultProxy
+from standins.platform_worker import WorkerFaults
+
+PAUSE_SECONDS = (0.3, 1.2)
+"""Range of the pause between two faults."""
+
+LAST_SECONDS = (0.5, 3.5)
+"""Range of how long most faults last."""
+
+TURN_AWAY_SECONDS = (1.0, 9.0)
+"""Range of how long the store turns a node away."""
+
+READER_SHARE = 0.6
+"""How often that is the node which reads the store for all."""
+
+ONE_ENGINE_SHARE = 0.7
+"""How often one engine restarts, and not all at once."""
+
+DRAINING_FIRST_SHARE = 0.4
+"""How often a worker says that it drains before its entry is removed."""
+
+SERVE_ON_SECONDS = (2.5, 6.0)
+"""Range of how long a worker that has left serves on."""
+
+STAY_OLD_SECONDS = (5.0, 10.0)
+"""Range of how long an engine fails to load newer weights."""
+
+SERIES_PAUSE_SECONDS = (0.02, 0.4)
+"""Range of the pause between the signals, versions or configurations of one series."""
+
+STORM_SHARE = 0.3
+"""Part of a run that is storm."""
+
+LINK_FAULTS = (
+    Fault.REFUSE,
+    Fault.BLACKHOLE,
+    Fault.BLACKHOLE_TO_SERVER,
+    Fault.BLACKHOLE_TO_CLIENT,
+    Fault.HALF_CLOSE,
+)
+WORKER_LINK_FAULTS = (*LINK_FAULTS, Fault.LOSE_ANSWER)
+WORKER_FAULTS = (
+    WorkerFaults(shed=5),
+    WorkerFaults(lose_answer=3),
+    WorkerFaults(break_after=2),
+    WorkerFaults(surplus_after=True),
+    WorkerFaults(foreign_first=True),
+    WorkerFaults(unframed=True),
+    WorkerFaults(unsigned=True),
+    WorkerFaults(ignore_orders=2),
+    WorkerFaults(status=500),
+)
+
+Kind = Callable[[], Awaitable[None]]
+
+
+class Faults:
+    """Everything that strikes one run.
+
+    :ivar counts: how often each kind came.
+    """
+
+    def __init__(self, world: World):
+        self._world = world
+        self._rng = world.rng
+        self._record = world.record
+        self._tasks: set[asyncio.Task] = set()
+        self._turned_away: set[str] = set()
+        self._leaving: set[str] = set()
+        self.counts: Counter[str] = Counter()
+        self._calm: dict[Kind, int] = {
+            self._kill: 1,
+            self._terminate: 1,
+            self._pause: 1,
+            self._hang_up: 1,
+            self._signal_series: 1,
+            self._turn_away: 4,
+            self._worker_drains: 2,
+            self._worker_leaves: 5,
+            self._engine_stays_old: 3,
+            self._engine_restarts: 2,
+            self._store_forgets: 2,
+            self._change_configuration: 2,
+            self._name_weights: 2,
+            self._revoke_key: 1,
+        }
+        self._storm: dict[Kind, int] = dict.fromkeys(self._calm, 1) | {
+            self._cut_store: 1,
+            self._harm_worker_link: 1,
+            self._store_outage: 1,
+            self._store_loses_answers: 1,
+            self._worker_misbehaves: 1,
+        }
+
+    async def run(self, until: float) -> None:
+        """Strike until a moment, and end when everything is well again."""
+        began = time.monotonic()
+        storm_first = self._rng.random() < 0.5
+        share = STORM_SHARE if storm_first else 1.0 - STORM_SHARE
+        turn_at = began + (until - began) * share
+        first, second = (self._storm, self._calm) if storm_first else (self._calm, self._storm)
+        await self._strike(first, turn_at)
+        await self._strike(second, until)
+        await asyncio.gather(*self._tasks)
+
+    async def _strike(self, kinds: dict[Kind, int], until: float) -> None:
+        while time.monotonic() < until:
+            (kind,) = self._rng.choices(list(kinds), list(kinds.values()))
+            self.counts[kind.__name__.strip("_")] += 1
+            self._tasks.add(asyncio.get_running_loop().create_task(kind()))
+            await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
+
+    async def _last(self, bounds: tuple[float, float] = LAST_SECONDS) -> None:
+        await asyncio.sleep(self._rng.uniform(*bounds))
+
+    def _node(self) -> str:
+        return self._rng.choice(self._world.nodes)
+
+    # Signals
+
+    async def _kill(self) -> None:
+        await self._world.end_and_restart(self._node(), signal.SIGKILL)
+
+    async def _terminate(self) -> None:
+        await self._world.end_and_restart(self._node(), signal.SIGTERM)
+
+    async def _pause(self) -> None:
+        await self._world.pause(self._node(), self._rng.uniform(*LAST_SECONDS))
+
+    async def _hang_up(self) -> None:
+        self._world.hang_up(self._node())
+
+    async def _signal_series(self) -> None:
+        """Strike one node, or several, by signals that overlap, beside changes of configuration."""
+        kinds = (signal.SIGTERM, signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP, signal.SIGHUP)
+        names = self._rng.sample(self._world.nodes, self._rng.randint(1, len(self._world.nodes)))
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._rng.randint(2, 5)):
+                name, sent = self._rng.choice(names), self._rng.choice(kinds)
+                if sent == signal.SIGHUP:
+                    self._world.hang_up(name)
+                    self._world.configure(1)
+                elif sent == signal.SIGSTOP:
+                    seconds = self._rng.uniform(*LAST_SECONDS)
+                    group.create_task(self._world.pause(name, seconds))
+                else:
+                    group.create_task(self._world.end_and_restart(name, sent))
+                await self._last(SERIES_PAUSE_SECONDS)
+
+    # The store
+
+    async def _turn_away(self) -> None:
+        """The store turns a node away, and serves the others."""
+        reader = self._rng.random() < READER_SHARE
+        name = self._world.reader() if reader else self._node()
+        if name in self._turned_away:
+            return
+        self._turned_away.add(name)
+        front, link = self._world.fronts[name], self._world.store_links[name]
+        with self._record.disrupted(Part.NODE, name):
+            how = self._rng.choice(("refuse", "reset", "silence"))
+            if how == "refuse":
+                front.refuse = 503
+            else:
+                link.fault = Fault.REFUSE if how == "reset" else Fault.BLACKHOLE
+            await self._last(TURN_AWAY_SECONDS)
+            front.refuse = 0
+            link.fault = Fault.PASS
+        self._turned_away.discard(name)
+
+    async def _harm(self, link: FaultProxy, faults: tuple[Fault, ...]) -> None:
+        link.fault = self._rng.choice(faults)
+        link.delay_seconds = self._rng.choice((0.0, 0.0, 0.05))
+        await self._last()
+        link.fault = Fault.PASS
+        link.delay_seconds = 0.0
+
+    async def _cut_store(self) -> None:
+        name = self._node()
+        with self._record.disrupted(Part.NODE, name), self._record.disrupted(Part.LINK, name):
+            await self._harm(self._world.store_links[name], LINK_FAULTS)
+
+    async def _store_outage(self) -> None:
+        with self._record.disrupted(Part.CORE):
+            status = self._rng.choice((429, 503))
+            for front in self._world.fronts.values():
+                front.refuse = status
+            await self._last()
+            for front in self._world.fronts.values():
+                front.refuse = 0
+
+    async def _store_loses_answers(self) -> None:
+        """Some transactions of any node are done and not answered."""
+        with self._record.disrupted(Part.CORE):
+            fronts = [self._world.fronts[self._node()] for _ in range(self._rng.randint(1, 4))]
+            for front in fronts:
+                front.lose_answers += 1
+            await self._last()
+            for front in fronts:
+                front.lose_answers = 0
+
+    async def _store_forgets(self) -> None:
+        self._world.site.model.compact()
+
+    # Workers
+
+    def _staying(self, service: str = "") -> list[str]:
+        """Return the workers, of one service or of all, that have not begun to leave."""
+        return [
+            one
+            for one in self._world.site.workers
+            if one not in self._leaving and service in ("", self._world.service_of[one])
+        ]
+
+    def _may_leave(self, service: str = "") -> str | None:
+        """Return a worker whose service keeps another one."""
+        names = [
+            one
+            for one in self._staying(service)
+            if len(self._staying(self._world.service_of[one])) > 1
+        ]
+        return self._rng.choice(names) if names else None
+
+    def _older_weights(self) -> int:
+        return max(1, self._world.weights - self._rng.randint(0, 2))
+
+    async def _harm_worker_link(self) -> None:
+        name = self._rng.choice(self._staying())
+        with self._record.disrupted(Part.LINK, name):
+            await self._harm(self._world.worker_links[name], WORKER_LINK_FAULTS)
+
+    async def _worker_misbehaves(self) -> None:
+        name = self._rng.choice(self._staying())
+        worker = self._world.site.workers[name]
+        with self._record.disrupted(Part.WORKER, name):
+            worker.faults = WorkerFaults(**vars(self._rng.choice(WORKER_FAULTS)))
+            await self._last()
+            worker.faults = WorkerFaults()
+
+    async def _worker_drains(self) -> None:
+        """A worker says that it drains, and thinks better of it."""
+        name = self._may_leave()
+        if name is None:
+            return
+        self._leaving.add(name)
+        self._world.enter(name, "draining")
+        await self._last(SERVE_ON_SECONDS)
+        self._world.enter(name, "ready")
+        self._leaving.discard(name)
+
+    async def _worker_leaves(self) -> None:
+        """A worker leaves, with or without saying so first, and serves on for a while."""
+        name = self._may_leave()
+        if name is None:
+            return
+        self._leaving.add(name)
+        if self._rng.random() < DRAINING_FIRST_SHARE:
+            self._world.enter(name, "draining")
+            await self._last()
+        self._world.remove(name)
+        await self._last(SERVE_ON_SECONDS)
+        await self._world.end_worker(name)
+        await self._world.replace_worker(name, self._older_weights())
+
+    async def _engine_restarts(self) -> None:
+        """An engine, now and then all, ends without a word and comes again with older weights."""
+        names = self._staying("engines")
+        if self._rng.random() < ONE_ENGINE_SHARE:
+            names = names[:1]
+        self._leaving.update(names)
+        for name in names:
+            await self._world.end_worker(name)
+        await self._last()
+        for name in names:
+            self._world.remove(name)
+            await self._world.replace_worker(name, self._older_weights())
+
+    async def _engine_stays_old(self) -> None:
+        """Some engines fail to load newer weights for a while; a newer version is named."""
+        engines = [one for one in self._world.site.workers.values() if one.model]
+        stuck = self._rng.sample(engines, self._rng.randint(1, len(engines))) if engines else []
+        for worker in stuck:
+            worker.named_versions = set(range(1, worker.version + 1))
+        self._world.name_weights(1)
+        await self._last(STAY_OLD_SECONDS)
+        for worker in stuck:
+            worker.named_versions = set(FOREVER)
+
+    # Operators
+
+    async def _change_configuration(self) -> None:
+        for _ in range(self._rng.randint(1, 4)):
+            self._world.configure(self._rng.randint(1, 3))
+            await self._last(SERIES_PAUSE_SECONDS)
+
+    async def _name_weights(self) -> None:
+        for _ in range(self._rng.randint(1, 4)):
+            self._world.name_weights(1)
+            await self._last(SERIES_PAUSE_SECONDS)
+
+    async def _revoke_key(self) -> None:
+        self._world.revoke_key()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -41,13 +41,17 @@
 
 @dataclass
 class Run:
-    """One request that began to run."""
+    """One request that began to run.
+
+    :ivar began_at: seconds of the steady clock.
+    """
 
     request_id: str
     request: StandInRequest
     version: int
     closed_early: bool = False
     ended: bool = False
+    began_at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -56,6 +60,8 @@
 
     :ivar seconds: how long a request runs; a stream pauses that long before each event.
     :ivar load_seconds: how long new weights take.
+    :ivar arrivals: id and moment of each request that reached it, run or shed; neither reports
+        and orders nor requests for another instance or version.
     """
 
     id: str
@@ -70,6 +76,7 @@
     def __post_init__(self):
         self.server = StandInServer(self._handle)
         self.runs: list[Run] = []
+        self.arrivals: list[tuple[str, float]] = []
         self.orders: list[dict] = []
         self.ordered_at: list[float] = []
         self.sequence = 0
@@ -99,11 +106,16 @@
         version = request.headers.get("wheelslip-expect-version", str(self.version))
         if expected != self.id or (self.model and version != str(self.version)):
             self._answer(exchange, request, 421, b"")
-        elif request.path == "/report":
+            return
+        if request.path == "/report":
             self._report(exchange)
-        elif request.path == "/order":
+            return
+        if request.path == "/order":
             self._order(json.loads(request.body), exchange)
-        elif self.faults.shed or self.busy:
+            return
+        request_id = request.headers.get("wheelslip-request-id", "")
+        self.arrivals.append((request_id, time.monotonic()))
+        if self.faults.shed or self.busy:
             self.faults.shed = max(0, self.faults.shed - 1)
             self._answer(exchange, request, 503, b"", [("Wheelslip-Not-Executed", "1")])
         else:
