The soak's nodes count as starting until they listen, not for three seconds

Ruled out: a process that was paused or started twice (one node_started in its log, the pause went to the process before).

Change: a start lasts until the process takes connections, 10 s at most, so its silence is judged from 0.6 s on instead of 3 s. The run prints its longest start, when its own process was late, and how many runs fell beside planned stops.

--- a/Makefile
+++ b/Makefile
@@ -39,8 +39,9 @@
 soak: setup
 	$(RUN) -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+NODES ?= 0
 forwarding-soak: setup
-	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS)
+	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES)
 
 replay: setup
 	$(RUN) -m bench.replay
--- a/bench/forwarding_judge.py
+++ b/bench/forwarding_judge.py
@@ -201,10 +201,12 @@
                 ran_at.setdefault(run.request_id, set()).add(name)
         stops = [one for one in self._record.disruptions if one.part is Part.NODE and one.planned]
         for call in self._record.calls:
-            ended = call.status != 0 and call.complete
-            if ended or call.request_id not in ran_at or self._is_excused(call, ran_at):
+            if call.request_id not in ran_at or self._is_excused(call, ran_at):
                 continue
-            if any(self._stops_during(one, call) for one in stops):
+            if not any(self._stops_during(one, call) for one in stops):
+                continue
+            self.judged["runs beside planned stops"] += 1
+            if call.status == 0 or not call.complete:
                 self._broken(
                     f"LOST {call.request_id} had run when the planned stop of {call.node} ended "
                     f"it at {self._record.seconds(call.ended_at)} s: {call.error}"
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -37,7 +37,8 @@
     deadline: float
 
 
-class Strike(NamedTuple):
+@dataclass
+class Strike:
     """A time during which silence of a node is no surprise; starting up is part of it."""
 
     node: str
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -55,7 +55,7 @@
         self.faults = Faults(self.world)
         callers = min(MAX_CALLERS, max(CALLERS, len(self.world.nodes)))
         self.callers = Callers(self.world, self.judge, callers // 2, callers - callers // 2)
-        self.longest_lag = 0.0
+        self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
     async def run(self, seconds: float) -> None:
@@ -74,7 +74,9 @@
         while True:
             due = time.monotonic() + LAG_STEP_SECONDS
             await asyncio.sleep(LAG_STEP_SECONDS)
-            self.longest_lag = max(self.longest_lag, time.monotonic() - due)
+            late = time.monotonic() - due
+            if late > self.longest_lag:
+                self.longest_lag, self.longest_lag_at = late, self.record.seconds(due)
 
     async def _settle(self) -> None:
         """With all faults gone every node serves, and every engine gets the newest weights."""
@@ -132,7 +134,10 @@
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
     soak = asyncio.run(play(seed, seconds, logs, nodes))
-    print(f"{len(soak.world.nodes)} nodes, longest lag of this process {soak.longest_lag:.3f} s")
+    print(
+        f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
+        f"of this process {soak.longest_lag:.3f} s at {soak.longest_lag_at} s"
+    )
     print("faults:", dict(soak.faults.counts))
     print("history:", *soak.history(), sep="\n  ")
     print("judged:", dict(soak.judge.judged))
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -22,7 +22,7 @@
 )
 from bench.forwarding_record import Disruption, Leaving, Naming, Part, Record, Revocation, Strike
 from standins.fault_proxy import FaultProxy
-from standins.platform_site import Site, configuration, free_port
+from standins.platform_site import Caller, Site, configuration, free_port
 from standins.platform_store import PlatformStoreServer
 from standins.platform_worker import PlatformWorker
 
@@ -38,8 +38,12 @@
 
 EVENT_SECONDS = 0.04
 REVOCATION_MS = 5000
-START_SECONDS = 3.0
-"""A process that was just started listens within this time, also beside other work."""
+START_SECONDS = 10.0
+"""A process that was just started listens within this time, also on a machine whose other work
+keeps all cores busy; from the moment at which it listens, its silence is judged."""
+
+LOOK_SECONDS = 0.05
+"""Pause between two looks whether a process listens."""
 
 WAKE_SECONDS = 1.0
 """A process that was paused answers again within this time."""
@@ -50,6 +54,7 @@
 
     :param nodes: number of processes.
     :param zones: number of zones over which they are dealt out.
+    :ivar longest_start: most seconds from the start of a process until it listened.
     """
 
     def __init__(
@@ -78,6 +83,8 @@
         self._environment: dict[str, dict[str, str]] = {}
         self._node_of_peer: dict[str, str] = {}
         self._restarting: dict[str, asyncio.Lock] = {}
+        self._looking: set[asyncio.Task] = set()
+        self.longest_start = 0.0
         self._configuration = 1
         self._instances = 0
 
@@ -97,6 +104,8 @@
 
     async def stop(self) -> None:
         """End all processes that this run started, by their ids."""
+        for task in list(self._looking):
+            task.cancel()
         for process in self.processes.values():
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -208,7 +217,8 @@
     async def start_node(self, name: str, planned: bool = False) -> None:
         """Start a node's process."""
         now = time.monotonic()
-        self.record.strikes.append(Strike(name, now, now + START_SECONDS))
+        starting = Strike(name, now, now + START_SECONDS)
+        self.record.strikes.append(starting)
         with (
             self.record.disrupted(Part.NODE, name, planned),
             open(self._folder / f"{name}.log", "ab") as log,
@@ -220,6 +230,20 @@
                 stdout=log,
                 stderr=log,
             )
+        task = asyncio.get_running_loop().create_task(self._until_listening(starting))
+        self._looking.add(task)
+        task.add_done_callback(self._looking.discard)
+
+    async def _until_listening(self, starting: Strike) -> None:
+        """End a node's starting when it takes connections."""
+        while time.monotonic() < starting.ended_at:
+            try:
+                (await Caller.connect(self.site.addresses[starting.node])).leave()
+            except OSError:
+                await asyncio.sleep(LOOK_SECONDS)
+            else:
+                starting.ended_at = time.monotonic()
+                self.longest_start = max(self.longest_start, starting.ended_at - starting.began_at)
 
     async def end_and_restart(self, name: str, sent: signal.Signals) -> None:
         """Send a signal that ends a node's process, and start it again once it has ended.
--- /dev/null
+++ b/tests/probe/forwarding/test_soak.py
@@ -0,0 +1,23 @@
+"""Short runs of the forwarding soak, with seeds that are kept.
+
+On code that took one node's trouble with the store for the store's own, each of these seeds has
+requests reach engines that had left, or begin on replaced weights after the bound.
+"""
+
+import asyncio
+
+import pytest
+
+from bench.forwarding_soak import play
+
+SECONDS = 25.0
+"""How long faults are injected; starting and settling come on top."""
+
+
+@pytest.mark.parametrize("seed", [3])
+def test_a_short_soak_breaks_no_promise(seed, tmp_path):
+    soak = asyncio.run(play(seed, SECONDS, tmp_path))
+    assert soak.record.violations == [], soak.history()
+    # A run in which nothing fell under the bounds in time would prove nothing about them.
+    assert soak.judge.judged["leavings"] > 0
+    assert soak.judge.judged["calls at nodes in touch"] > 0
