Faults of the soak draw from sources of their own, so that a seed keeps their kinds, order and lengths

Cause: callers, faults and the world shared one source of random numbers, so each draw of a caller shifted the faults after it: a kept seed was no scenario.

Change: one source gives kinds, pauses and a source for each fault; callers have another. Whom a fault strikes may still depend on who is there (the node that reads for all; workers that have not left).

--- a/bench/forwarding_callers.py
+++ b/bench/forwarding_callers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import time
 
 import h11
@@ -33,8 +34,9 @@
     :param single: number of those that open one for each request.
     """
 
-    def __init__(self, world: World, judge: Judge, kept_open: int, single: int):
+    def __init__(self, world: World, judge: Judge, rng: random.Random, kept_open: int, single: int):
         self._world = world
+        self._rng = rng
         self._judge = judge
         self._kept_open = kept_open
         self._single = single
@@ -47,7 +49,7 @@
     async def _open_each(self, until: float) -> None:
         world = self._world
         while time.monotonic() < until:
-            await self.call(world.rng.choice(world.nodes), *self._what())
+            await self.call(self._rng.choice(world.nodes), *self._what())
             await self._pause()
 
     async def _keep_using(self, until: float) -> None:
@@ -55,7 +57,7 @@
         caller, name = None, ""
         while time.monotonic() < until:
             if caller is None:
-                name = world.rng.choice(world.nodes)
+                name = self._rng.choice(world.nodes)
                 try:
                     caller = await Caller.connect(world.site.addresses[name])
                 except OSError:
@@ -71,11 +73,11 @@
             caller.leave()
 
     async def _pause(self) -> None:
-        await asyncio.sleep(self._world.rng.uniform(0.0, PAUSE_SECONDS))
+        await asyncio.sleep(self._rng.uniform(0.0, PAUSE_SECONDS))
 
     def _what(self) -> tuple[str, str]:
         """Return path and key of a request; some are sent with a key that was taken away."""
-        rng, world = self._world.rng, self._world
+        rng, world = self._rng, self._world
         key = world.keys[-1]
         if world.record.revoked and rng.random() < REVOKED_SHARE:
             key = rng.choice(world.record.revoked[-2:]).key
@@ -83,7 +85,7 @@
 
     async def call(self, name: str, path: str, key: str, caller: Caller | None = None) -> Call:
         """Send one request, on an open connection or one of its own, and judge its answer."""
-        rng, world = self._world.rng, self._world
+        rng, world = self._rng, self._world
         request_id = f"{rng.getrandbits(64):016x}"
         headers = {}
         if path.startswith(("/stream", "/resumed")):
--- a/bench/forwarding_faults.py
+++ b/bench/forwarding_faults.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import signal
 import time
 from collections import Counter
@@ -66,18 +67,22 @@
     WorkerFaults(status=500),
 )
 
-Kind = Callable[[], Awaitable[None]]
+Kind = Callable[[random.Random], Awaitable[None]]
 
 
 class Faults:
     """Everything that strikes one run.
 
+    Each fault draws from a source of its own, so that kinds, order and lengths do not depend
+    on what else happens at the time; whom it strikes may depend on who is there.
+
+    :param rng: gives kinds, pauses and the faults' own sources.
     :ivar counts: how often each kind came.
     """
 
-    def __init__(self, world: World):
+    def __init__(self, world: World, rng: random.Random):
         self._world = world
-        self._rng = world.rng
+        self._rng = rng
         self._record = world.record
         self._tasks: set[asyncio.Task] = set()
         self._turned_away: set[str] = set()
@@ -122,99 +127,102 @@
         while time.monotonic() < until:
             (kind,) = self._rng.choices(list(kinds), list(kinds.values()))
             self.counts[kind.__name__.strip("_")] += 1
-            self._tasks.add(asyncio.get_running_loop().create_task(kind()))
+            own = random.Random(self._rng.getrandbits(64))
+            self._tasks.add(asyncio.get_running_loop().create_task(kind(own)))
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
 
-    async def _last(self, bounds: tuple[float, float] = LAST_SECONDS) -> None:
-        await asyncio.sleep(self._rng.uniform(*bounds))
+    async def _last(self, rng: random.Random, bounds: tuple[float, float] = LAST_SECONDS) -> None:
+        await asyncio.sleep(rng.uniform(*bounds))
 
-    def _node(self) -> str:
-        return self._rng.choice(self._world.nodes)
+    def _node(self, rng: random.Random) -> str:
+        return rng.choice(self._world.nodes)
 
     # Signals
 
-    async def _kill(self) -> None:
-        await self._world.end_and_restart(self._node(), signal.SIGKILL)
+    async def _kill(self, rng: random.Random) -> None:
+        await self._world.end_and_restart(self._node(rng), signal.SIGKILL)
 
-    async def _terminate(self) -> None:
-        await self._world.end_and_restart(self._node(), signal.SIGTERM)
+    async def _terminate(self, rng: random.Random) -> None:
+        await self._world.end_and_restart(self._node(rng), signal.SIGTERM)
 
-    async def _pause(self) -> None:
-        await self._world.pause(self._node(), self._rng.uniform(*LAST_SECONDS))
+    async def _pause(self, rng: random.Random) -> None:
+        await self._world.pause(self._node(rng), rng.uniform(*LAST_SECONDS))
 
-    async def _hang_up(self) -> None:
-        self._world.hang_up(self._node())
+    async def _hang_up(self, rng: random.Random) -> None:
+        self._world.hang_up(self._node(rng))
 
-    async def _signal_series(self) -> None:
+    async def _signal_series(self, rng: random.Random) -> None:
         """Strike one node, or several, by signals that overlap, beside changes of configuration."""
         kinds = (signal.SIGTERM, signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP, signal.SIGHUP)
-        names = self._rng.sample(self._world.nodes, self._rng.randint(1, len(self._world.nodes)))
+        names = rng.sample(self._world.nodes, rng.randint(1, len(self._world.nodes)))
         async with asyncio.TaskGroup() as group:
-            for _ in range(self._rng.randint(2, 5)):
-                name, sent = self._rng.choice(names), self._rng.choice(kinds)
+            for _ in range(rng.randint(2, 5)):
+                name, sent = rng.choice(names), rng.choice(kinds)
                 if sent == signal.SIGHUP:
                     self._world.hang_up(name)
                     self._world.configure(1)
                 elif sent == signal.SIGSTOP:
-                    seconds = self._rng.uniform(*LAST_SECONDS)
+                    seconds = rng.uniform(*LAST_SECONDS)
                     group.create_task(self._world.pause(name, seconds))
                 else:
                     group.create_task(self._world.end_and_restart(name, sent))
-                await self._last(SERIES_PAUSE_SECONDS)
+                await self._last(rng, SERIES_PAUSE_SECONDS)
 
     # The store
 
-    async def _turn_away(self) -> None:
+    async def _turn_away(self, rng: random.Random) -> None:
         """The store turns a node away, and serves the others."""
-        reader = self._rng.random() < READER_SHARE
-        name = self._world.reader() if reader else self._node()
+        reads_for_all = rng.random() < READER_SHARE
+        name = self._node(rng)
+        if reads_for_all:
+            name = self._world.reader() or name
         if name in self._turned_away:
             return
         self._turned_away.add(name)
         front, link = self._world.fronts[name], self._world.store_links[name]
         with self._record.disrupted(Part.NODE, name):
-            how = self._rng.choice(("refuse", "reset", "silence"))
+            how = rng.choice(("refuse", "reset", "silence"))
             if how == "refuse":
                 front.refuse = 503
             else:
                 link.fault = Fault.REFUSE if how == "reset" else Fault.BLACKHOLE
-            await self._last(TURN_AWAY_SECONDS)
+            await self._last(rng, TURN_AWAY_SECONDS)
             front.refuse = 0
             link.fault = Fault.PASS
         self._turned_away.discard(name)
 
-    async def _harm(self, link: FaultProxy, faults: tuple[Fault, ...]) -> None:
-        link.fault = self._rng.choice(faults)
-        link.delay_seconds = self._rng.choice((0.0, 0.0, 0.05))
-        await self._last()
+    async def _harm(self, rng: random.Random, link: FaultProxy, faults: tuple[Fault, ...]) -> None:
+        link.fault = rng.choice(faults)
+        link.delay_seconds = rng.choice((0.0, 0.0, 0.05))
+        await self._last(rng)
         link.fault = Fault.PASS
         link.delay_seconds = 0.0
 
-    async def _cut_store(self) -> None:
-        name = self._node()
+    async def _cut_store(self, rng: random.Random) -> None:
+        name = self._node(rng)
         with self._record.disrupted(Part.NODE, name), self._record.disrupted(Part.LINK, name):
-            await self._harm(self._world.store_links[name], LINK_FAULTS)
+            await self._harm(rng, self._world.store_links[name], LINK_FAULTS)
 
-    async def _store_outage(self) -> None:
+    async def _store_outage(self, rng: random.Random) -> None:
         with self._record.disrupted(Part.CORE):
-            status = self._rng.choice((429, 503))
+            status = rng.choice((429, 503))
             for front in self._world.fronts.values():
                 front.refuse = status
-            await self._last()
+            await self._last(rng)
             for front in self._world.fronts.values():
                 front.refuse = 0
 
-    async def _store_loses_answers(self) -> None:
+    async def _store_loses_answers(self, rng: random.Random) -> None:
         """Some transactions of any node are done and not answered."""
         with self._record.disrupted(Part.CORE):
-            fronts = [self._world.fronts[self._node()] for _ in range(self._rng.randint(1, 4))]
+            fronts = [self._world.fronts[self._node(rng)] for _ in range(rng.randint(1, 4))]
             for front in fronts:
                 front.lose_answers += 1
-            await self._last()
+            await self._last(rng)
             for front in fronts:
                 front.lose_answers = 0
 
-    async def _store_forgets(self) -> None:
+    async def _store_forgets(self, rng: random.Random) -> None:
         self._world.site.model.compact()
 
     # Workers
@@ -227,91 +235,89 @@
             if one not in self._leaving and service in ("", self._world.service_of[one])
         ]
 
-    def _may_leave(self, service: str = "") -> str | None:
+    def _may_leave(self, rng: random.Random) -> str | None:
         """Return a worker whose service keeps another one."""
         names = [
-            one
-            for one in self._staying(service)
-            if len(self._staying(self._world.service_of[one])) > 1
+            one for one in self._staying() if len(self._staying(self._world.service_of[one])) > 1
         ]
-        return self._rng.choice(names) if names else None
+        return rng.choice(names) if names else None
 
-    def _older_weights(self) -> int:
-        return max(1, self._world.weights - self._rng.randint(0, 2))
+    def _older_weights(self, rng: random.Random) -> int:
+        return max(1, self._world.weights - rng.randint(0, 2))
 
-    async def _harm_worker_link(self) -> None:
-        name = self._rng.choice(self._staying())
+    async def _harm_worker_link(self, rng: random.Random) -> None:
+        name = rng.choice(self._staying())
         with self._record.disrupted(Part.LINK, name):
-            await self._harm(self._world.worker_links[name], WORKER_LINK_FAULTS)
+            await self._harm(rng, self._world.worker_links[name], WORKER_LINK_FAULTS)
 
-    async def _worker_misbehaves(self) -> None:
-        name = self._rng.choice(self._staying())
+    async def _worker_misbehaves(self, rng: random.Random) -> None:
+        name = rng.choice(self._staying())
         worker = self._world.site.workers[name]
         with self._record.disrupted(Part.WORKER, name):
-            worker.faults = WorkerFaults(**vars(self._rng.choice(WORKER_FAULTS)))
-            await self._last()
+            worker.faults = WorkerFaults(**vars(rng.choice(WORKER_FAULTS)))
+            await self._last(rng)
             worker.faults = WorkerFaults()
 
-    async def _worker_drains(self) -> None:
+    async def _worker_drains(self, rng: random.Random) -> None:
         """A worker says that it drains, and thinks better of it."""
-        name = self._may_leave()
+        name = self._may_leave(rng)
         if name is None:
             return
         self._leaving.add(name)
         self._world.enter(name, "draining")
-        await self._last(SERVE_ON_SECONDS)
+        await self._last(rng, SERVE_ON_SECONDS)
         self._world.enter(name, "ready")
         self._leaving.discard(name)
 
-    async def _worker_leaves(self) -> None:
+    async def _worker_leaves(self, rng: random.Random) -> None:
         """A worker leaves, with or without saying so first, and serves on for a while."""
-        name = self._may_leave()
+        name = self._may_leave(rng)
         if name is None:
             return
         self._leaving.add(name)
-        if self._rng.random() < DRAINING_FIRST_SHARE:
+        if rng.random() < DRAINING_FIRST_SHARE:
             self._world.enter(name, "draining")
-            await self._last()
+            await self._last(rng)
         self._world.remove(name)
-        await self._last(SERVE_ON_SECONDS)
+        await self._last(rng, SERVE_ON_SECONDS)
         await self._world.end_worker(name)
-        await self._world.replace_worker(name, self._older_weights())
+        await self._world.replace_worker(name, self._older_weights(rng))
 
-    async def _engine_restarts(self) -> None:
+    async def _engine_restarts(self, rng: random.Random) -> None:
         """An engine, now and then all, ends without a word and comes again with older weights."""
         names = self._staying("engines")
-        if self._rng.random() < ONE_ENGINE_SHARE:
+        if rng.random() < ONE_ENGINE_SHARE:
             names = names[:1]
         self._leaving.update(names)
         for name in names:
             await self._world.end_worker(name)
-        await self._last()
+        await self._last(rng)
         for name in names:
             self._world.remove(name)
-            await self._world.replace_worker(name, self._older_weights())
+            await self._world.replace_worker(name, self._older_weights(rng))
 
-    async def _engine_stays_old(self) -> None:
+    async def _engine_stays_old(self, rng: random.Random) -> None:
         """Some engines fail to load newer weights for a while; a newer version is named."""
         engines = [one for one in self._world.site.workers.values() if one.model]
-        stuck = self._rng.sample(engines, self._rng.randint(1, len(engines))) if engines else []
+        stuck = rng.sample(engines, rng.randint(1, len(engines))) if engines else []
         for worker in stuck:
             worker.named_versions = set(range(1, worker.version + 1))
         self._world.name_weights(1)
-        await self._last(STAY_OLD_SECONDS)
+        await self._last(rng, STAY_OLD_SECONDS)
         for worker in stuck:
             worker.named_versions = set(FOREVER)
 
     # Operators
 
-    async def _change_configuration(self) -> None:
-        for _ in range(self._rng.randint(1, 4)):
-            self._world.configure(self._rng.randint(1, 3))
-            await self._last(SERIES_PAUSE_SECONDS)
+    async def _change_configuration(self, rng: random.Random) -> None:
+        for _ in range(rng.randint(1, 4)):
+            self._world.configure(rng.randint(1, 3))
+            await self._last(rng, SERIES_PAUSE_SECONDS)
 
-    async def _name_weights(self) -> None:
-        for _ in range(self._rng.randint(1, 4)):
+    async def _name_weights(self, rng: random.Random) -> None:
+        for _ in range(rng.randint(1, 4)):
             self._world.name_weights(1)
-            await self._last(SERIES_PAUSE_SECONDS)
+            await self._last(rng, SERIES_PAUSE_SECONDS)
 
-    async def _revoke_key(self) -> None:
+    async def _revoke_key(self, rng: random.Random) -> None:
         self._world.revoke_key()
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -50,11 +50,14 @@
         rng = random.Random(seed)
         drawn, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
         self.record = Record()
-        self.world = World(rng, folder, self.record, nodes or drawn, zones)
+        self.world = World(folder, self.record, nodes or drawn, zones)
         self.judge = Judge(self.record)
-        self.faults = Faults(self.world)
+        self.faults = Faults(self.world, rng)
         callers = min(MAX_CALLERS, max(CALLERS, len(self.world.nodes)))
-        self.callers = Callers(self.world, self.judge, callers // 2, callers - callers // 2)
+        kept_open = callers // 2
+        # Another source than that of the faults, whose order must not depend on callers.
+        own = random.Random(~seed)
+        self.callers = Callers(self.world, self.judge, own, kept_open, callers - kept_open)
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -9,7 +9,6 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import sys
 import time
@@ -59,7 +58,6 @@
 
     def __init__(
         self,
-        rng: random.Random,
         folder: pathlib.Path,
         record: Record,
         nodes: int = 3,
@@ -67,7 +65,6 @@
     ):
         if not 1 <= nodes <= MAX_NODES:
             raise ValueError(f"{nodes} nodes; 1 to {MAX_NODES} are allowed")
-        self.rng = rng
         self.record = record
         self.site = Site(folder)
         self.nodes = [f"n{number}" for number in range(nodes)]
@@ -183,12 +180,11 @@
 
     # Nodes
 
-    def reader(self) -> str:
-        """Return the node that reads the store for all; any if there is none."""
+    def reader(self) -> str | None:
+        """Return the node that reads the store for all, if there is one."""
         relays = [one for key, one in self.site.model.items.items() if key.startswith(RELAY_PREFIX)]
         first = min(relays, key=lambda one: one.made, default=None)
-        name = self._node_of_peer.get(first.value.decode()) if first else None
-        return name or self.rng.choice(self.nodes)
+        return self._node_of_peer.get(first.value.decode()) if first else None
 
     async def _write_settings(self, name: str, peers: str, seed: str, zone: str) -> None:
         site = self.site
