Each soak has a loopback address of its own, so that runs side by side share no ports

A fault of the soak, not of the product.

Ruled out: a second process of the same run (the port is in no other settings file of it).

Change: a run takes 127.x.y.z by its process id, and gives each port there out once.

--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import time
 
@@ -21,7 +22,7 @@
 )
 from bench.forwarding_record import Disruption, Leaving, Naming, Part, Record, Revocation, Strike
 from standins.fault_proxy import FaultProxy
-from standins.platform_site import Caller, Site, configuration, free_port
+from standins.platform_site import Caller, Site, configuration
 from standins.platform_store import PlatformStoreServer
 from standins.platform_worker import PlatformWorker
 
@@ -35,6 +36,9 @@
 FOREVER = range(1, 1000)
 """Versions of weights that a worker can load unless it is told otherwise."""
 
+FIRST_PORT = 20_000
+"""First port at a run's own address; below those that outgoing connections take."""
+
 EVENT_SECONDS = 0.04
 REVOCATION_MS = 5000
 START_SECONDS = 10.0
@@ -48,6 +52,15 @@
 """A process that was paused answers again within this time."""
 
 
+def own_loopback_address(pid: int) -> str:
+    """Return a loopback address that no other process with such a run has.
+
+    Addresses of nodes are chosen before they are listened at, and again after each restart, so
+    runs side by side must not share one address and its ports.
+    """
+    return f"127.{1 + (pid >> 16) % 127}.{(pid >> 8) % 256}.{pid % 256}"
+
+
 class World:
     """Store, workers and nodes of one run.
 
@@ -82,6 +95,8 @@
         self._restarting: dict[str, asyncio.Lock] = {}
         self._looking: set[asyncio.Task] = set()
         self.longest_start = 0.0
+        self._host = own_loopback_address(os.getpid())
+        self._next_port = FIRST_PORT
         self._configuration = 1
         self._instances = 0
 
@@ -92,9 +107,9 @@
         self.name_weights()
         for name, service in SERVICES.items():
             await self.start_worker(name, service, self.weights)
-        seed = f"127.0.0.1:{free_port()}"
+        seed = self._free_address()
         for number, name in enumerate(self.nodes):
-            peers = seed if number == 0 else f"127.0.0.1:{free_port()}"
+            peers = seed if number == 0 else self._free_address()
             zone = f"z{1 + number % self._zones}"
             await self._write_settings(name, peers, seed, zone)
             await self.start_node(name)
@@ -112,6 +127,17 @@
         for link in [*self.store_links.values(), *self.worker_links.values()]:
             link.stop()
 
+    def _free_port(self) -> int:
+        """Return a port of the run's own address that it has not given out yet."""
+        while True:
+            self._next_port += 1
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind((self._host, self._next_port))
+                return self._next_port
+
+    def _free_address(self) -> str:
+        return f"{self._host}:{self._free_port()}"
+
     # Operators
 
     def configure(self, raise_by: int = 0, keys: list[str] | None = None) -> None:
@@ -143,7 +169,7 @@
         worker.named_versions = set(FOREVER)
         await worker.server.start()
         host, _, port = worker.server.address.rpartition(":")
-        self.worker_links[name] = FaultProxy(("127.0.0.1", free_port()), (host, int(port)))
+        self.worker_links[name] = FaultProxy((self._host, self._free_port()), (host, int(port)))
         self.service_of[name] = service
         self.site.workers[name] = self.record.workers[name] = worker
         self.enter(name, "ready")
@@ -188,12 +214,12 @@
 
     async def _write_settings(self, name: str, peers: str, seed: str, zone: str) -> None:
         site = self.site
-        site.addresses[name] = f"127.0.0.1:{free_port()}"
-        site.readiness[name] = f"127.0.0.1:{free_port()}"
+        site.addresses[name] = self._free_address()
+        site.readiness[name] = self._free_address()
         front = self.fronts[name] = PlatformStoreServer(site.model)
         await front.server.start()
         host, _, port = front.server.address.rpartition(":")
-        link = FaultProxy(("127.0.0.1", free_port()), (host, int(port)))
+        link = FaultProxy((self._host, self._free_port()), (host, int(port)))
         self.store_links[name] = link
         self._node_of_peer[peers] = name
         self._restarting[name] = asyncio.Lock()
