Failing test: a node in touch gives work to a worker that has left, beside a store that is silent to the reader

A watch that hangs fails 2.1 s after it was sent (0.6 s wait and 1.5 s), and the age that n1 tells with its answers counts from the sending: the news is older than FAILING_NEWS_SECONDS (2.0 s) when it begins to be told, so the followers never have that reason to look. They look when the view is STALE_SECONDS (2.2 s) old, which is over the drain time by itself: n2 looked at 24.35 s (its view's age of 2.295 s at 26.64 s says so), the worker left 0.06 s after, n0 and n2 learnt of it 2.2 s later (engine_leaving and engine_down within one millisecond).

Ruled out: a request placed by a dispatcher that lagged (n2 logs engine_leaving itself at 26.6 s); lag of the soak's process (0.06 s at most in the run, at 37 s); doubt around an outage (no engine_doubtful in any log).

The test lets the worker leave just after both followers have looked.

--- /dev/null
+++ b/tests/probe/forwarding/test_silent_store.py
@@ -0,0 +1,58 @@
+"""The store is silent to the node that reads it for all, and serves the others.
+
+A call that gets no answer at all hangs for seconds, and its news is old by the time it has failed:
+the followers look at the store once and then trust the reader's view again until it is 2.2 s old,
+which is longer than a worker may still be given requests after it has left. In a randomised run
+two requests reached a worker 2.03 s and 2.10 s after its leaving, through a node in touch.
+"""
+
+import asyncio
+import time
+
+from standins.fault_proxy import Fault, FaultProxy
+from standins.platform_site import Site, free_port, until
+from standins.platform_worker import PlatformWorker
+
+DRAIN_SECONDS = 2.0
+LOOK_SECONDS = 0.05
+"""Such a look at the store is over after this."""
+
+NODES = ("n1", "n2", "n3")
+
+
+async def one_zone(site: Site, **bounds) -> None:
+    """Start nodes in one zone; ``n1`` reads the store for the others."""
+    seed = f"127.0.0.1:{free_port()}"
+    for name in NODES:
+        peers = seed if name == "n1" else f"127.0.0.1:{free_port()}"
+        await site.add_node(name, peers=peers, seeds=[seed], **bounds)
+        await site.ready(name)
+        if name == "n1":
+            await until(lambda: site.nodes["n1"].gauge("relay"), "n1 is the relay")
+    await until(lambda: site.nodes["n1"].gauge("followers") == 2, "the others follow n1")
+
+
+async def test_a_worker_that_leaves_is_given_up_in_time_beside_a_silent_store(site):
+    site.configure()
+    await site.add_worker(PlatformWorker("i-1"), "plain")
+    host, _, port = site.store.server.address.rpartition(":")
+    link = FaultProxy(("127.0.0.1", free_port()), (host, int(port)))
+    try:
+        await one_zone(site)
+        site.lead_to_store("n1", link.address)
+        site.store.server.reset_all()
+        await until(lambda: link.connections, "n1 reads the store through the proxy")
+        await asyncio.sleep(1.0)
+        link.fault = Fault.BLACKHOLE
+        site.store.calls.clear()
+        # Calls of n1 do not get here. The worker leaves just after both others have looked.
+        await until(lambda: site.store.calls.count(("GET", "/kv-watch")) >= 2, "both have looked")
+        await asyncio.sleep(LOOK_SECONDS)
+        left_at = time.monotonic()
+        site.model.remove("servers/i-1")
+        for name in NODES[1:]:
+            node = site.nodes[name]
+            await until(lambda node=node: not node.known_workers(), f"{name} gives it up")
+        assert time.monotonic() - left_at < DRAIN_SECONDS
+    finally:
+        link.stop()
