It is an outage of the store only if a node's calls have failed for a second

Nobody answered for 2 s says little while the reader of the store stands still: the others begin to call only after 1 s, and a connection of theirs that is reset just then made an outage of it.

Change: a failed call is no outage before the node's own calls have failed for 1 s, from the sending of the first. A node that is already taking its failures for an outage, and one that follows nobody, judge as before.

The tests of tests/unit/forwarding and tests/probe/forwarding pass. Open: connections that are reset again and again for over a second beside a reader that stands still are still an outage.

--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -78,6 +78,7 @@
         self._outage: _Outage | None = None
         self._outage_before: _Outage | None = None
         self._failed_at: float | None = None
+        self._failing_since = 0.0
         self._changed = asyncio.Event()
         self.configuration: RoutingConfiguration | None = None
         self.workers: dict[str, Worker] = {}
@@ -96,7 +97,9 @@
         """The store answered a call of this node."""
         self._failed_at = None
 
-    def note_failed_call(self, sent_at: float, unanswered_seconds: float) -> None:
+    def note_failed_call(
+        self, sent_at: float, unanswered_seconds: float, failing_seconds: float = 0.0
+    ) -> None:
         """The store did not answer a call that this node sent at ``sent_at``.
 
         A store may turn one node away, or not be reached from it, while it serves the others.
@@ -105,13 +108,18 @@
 
         :param unanswered_seconds: it is no outage if another node is known to have been answered
             within so long before the call.
+        :param failing_seconds: nor if this node's calls have failed for a shorter time: others may
+            be unanswered since they do not call, and connections are reset while the store is well.
         """
         if self._failed_at is None:
+            self._failing_since = sent_at
             self._outage_before = self._outage
         self._failed_at = sent_at
         if self._is_confirmed_since(sent_at - unanswered_seconds):
             # Others are answered meanwhile, so earlier failures of this series were no outage.
             self._outage = self._outage_before
+        elif sent_at - self._failing_since < failing_seconds:
+            return
         elif self._outage is self._outage_before:
             self._settle_bounds()
             self._outage = _Outage(sent_at, sent_at)
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -36,6 +36,10 @@
 """A failed call is an outage only if no node is known to have been answered for so long before
 it. Others notice that the reader of the store fails and read it themselves within 1.9 s."""
 
+FAILING_SECONDS = 1.0
+"""Nor is it one unless the node's calls have failed for so long. While the reader of the store
+stands still nobody is answered, since nobody calls, and a reset connection costs up to 0.4 s."""
+
 FAILING_NEWS_SECONDS = 2.0
 """For so long after its failure a call of another node is a reason to look at the store: one
 that is turned away calls again within 0.9 s."""
@@ -156,7 +160,7 @@
     def _note_failure(self, error: KeyValueError, sent_at: float) -> None:
         self._failures += 1
         if self._relay is not None:
-            self._registry.note_failed_call(sent_at, UNANSWERED_SECONDS)
+            self._registry.note_failed_call(sent_at, UNANSWERED_SECONDS, FAILING_SECONDS)
         elif self._failures >= FAILURES_OF_TROUBLE:
             self._registry.note_failed_call(sent_at, 0.0)
         if self._failures == FAILURES_OF_TROUBLE:
