Lost attempts tell their content's fingerprint; metrics of deployed nodes answer

Cause: the record's logs could not tell which requests lost at one engine had the same content, and the figures were missing altogether: each question for metrics ended in request_fault, 'import of ssl halted' (78 lines), since the metrics library imports ssl and deployed processes run without it (they are 4.4 MB smaller so). Ruled out: allowing ssl again at the first question (the memory that was saved comes back), importing the library's parts alone (its package imports all of them). No logic of requests was changed.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -6,6 +6,8 @@
 # The platform's links carry no TLS. asyncio runs without the ssl module where there is none,
 # and a process is 4.4 MB smaller so (docs/MEASUREMENTS.md).
 sys.modules["ssl"] = None
+# The hashes that a node uses are Python's own; OpenSSL's would take 3.5 MB more.
+sys.modules["_hashlib"] = None
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -238,6 +238,7 @@
             granted=assignment.granted,
             registry_age=round(self._registry.age(), 3),
             proven_not_run=outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN),
+            content=job.fingerprint if outcome is AttemptOutcome.LOST else None,
             reason=job.reason,
         )
         job.excluded.add(info.id)
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -1,10 +1,12 @@
 """A forwarded request under way."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 import h11
 
 from wheelslip.deployment import ForwardedRequest, Incarnation, Route, Tenant
+from wheelslip.routing.fingerprint import content_fingerprint
 
 
 @dataclass(frozen=True)
@@ -49,3 +51,10 @@
         if self.tenant is not None and self.tenant.priority is not None:
             return self.tenant.priority
         return self.route.priority
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """The identity of the request's content, computed when it is first asked for."""
+        request = self.request
+        tenant = self.tenant.name if self.tenant is not None else ""
+        return content_fingerprint(request.method, request.target, tenant, request.body)
--- a/src/wheelslip/forwarding/metrics.py
+++ b/src/wheelslip/forwarding/metrics.py
@@ -1,15 +1,23 @@
 """Counters and latency histograms of a forwarding node.
 
-Kept as plain numbers; the metrics library is loaded at the first question for them, since it
-takes more memory than all the rest of a node and is seldom asked.
+Kept as plain numbers, and written in the text format here: the metrics library takes more memory than
+all the rest of a node, and it needs the module ``ssl``, without which deployed nodes run.
 """
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
+HELP = {
+    "wheelslip_requests_total": "Requests ended, by kind and outcome",
+    "wheelslip_attempts_total": "Attempts at workers, by outcome",
+    "wheelslip_first_byte_seconds": "From arrival to a first byte",
+    "wheelslip_request_seconds": "From arrival to the end",
+}
+"""What the families are that their names do not tell whole."""
+
 
 class LatencyHistogram:
     """Counts of durations by upper bound, their number and their sum."""
@@ -52,39 +60,36 @@
         self.duration.observe(seconds)
 
     def exposition(self) -> bytes:
-        """Return all figures in the Prometheus text format."""
-        from prometheus_client import CollectorRegistry, generate_latest
-
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(self)
-        return generate_latest(registry)
-
-    def collect(self) -> Iterator:
-        """Yield the metric families, for the metrics library."""
-        from prometheus_client.core import (
-            CounterMetricFamily,
-            GaugeMetricFamily,
-            HistogramMetricFamily,
-        )
-
-        requests = CounterMetricFamily(
-            "wheelslip_requests", "Requests ended, by kind and outcome", labels=["kind", "outcome"]
-        )
-        for labels, count in self.requests.items():
-            requests.add_metric(labels, count)
-        yield requests
-        attempts = CounterMetricFamily(
-            "wheelslip_attempts", "Attempts at workers, by outcome", labels=["outcome"]
-        )
-        for outcome, count in self.attempts.items():
-            attempts.add_metric([outcome], count)
-        yield attempts
-        for name, text, histogram in (
-            ("wheelslip_first_byte_seconds", "From arrival to a first byte", self.first_byte),
-            ("wheelslip_request_seconds", "From arrival to the end", self.duration),
-        ):
-            yield HistogramMetricFamily(
-                name, text, buckets=histogram.cumulative(), sum_value=histogram.total
-            )
+        """Return all figures in the Prometheus text format, version 0.0.4."""
+        lines: list[str] = []
+        requests = [
+            (f'{{kind="{kind}",outcome="{outcome}"}}', count)
+            for (kind, outcome), count in self.requests.items()
+        ]
+        lines += _family("wheelslip_requests_total", "counter", requests)
+        attempts = [(f'{{outcome="{outcome}"}}', count) for outcome, count in self.attempts.items()]
+        lines += _family("wheelslip_attempts_total", "counter", attempts)
+        lines += _histogram("wheelslip_first_byte_seconds", self.first_byte)
+        lines += _histogram("wheelslip_request_seconds", self.duration)
         for name, value in self.gauges.items():
-            yield GaugeMetricFamily(f"wheelslip_{name}", name.replace("_", " "), value=value())
+            lines += _family(f"wheelslip_{name}", "gauge", [("", value())])
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _family(name: str, kind: str, samples: list[tuple[str, float]]) -> list[str]:
+    """Return the lines of one family; labels hold no character that needs an escape."""
+    return [
+        f"# HELP {name} {HELP.get(name, name.replace('_', ' '))}",
+        f"# TYPE {name} {kind}",
+        *(f"{name}{labels} {float(value)!r}" for labels, value in samples),
+    ]
+
+
+def _histogram(name: str, histogram: LatencyHistogram) -> list[str]:
+    bounds = histogram.cumulative()
+    return [
+        *_family(name, "histogram", []),
+        *(f'{name}_bucket{{le="{bound}"}} {float(count)!r}' for bound, count in bounds),
+        f"{name}_count {float(bounds[-1][1])!r}",
+        f"{name}_sum {histogram.total!r}",
+    ]
