A request that ends engines is remembered by all nodes, tried alone, and refused

Cause: nothing in the product remembered a request beyond its own attempts. A caller that repeats a content which ends each engine makes a first send of it each time, at any node; bounds on attempts and the retry budget count within one request or one node and never see it. Class: a bound that is kept for one request where the harm is of its content, and for one node where it is of all. Ruled out: nodes sending on by themselves (154 lost attempts, 154 ids), engines that end by themselves (the same content in the tests, one each time); a count per node (three nodes would each pay their own three crashes); memory at the dispatcher (gone with it, and with it a restart's 9 sends in the issue's table); a fleet-wide refusal after one crash (all that ran beside it would be refused). Change: a lost answer is followed by a look at the engine (nothing listens, another start); what ran there is told to all nodes by one key a node in the store; from the second crash on a content runs one at a time in the fleet and is not repeated by the node; at the third it is refused (503 request_crashes_engines, Retry-After to the next try after 600 s); a whole run clears it. A conflict of the store's compare-and-swap tells what stands there (it was dropped where the answer had no 'at').

--- a/src/wheelslip/errors.py
+++ b/src/wheelslip/errors.py
@@ -37,6 +37,8 @@
     NOT_READY = "not_ready"
     NODE_STOPPING = "node_stopping"
     NO_ENGINE = "no_engine"
+    REQUEST_CRASHES_ENGINES = "request_crashes_engines"
+    REQUEST_SUSPECTED = "request_suspected"
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     CLAIM_STORE_UNAVAILABLE = "claim_store_unavailable"
     CLAIM_UNRESOLVED = "claim_unresolved"
@@ -118,6 +120,21 @@
         503, _NOT_RUN, True, 1, "The node is stopping; another node serves."
     ),
     ErrorKind.NO_ENGINE: ErrorAnswer(503, _NOT_RUN, True, 2, "No live engine serves the model."),
+    ErrorKind.REQUEST_CRASHES_ENGINES: ErrorAnswer(
+        503,
+        _NOT_RUN,
+        False,
+        600,
+        "Engines ended while they ran the same content for the same tenant. A repeat before "
+        "Retry-After is refused too.",
+    ),
+    ErrorKind.REQUEST_SUSPECTED: ErrorAnswer(
+        503,
+        _NOT_RUN,
+        True,
+        1,
+        "Engines ended while they ran the same content; such requests run one at a time.",
+    ),
     ErrorKind.ATTEMPTS_EXHAUSTED: ErrorAnswer(
         503, _NOT_RUN, True, 2, "Every attempt was proven not run and the retry budget is spent."
     ),
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -39,6 +39,11 @@
         """Whether a dispatcher chose the worker."""
         return self._grant is not None
 
+    @property
+    def silent(self) -> bool:
+        """Whether the worker did not acknowledge what it was sent."""
+        return self._silent
+
     def begin(self) -> None:
         """The request is sent."""
         self._began_at = self._records.begin(self.placement)
--- /dev/null
+++ b/src/wheelslip/forwarding/crash_reports.py
@@ -0,0 +1,185 @@
+"""What each node tells all others of engines that ended under a content.
+
+Each node keeps one key of the store, which every node's view brings it; so what is known outlives
+restarts of all nodes, and reaches a node that was cut off with its next view. Only its own node writes
+a key, at a revision it knows, so a write that is carried out late changes nothing.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from wheelslip.events import LogEvent, log_event
+from wheelslip.forwarding.interface import KeyValueStore
+from wheelslip.forwarding.registry import Registry
+from wheelslip.keyvalue.model import KeyValueError, Put, Transaction, TransactionResult
+from wheelslip.routing.crash_ledger import Crash, CrashLedger, Standing
+
+CRASHES_PREFIX = "wheelslip/crashes/"
+
+MAX_TOLD = 128
+"""Most crashes, and most clearings, that a node tells: some 8 KB each. Crashes of contents that
+are refused go last."""
+
+GATHER_SECONDS = 0.05
+"""Pause before a write, so that the requests which one engine took with it are told by one call."""
+
+RETRY_SECONDS = (0.1, 0.3)
+"""Range of the pause after a call that failed; random, so that many nodes do not call together."""
+
+
+class CrashReport(msgspec.Struct):
+    """What one node tells, the oldest first.
+
+    :ivar crashes: that it has seen.
+    :ivar cleared: crashes that a whole run at it has cleared.
+    """
+
+    crashes: list[Crash] = []
+    cleared: list[Crash] = []
+
+
+class CrashReports:
+    """The task that owns this node's key, and takes all nodes' into the ledger.
+
+    :param node: name of this node, the same after a restart.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        store: KeyValueStore,
+        registry: Registry,
+        ledger: CrashLedger,
+        clock: Callable[[], float],
+        random_source: random.Random,
+    ):
+        self._key = CRASHES_PREFIX + node
+        self._store = store
+        self._registry = registry
+        self._ledger = ledger
+        self._random = random_source
+        self._crashes: dict[Crash, None] = {}
+        self._cleared: dict[Crash, None] = {}
+        self._changed = asyncio.Event()
+        self._written = asyncio.Event()
+        self._written.set()
+
+    # What this node learns itself
+
+    def add(self, crash: Crash) -> None:
+        """Take a crash that this node has seen, and tell it."""
+        self._take(crash)
+        self._crashes[crash] = None
+        self._forget_least()
+        self._mark_changed()
+
+    def add_whole_run(self, content: str) -> None:
+        """A request of a content has run whole here: what it was suspected of is cleared.
+
+        A content that is free anyway is told of with the next write only.
+        """
+        crashes = self._ledger.crashes(content)
+        is_free = self._ledger.standing(content) is Standing.FREE
+        self._ledger.clear(crashes)
+        for one in crashes:
+            self._cleared[one] = None
+        self._forget_least()
+        if not is_free:
+            log_event(LogEvent.CONTENT_CLEARED, content=content, ended=len(crashes))
+            self._mark_changed()
+
+    def _mark_changed(self) -> None:
+        self._written.clear()
+        self._changed.set()
+
+    def _forget_least(self) -> None:
+        while len(self._cleared) > MAX_TOLD:
+            del self._cleared[next(iter(self._cleared))]
+        while len(self._crashes) > MAX_TOLD:
+            del self._crashes[min(self._crashes, key=self._weight)]
+
+    def _weight(self, crash: Crash) -> int:
+        return len(self._ledger.crashes(crash.content))
+
+    # What the view brings
+
+    def entry_changed(self, key: str) -> None:
+        """Take a change of one of the system's own keys into account."""
+        entry = self._registry.own_entry(key) if key.startswith(CRASHES_PREFIX) else None
+        if entry is None:
+            return
+        try:
+            report = msgspec.json.decode(entry[0], type=CrashReport)
+        except msgspec.MsgspecError as exc:
+            log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason=str(exc))
+            return
+        if key == self._key:
+            # After a restart: what the process before this one told is not to be lost.
+            self._crashes = dict.fromkeys(report.crashes) | self._crashes
+            self._cleared = dict.fromkeys(report.cleared) | self._cleared
+            self._forget_least()
+        self._take_report(report)
+
+    def _take_report(self, report: CrashReport) -> None:
+        for one in report.crashes:
+            self._take(one)
+            if self._ledger.standing(one.content) is not Standing.FREE and one in self._cleared:
+                self._mark_changed()
+        self._ledger.clear(report.cleared)
+
+    def _take(self, crash: Crash) -> None:
+        before = self._ledger.standing(crash.content)
+        if not self._ledger.take(crash):
+            return
+        standing = self._ledger.standing(crash.content)
+        if standing is Standing.REFUSED and before is not Standing.REFUSED:
+            ended = [one.start for one in self._ledger.crashes(crash.content)]
+            log_event(LogEvent.CONTENT_REFUSED, content=crash.content, ended=ended)
+
+    # Telling
+
+    async def written(self) -> None:
+        """Wait until the store has what this node has to tell."""
+        await self._written.wait()
+
+    async def run(self) -> None:
+        """Write this node's key whenever there is news, for ever."""
+        while True:
+            await self._changed.wait()
+            await asyncio.sleep(GATHER_SECONDS)
+            self._changed.clear()
+            try:
+                await self._write()
+            except KeyValueError as exc:
+                log_event(LogEvent.LEASE_CALL_FAILED, duty=self._key, reason=str(exc))
+                self._changed.set()
+                await asyncio.sleep(self._random.uniform(*RETRY_SECONDS))
+
+    async def _write(self) -> None:
+        entry = self._registry.own_entry(self._key)
+        revision = entry[1] if entry else 0
+        result = await self._put(revision)
+        if not result.succeeded:
+            # The view is behind this node's last write, or the key of the process before is not in it.
+            revision = self._adopt(result)
+            result = await self._put(revision)
+        if not result.succeeded:
+            self._changed.set()
+        elif not self._changed.is_set():
+            self._written.set()
+
+    def _adopt(self, result: TransactionResult) -> int:
+        """Take what stands under the key, and return its revision; 0 when nothing does."""
+        for found in result.conflicting:
+            if found.key == self._key:
+                self._registry.apply(found.key, found.value, found.mod_revision)
+                return found.mod_revision
+        return 0
+
+    async def _put(self, revision: int) -> TransactionResult:
+        report = CrashReport(list(self._crashes), list(self._cleared))
+        put = Put(self._key, msgspec.json.encode(report))
+        return await self._store.transact(Transaction({self._key: revision}, (put,), (self._key,)))
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -22,6 +22,7 @@
     pass_on_whole,
 )
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
+from wheelslip.forwarding.crash_guard import CrashGuard
 from wheelslip.forwarding.http_client import PeerUnreachable
 from wheelslip.forwarding.interface import RequestDialect
 from wheelslip.forwarding.job import Job
@@ -64,10 +65,12 @@
         registry: Registry,
         assigner: WorkerAssigner,
         pool: WorkerPool,
+        crash_guard: CrashGuard,
         bounds: Callable[[], BoundsSection],
         clock: Callable[[], float],
         metrics: ForwardingMetrics,
     ):
+        self._crash_guard = crash_guard
         self._metrics = metrics
         self._log = LogBudget(REQUEST_LINES_PER_SECOND, clock)
         self._dialect = dialect
@@ -159,12 +162,26 @@
 
     async def _serve(self, job: Job, caller: CallerConnection) -> None:
         service = self._service(job)
+        trial = await self._crash_guard.admit(job, service)
+        if trial is None:
+            await self._attempt_until_answered(job, service, caller)
+            return
+        job.on_trial = True
+        try:
+            await self._attempt_until_answered(job, service, caller)
+        finally:
+            self._crash_guard.end_trial(trial, job)
+
+    async def _attempt_until_answered(
+        self, job: Job, service: str, caller: CallerConnection
+    ) -> None:
         budget = self._budget(service)
         budget.record_first(self._clock())
         while True:
             assignment = await self._assign(job, service)
             outcome = await self._attempt(job, assignment, caller)
             if outcome is AttemptOutcome.ANSWERED:
+                self._crash_guard.ran_whole(job)
                 return
             self._note_failed(job, assignment, outcome)
             if not self._may_go_on(job, outcome, budget):
@@ -242,6 +259,8 @@
             reason=job.reason,
         )
         job.excluded.add(info.id)
+        if outcome is AttemptOutcome.LOST and not assignment.silent:
+            self._crash_guard.lost(job, info)
 
     def _may_go_on(self, job: Job, outcome: AttemptOutcome, budget: RetryWindow) -> bool:
         if self._clock() >= job.deadline:
@@ -249,7 +268,11 @@
         if outcome is AttemptOutcome.NOT_SENT:
             return len(job.excluded) < MAX_SENDS
         if outcome in (AttemptOutcome.LOST, AttemptOutcome.FAILED):
-            if not job.route.repeatable or job.may_have_run >= job.route.max_attempts:
+            if (
+                job.on_trial
+                or not job.route.repeatable
+                or job.may_have_run >= job.route.max_attempts
+            ):
                 return False
         elif job.sent >= MAX_SENDS:
             return False
@@ -287,6 +310,7 @@
             job.reason = "the engine has left"
             return AttemptOutcome.NOT_SENT
         assignment.begin()
+        job.last_start = worker.id
         attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
             return await attempt.run()
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -25,6 +25,8 @@
     :ivar may_have_run: attempts that were not proven not run.
     :ivar delivered: id of the last event passed on to the caller.
     :ivar counted: this node had it counted for its tenant's limit, apart from any grant.
+    :ivar last_start: of the engine that it was sent to last.
+    :ivar on_trial: engines ended under its content before; this node sends it to one alone.
     :ivar failure_passed_on: the caller got a worker's own failure as its answer.
     """
 
@@ -42,6 +44,8 @@
     counted: bool = False
     reason: str = ""
     worker_id: str = ""
+    last_start: Incarnation | None = None
+    on_trial: bool = False
     weights_version: int | None = None
     first_event_at: float = 0.0
 
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -10,6 +10,7 @@
 from wheelslip.deployment import Incarnation
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
 from wheelslip.forwarding.assignment import WorkerAssigner
+from wheelslip.forwarding.crash_guard import CrashGuard
 from wheelslip.forwarding.feed import FeedServer
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.holder import HolderLease
@@ -87,8 +88,9 @@
         )
         own_loads = self._placement.own_loads
         self._registry.view.on_gone = self._forget_worker
-        rollout_view = RolloutView(self._registry, clock)
-        self._registry.on_own_entry = rollout_view.entry_changed
+        self._rollout_view = RolloutView(self._registry, clock)
+        self._crash_guard = CrashGuard(section.name, store, self._registry, clock, random_source)
+        self._registry.on_own_entry = self._own_entry_changed
         self._relay = self._make_relay(store, random_source) if section.peers else None
         self._feed = FeedServer(self._registry, table, own_loads, clock)
         self._datagrams = DatagramSocket()
@@ -152,6 +154,7 @@
             self._registry,
             assigner,
             self._pool,
+            self._crash_guard,
             self.bounds,
             clock,
             self._metrics,
@@ -170,7 +173,7 @@
             store,
             control,
             self._registry,
-            rollout_view,
+            self._rollout_view,
             self._placement,
             self._lease,
             self.bounds,
@@ -295,10 +298,15 @@
             "requests_held_back": lambda: float(self._dispatcher.held_back),
             "granted_requests": lambda: float(self._dispatcher.granted),
             **self._meter.gauges(),
+            "refused_contents": lambda: float(self._crash_guard.refused_contents()),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
 
+    def _own_entry_changed(self, key: str) -> None:
+        self._rollout_view.entry_changed(key)
+        self._crash_guard.entry_changed(key)
+
     def _forget_worker(self, incarnation: Incarnation) -> None:
         self._pool.forget(incarnation)
         self._placement.forget(incarnation)
@@ -339,6 +347,7 @@
             ("registry", self._sync.run),
             ("lease", self._lease.run),
             ("rollout", self._rollout.run),
+            ("crashes", self._crash_guard.reports.run),
             ("pool", self._pool.sweep),
             ("callers", self._callers.sweep),
             ("settings", self._settings_file.watch),
--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -58,6 +58,11 @@
     more: bool = False
 
 
+class _Found(msgspec.Struct):
+    items: list[_Item] = []
+    at: int = 0
+
+
 class _Changes(msgspec.Struct):
     changes: list[_Item]
     at: int
@@ -124,7 +129,7 @@
         }
         status, body = await self._call("POST", "/kv-txn", document)
         if status == 412:
-            found = _decode(body, _Items) if b'"at"' in body else _Items([], 0)
+            found = _decode(body, _Found)
             items = tuple(KeyValue(one.tls_key, one.value(), one.revision) for one in found.items)
             return TransactionResult(False, found.at, items)
         _check(status)
--- a/tests/probe/forwarding/test_crashing_requests.py
+++ b/tests/probe/forwarding/test_crashing_requests.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from standins.platform_site import configuration, until
 from standins.platform_worker import PlatformWorker, WorkerFaults
 from tests.probe.forwarding.test_path import PROMPT
 
@@ -63,6 +64,7 @@
 @pytest.mark.parametrize(
     ("zones", "path", "service", "faults"),
     [
+        pytest.param(("z1",), "/safe/x", "plain", {}, id="one-node"),
         pytest.param(("z1", "z2", "z3"), "/safe/x", "plain", {}, id="idempotent"),
         pytest.param(("z1", "z2", "z3"), "/plain/x", "plain", {}, id="not-idempotent"),
         pytest.param(("z1", "z2", "z3"), "/resumed/x", "engines", {"crash_after": 2}, id="resumed"),
@@ -77,6 +79,19 @@
     assert float(answers[-1].headers["retry-after"]) > 1
 
 
+async def test_nodes_that_start_again_still_refuse_it(site):
+    zones = ("z1", "z2", "z3")
+    await site_of(site, zones)
+    await repeat(site, "/plain/x", zones)
+    before = len(site.crashes())
+    for zone in zones:
+        await site.restart_node(zone)
+        await site.ready(zone)
+        await repeat(site, "/plain/x", (zone,), 3, first=100)
+    assert len(site.crashes()) <= before + 3
+    assert len(site.crashes()) <= MOST_CRASHES
+
+
 async def test_what_ran_beside_it_is_served(site):
     zones = ("z1", "z2", "z3")
     await site_of(site, zones, workers=2)
@@ -96,6 +111,23 @@
     assert [one.status for one in answers] == [200] * 3
 
 
+async def test_what_is_always_sent_together_with_it_is_served_in_the_end(site):
+    zones = ("z1", "z2", "z3")
+    await site_of(site, zones)
+    for worker in site.workers.values():
+        worker.seconds = 0.1
+    served = []
+    for number in range(12):
+        harmless = asyncio.create_task(
+            site.ask("/plain/y", f"harmless-{number}", zones[number % 3], body=b"harmless")
+        )
+        await site.ask("/plain/x", f"deadly-{number}", zones[number % 3], body=DEADLY)
+        served.append((await harmless).status == 200)
+        await asyncio.sleep(REPEAT_SECONDS)
+    assert all(served[-3:])
+    assert len(site.crashes()) <= MOST_CRASHES
+
+
 async def test_connections_that_break_at_workers_that_live_condemn_nobody(site):
     zones = ("z1", "z2", "z3")
     await site_of(site, zones)
@@ -106,3 +138,24 @@
         worker.faults = WorkerFaults()
     answers = await repeat(site, "/plain/x", zones, 3, body=b"harmless", first=100)
     assert [one.status for one in answers] == [200] * 3
+
+
+async def test_other_contents_and_other_tenants_are_served(site):
+    zones = ("z1", "z2", "z3")
+    await site_of(site, zones, crash_tenant="tenant-1")
+    tenants = [
+        {"name": "tenant-1", "api_keys": ["key-1"]},
+        {"name": "tenant-2", "api_keys": ["key-2"]},
+    ]
+    site.configure(configuration(2, tenants=tenants))
+    for zone in zones:
+        node = site.nodes[zone]
+        await until(lambda node=node: node.configuration_version() == 2, "two tenants")
+    await repeat(site, "/plain/x", zones)
+    for one in (
+        await site.ask("/plain/x", "tenant", body=DEADLY, key="key-2", name="z1"),
+        await site.ask("/plain/x", "body", body=b"other", name="z1"),
+        await site.ask("/plain/x?q=1", "query", body=b"other", name="z1"),
+    ):
+        assert one.status == 200
+    assert is_refused(await site.ask("/plain/x", "deadly", body=DEADLY, name="z1"))
