--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -450,6 +450,40 @@
         "return True",
         "forwarding/test_holder_faults.py::test_a_new_holder_waits_at_a_worker_that_the_last_one_has_ordered",
     ),
+    _one(
+        "crashes told to nobody",
+        FORWARDING,
+        "forwarding/crash_reports.py",
+        "            await asyncio.sleep(GATHER_SECONDS)\n",
+        "            await asyncio.Event().wait()\n",
+        "forwarding/test_crashing_requests.py::test_nodes_that_start_again_still_refuse_it",
+    ),
+    _one(
+        "a lost answer taken for a crash",
+        FORWARDING,
+        "forwarding/crash_evidence.py",
+        "        conn.close()\n        return self._is_replaced(worker)",
+        "        conn.close()\n        return True",
+        "forwarding/test_crashing_requests.py"
+        "::test_connections_that_break_at_workers_that_live_condemn_nobody",
+    ),
+    _one(
+        "a whole run clears nothing",
+        FORWARDING,
+        "forwarding/crash_reports.py",
+        "        self._ledger.clear(crashes)\n        for one in crashes:",
+        "        for one in ():",
+        "forwarding/test_crashing_requests.py::test_what_ran_beside_it_is_served",
+    ),
+    _one(
+        "suspected contents run together",
+        FORWARDING,
+        "forwarding/content_trials.py",
+        "        return Trial(key, result.revision) if result.succeeded else None",
+        "        return Trial(key, result.revision)",
+        "forwarding/test_crashing_requests.py"
+        "::test_what_is_always_sent_together_with_it_is_served_in_the_end",
+    ),
     _one(
         "a node is not told of its own records",
         7,
--- a/src/wheelslip/forwarding/crash_reports.py
+++ b/src/wheelslip/forwarding/crash_reports.py
@@ -63,6 +63,7 @@
         self._random = random_source
         self._crashes: dict[Crash, None] = {}
         self._cleared: dict[Crash, None] = {}
+        self._untold: set[str] = set()
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         self._written.set()
@@ -79,7 +80,7 @@
     def add_whole_run(self, content: str) -> None:
         """A request of a content has run whole here: what it was suspected of is cleared.
 
-        A content that is free anyway is told of with the next write only.
+        That of a free content is told with the next write only, or once another engine ends under it.
         """
         crashes = self._ledger.crashes(content)
         is_free = self._ledger.standing(content) is Standing.FREE
@@ -87,7 +88,9 @@
         for one in crashes:
             self._cleared[one] = None
         self._forget_least()
-        if not is_free:
+        if is_free:
+            self._untold.add(content)
+        else:
             log_event(LogEvent.CONTENT_CLEARED, content=content, ended=len(crashes))
             self._mark_changed()
 
@@ -126,14 +129,14 @@
     def _take_report(self, report: CrashReport) -> None:
         for one in report.crashes:
             self._take(one)
-            if self._ledger.standing(one.content) is not Standing.FREE and one in self._cleared:
-                self._mark_changed()
         self._ledger.clear(report.cleared)
 
     def _take(self, crash: Crash) -> None:
         before = self._ledger.standing(crash.content)
         if not self._ledger.take(crash):
             return
+        if crash.content in self._untold:
+            self._mark_changed()
         standing = self._ledger.standing(crash.content)
         if standing is Standing.REFUSED and before is not Standing.REFUSED:
             ended = [one.start for one in self._ledger.crashes(crash.content)]
@@ -180,6 +183,7 @@
         return 0
 
     async def _put(self, revision: int) -> TransactionResult:
+        self._untold.clear()
         report = CrashReport(list(self._crashes), list(self._cleared))
         put = Put(self._key, msgspec.json.encode(report))
         return await self._store.transact(Transaction({self._key: revision}, (put,), (self._key,)))
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -268,11 +268,9 @@
         if outcome is AttemptOutcome.NOT_SENT:
             return len(job.excluded) < MAX_SENDS
         if outcome in (AttemptOutcome.LOST, AttemptOutcome.FAILED):
-            if (
-                job.on_trial
-                or not job.route.repeatable
-                or job.may_have_run >= job.route.max_attempts
-            ):
+            if job.on_trial:
+                return False
+            if not job.route.repeatable or job.may_have_run >= job.route.max_attempts:
                 return False
         elif job.sent >= MAX_SENDS:
             return False
--- /dev/null
+++ b/tests/unit/test_crash_ledger.py
@@ -0,0 +1,121 @@
+"""Which contents are free, tried alone and refused, and that the order of news does not matter."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wheelslip.deployment import Incarnation
+from wheelslip.routing import crash_ledger
+from wheelslip.routing.crash_ledger import (
+    FORGOTTEN_SECONDS,
+    REFUSED_SECONDS,
+    Crash,
+    CrashLedger,
+    Standing,
+)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 50.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def ledger(clock):
+    return CrashLedger(clock)
+
+
+def crash(number: int, content: str = "c") -> Crash:
+    return Crash(content, Incarnation(f"i-{number}/7"))
+
+
+def test_the_first_crash_changes_nothing_the_second_is_a_suspicion_the_third_a_verdict(ledger):
+    standings = []
+    for number in range(3):
+        ledger.take(crash(number))
+        standings.append(ledger.standing("c"))
+    assert standings == [Standing.FREE, Standing.TRIAL, Standing.REFUSED]
+    assert ledger.refused() == 1
+
+
+def test_two_nodes_that_tell_of_the_same_crash_count_it_once(ledger):
+    assert ledger.take(crash(1)) and not ledger.take(crash(1))
+    assert ledger.standing("c") is Standing.FREE
+
+
+def test_a_whole_run_clears_what_was_known_and_nothing_later(ledger):
+    for number in range(3):
+        ledger.take(crash(number))
+    ledger.clear(ledger.crashes("c"))
+    assert ledger.standing("c") is Standing.FREE and ledger.refused() == 0
+    for number in range(10, 13):
+        ledger.take(crash(number))
+    assert ledger.standing("c") is Standing.REFUSED
+
+
+def test_a_clearing_that_is_learnt_before_its_crash_holds(ledger):
+    ledger.clear([crash(1)])
+    assert not ledger.take(crash(1))
+    assert ledger.crashes("c") == []
+
+
+def test_a_verdict_ends_in_a_trial_and_one_more_crash_renews_it(ledger, clock):
+    for number in range(3):
+        ledger.take(crash(number))
+    assert ledger.refused_seconds("c") == REFUSED_SECONDS
+    clock.now += REFUSED_SECONDS
+    assert ledger.standing("c") is Standing.TRIAL
+    ledger.take(crash(4))
+    assert ledger.standing("c") is Standing.REFUSED
+    clock.now += REFUSED_SECONDS
+    ledger.clear(ledger.crashes("c"))
+    assert ledger.standing("c") is Standing.FREE
+
+
+def test_a_content_without_a_crash_for_long_is_forgotten(ledger, clock):
+    for number in range(3):
+        ledger.take(crash(number))
+    clock.now += FORGOTTEN_SECONDS + 1
+    ledger.take(crash(1, "other"))
+    assert len(ledger) == 1
+
+
+def test_a_flood_of_new_contents_pushes_no_verdict_out(ledger, monkeypatch):
+    monkeypatch.setattr(crash_ledger, "MAX_CONTENTS", 50)
+    for number in range(3):
+        ledger.take(crash(number))
+    for number in range(500):
+        ledger.take(crash(number, f"flood-{number}"))
+    assert len(ledger) == 50
+    assert ledger.standing("c") is Standing.REFUSED
+
+
+NEWS = st.tuples(st.booleans(), st.sampled_from("ab"), st.integers(0, 4))
+
+
+def told(news) -> CrashLedger:
+    ledger = CrashLedger(Clock())
+    for clears, content, number in news:
+        if clears:
+            ledger.clear([crash(number, content)])
+        else:
+            ledger.take(crash(number, content))
+    return ledger
+
+
+@given(st.lists(NEWS, max_size=30), st.randoms())
+def test_nodes_that_have_heard_the_same_in_any_order_judge_alike(news, random_source):
+    other = [*news, *news[:5]]
+    random_source.shuffle(other)
+    first, second = told(news), told(other)
+    for content in "ab":
+        assert first.standing(content) is second.standing(content)
+        assert set(first.crashes(content)) == set(second.crashes(content))
