The soak sends requests that end workers, and judges how many and who is refused

Cause: no run of processes had a request that ends the worker which runs it, nor a judge of it. The judge counts what reaches workers later than the contact time after a content's third crash, by nodes in touch (three allowed), and any harmless request that is refused for good.

--- a/bench/forwarding_callers.py
+++ b/bench/forwarding_callers.py
@@ -83,7 +83,14 @@
             key = rng.choice(world.record.revoked[-2:]).key
         return rng.choice(PATHS), key
 
-    async def call(self, name: str, path: str, key: str, caller: Caller | None = None) -> Call:
+    async def call(
+        self,
+        name: str,
+        path: str,
+        key: str,
+        caller: Caller | None = None,
+        content: bytes = b"x",
+    ) -> Call:
         """Send one request, on an open connection or one of its own, and judge its answer."""
         rng, world = self._rng, self._world
         request_id = f"{rng.getrandbits(64):016x}"
@@ -99,15 +106,19 @@
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 if caller is None:
-                    answer = await world.site.ask(path, request_id, name, key=key, **headers)
+                    answer = await world.site.ask(
+                        path, request_id, name, key=key, body=content, **headers
+                    )
                 else:
-                    caller.send(path, request_id, key=key, **headers)
+                    caller.send(path, request_id, key=key, body=content, **headers)
                     answer = await caller.answer()
             status, body, complete, error = answer.status, answer.body, answer.complete, ""
         except (OSError, AssertionError, TimeoutError, h11.ProtocolError) as exc:
             status, body, complete, error = 0, b"", False, repr(exc)
         ended_at = time.monotonic()
-        call = Call(name, request_id, path, key, sent_at, ended_at, status, body, complete, error)
+        call = Call(
+            name, request_id, path, key, sent_at, ended_at, status, body, complete, error, content
+        )
         world.record.calls.append(call)
         self._judge.judge_answer(call)
         return call
--- a/bench/forwarding_judge.py
+++ b/bench/forwarding_judge.py
@@ -49,7 +49,7 @@
         self.judge_planned_stops()
         self.judged["calls"] = len(self._record.calls)
         self.judged["calls at nodes in touch"] = sum(
-            self._in_touch(one.node, one.sent_at) for one in self._record.calls
+            self.in_touch(one.node, one.sent_at) for one in self._record.calls
         )
 
     def _broken(self, text: str) -> None:
@@ -127,7 +127,8 @@
         """Whether the store has gone without disruption for the contact time."""
         return not self._struck(moment - CONTACT_SECONDS, moment, Part.CORE)
 
-    def _in_touch(self, node: str, moment: float) -> bool:
+    def in_touch(self, node: str, moment: float) -> bool:
+        """Whether a node has gone without disruption for the contact time, and the store too."""
         since = moment - CONTACT_SECONDS
         struck = self._struck(since, moment, Part.NODE, node)
         return self._is_stable(moment) and not struck
@@ -147,9 +148,9 @@
             if call is None or not late_at < at < leaving.returned_at:
                 continue
             held_up = self._struck(at - CONTACT_SECONDS, at, Part.LINK, leaving.worker)
-            if held_up or not self._in_touch(call.node, call.sent_at):
+            if held_up or not self.in_touch(call.node, call.sent_at):
                 continue
-            if self._in_touch(call.node, at):
+            if self.in_touch(call.node, at):
                 self._broken(
                     f"DRAIN {request_id} reached {leaving.worker} through {call.node} at "
                     f"{self._record.seconds(at)} s, {at - leaving.acknowledged_at:.3f} s after "
@@ -165,7 +166,7 @@
             for run in worker.runs:
                 call = calls.get(run.request_id)
                 late = self._seconds_replaced(run.version, run.began_at) - VERSION_SECONDS
-                if call and late > 0 and self._in_touch(call.node, run.began_at):
+                if call and late > 0 and self.in_touch(call.node, run.began_at):
                     self._broken(
                         f"VERSION {run.request_id} began on {run.version} at {worker.id} through "
                         f"{call.node} at {self._record.seconds(run.began_at)} s, {late:.3f} s "
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -28,6 +28,7 @@
     body: bytes
     complete: bool
     error: str = ""
+    content: bytes = b"x"
 
 
 class Revocation(NamedTuple):
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -20,6 +20,7 @@
 import fire
 
 from bench.forwarding_callers import Callers
+from bench.forwarding_deadly import DeadlyCaller, judge_crashes
 from bench.forwarding_faults import Faults
 from bench.forwarding_judge import Judge
 from bench.forwarding_record import Record
@@ -47,9 +48,17 @@
 
     :param nodes: number of processes; drawn from the seed when 0.
     :param restarts: whether workers start again under their ids, and entries are spoilt.
+    :param deadly: whether a caller sends requests that end workers.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path, nodes: int = 0, restarts: bool = True):
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        nodes: int = 0,
+        restarts: bool = True,
+        deadly: bool = False,
+    ):
         rng = random.Random(seed)
         drawn, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
         self.record = Record()
@@ -62,6 +71,8 @@
         # Another source than that of the faults, whose order must not depend on callers.
         own = random.Random(~seed)
         self.callers = Callers(self.world, self.judge, own, kept_open, callers - kept_open)
+        of_deadly = random.Random(f"{seed} deadly")
+        self.deadly = DeadlyCaller(self.world, self.callers, of_deadly) if deadly else None
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -71,10 +82,14 @@
         await self.world.start()
         await self.callers.until_all_serve(self._settle_seconds)
         ends_at = time.monotonic() + seconds
-        await asyncio.gather(self.faults.run(ends_at), self.callers.run(ends_at))
+        works = [self.faults.run(ends_at), self.callers.run(ends_at)]
+        if self.deadly is not None:
+            works.append(self.deadly.run(ends_at))
+        await asyncio.gather(*works)
         await self._settle()
         lag.cancel()
         self.judge.judge_all()
+        judge_crashes(self.record, self.judge.in_touch)
 
     async def _watch_lag(self) -> None:
         """Measure by how much this process itself is late: it holds store, workers, callers."""
@@ -120,10 +135,15 @@
 
 
 async def play(
-    seed: int, seconds: float, folder: pathlib.Path, nodes: int = 0, restarts: bool = True
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    nodes: int = 0,
+    restarts: bool = True,
+    deadly: bool = False,
 ) -> Soak:
     """Play one seed and return the run, ended and judged."""
-    soak = Soak(seed, folder, nodes, restarts)
+    soak = Soak(seed, folder, nodes, restarts, deadly)
     try:
         await soak.run(seconds)
     finally:
@@ -137,6 +157,7 @@
     nodes: int = 0,
     folder: str = "",
     restarts: bool = True,
+    deadly: bool = False,
 ) -> None:
     """Run one seed; exits with 1 when a promise was broken.
 
@@ -145,11 +166,12 @@
     :param nodes: number of processes; drawn from the seed when 0.
     :param folder: where logs and settings of nodes are written; a new one when empty.
     :param restarts: whether workers start again under their ids, and entries are spoilt.
+    :param deadly: whether a caller sends requests that end workers.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
-    soak = asyncio.run(play(seed, seconds, logs, nodes, restarts))
+    soak = asyncio.run(play(seed, seconds, logs, nodes, restarts, deadly))
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
         f"of this process {soak.longest_lag:.3f} s at {soak.longest_lag_at} s"
@@ -158,6 +180,8 @@
         print("LATE: store, workers and callers are in this process; look at lag before nodes")
     print("faults:", dict(soak.faults.counts))
     print("history:", *soak.history(), sep="\n  ")
+    if soak.deadly is not None:
+        print("crashes:", dict(soak.deadly.crashes))
     print("judged:", dict(soak.judge.judged))
     print("calls:", soak.summary())
     for violation in soak.record.violations:
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -75,6 +75,8 @@
         self._stopping = threading.Event()
         self._listener = socket.create_server(listen, backlog=256)
         self._listener.settimeout(_POLL_SECONDS)
+        host, port = self._listener.getsockname()
+        self._address = f"{host}:{port}"
         self._threads = [threading.Thread(target=self._accept, daemon=True)]
         self._datagrams = None
         if udp:
@@ -87,9 +89,8 @@
 
     @property
     def address(self) -> str:
-        """Where it listens, ``IP:PORT``."""
-        host, port = self._listener.getsockname()
-        return f"{host}:{port}"
+        """Where it listens, or has listened, ``IP:PORT``."""
+        return self._address
 
     def stop(self) -> None:
         """Close the listening sockets and end the threads."""
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -23,6 +23,15 @@
     assert soak.judge.judged["calls at nodes in touch"] > 0
 
 
+def test_requests_that_end_workers_reach_few_beside_all_other_faults(tmp_path):
+    """Where nothing remembers a content, each repeat of one that ends workers ends another."""
+    soak = asyncio.run(play(602, SECONDS, tmp_path, deadly=True))
+    assert soak.record.violations == [], soak.history()
+    assert sum(soak.deadly.crashes.values()) >= 3
+    assert any(b"request_crashes_engines" in one.body for one in soak.record.calls)
+    assert soak.judge.judged["calls at nodes in touch"] > 0
+
+
 def test_workers_start_again_under_their_ids_and_entries_are_spoilt(tmp_path):
     """On code that held what it knew of a worker by its id, and passed unusable entries over."""
     soak = asyncio.run(play(12, SECONDS, tmp_path))
