--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -473,7 +473,7 @@
         "forwarding/crash_reports.py",
         "        self._ledger.clear(crashes)\n        for one in crashes:",
         "        for one in ():",
-        "forwarding/test_crashing_requests.py::test_what_ran_beside_it_is_served",
+        "forwarding/test_crashing_requests.py::test_two_that_only_ever_ran_together_are_told_apart",
     ),
     _one(
         "suspected contents run together",
@@ -481,8 +481,8 @@
         "forwarding/content_trials.py",
         "        return Trial(key, result.revision) if result.succeeded else None",
         "        return Trial(key, result.revision)",
-        "forwarding/test_crashing_requests.py"
-        "::test_what_is_always_sent_together_with_it_is_served_in_the_end",
+        "../unit/forwarding/test_content_trials.py"
+        "::test_a_turn_is_one_nodes_until_it_is_given_back",
     ),
     _one(
         "a node is not told of its own records",
--- a/src/wheelslip/forwarding/content_trials.py
+++ b/src/wheelslip/forwarding/content_trials.py
@@ -19,6 +19,11 @@
 request ends as it begins to run it, and evidence of that takes 4 s at most."""
 
 
+TAKE_PAUSE_SECONDS = 0.25
+"""Pause of a node between two tries to take a turn, so that a content which many ask for costs the store
+four calls a second and node at most, whose view shows another's turn 0.1 to 0.3 s late."""
+
+
 class Trial(NamedTuple):
     """A turn that this node has."""
 
@@ -40,6 +45,7 @@
         self._registry = registry
         self._clock = clock
         self._void_at: dict[str, float] = {}
+        self._next_try_at: dict[str, float] = {}
 
     def entry_changed(self, key: str) -> None:
         """Take a change of one of the system's own keys into account."""
@@ -53,8 +59,10 @@
     async def take(self, service: str) -> Trial | None:
         """Take the turn of a service, ``None`` when another has it or the store cannot tell."""
         key = TRIALS_PREFIX + service
-        if self._clock() < self._void_at.get(key, float("-inf")):
+        now = self._clock()
+        if now < max(self._void_at.get(key, 0.0), self._next_try_at.get(key, 0.0)):
             return None
+        self._next_try_at[key] = now + TAKE_PAUSE_SECONDS
         entry = self._registry.own_entry(key)
         expected = {key: entry[1] if entry else 0}
         try:
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -291,6 +291,7 @@
             "relay": lambda: float(self._relay is not None and self._relay.token() is not None),
             "followers": lambda: float(len(self._feed.connections)),
             "saved_prompts": lambda: float(len(self._table.saved)),
+            "datagrams_misaddressed": lambda: float(self._datagrams.misaddressed),
             "datagram_bytes_sent": lambda: float(self._datagrams.bytes_sent),
             "dispatched_requests": lambda: float(self._dispatch_link.granted),
             "requests_placed_alone": lambda: float(self._dispatch_link.alone),
--- a/src/wheelslip/peers/datagrams.py
+++ b/src/wheelslip/peers/datagrams.py
@@ -5,15 +5,30 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
 import msgspec
 
+from wheelslip.settings import Address
 from wheelslip.wire import FrameError, decode_frame, encode_frame
 
 MessageT = TypeVar("MessageT")
 
+MAX_TARGETS = 1024
+"""Addresses that are kept parsed; a few times the nodes of the largest deployment planned for."""
+
+
+@functools.lru_cache(maxsize=MAX_TARGETS)
+def _target(address: str) -> tuple[str, int] | None:
+    """Return host and port, ``None`` where there are none."""
+    try:
+        parsed = Address.parse(address)
+    except ValueError:
+        return None
+    return parsed.host, parsed.port
+
 
 class _Envelope(NamedTuple):
     kind: str
@@ -33,6 +48,7 @@
         self._receivers: dict[str, _Receiver] = {}
         self.bytes_sent = 0
         self.refused = 0
+        self.misaddressed = 0
 
     def register(
         self, kind: str, message_type: type[MessageT], handle: Callable[[MessageT, str], None]
@@ -73,13 +89,20 @@
         self.send_to([address], kind, message)
 
     def send_to(self, addresses: list[str], kind: str, message: object) -> None:
-        """Send one message to several addresses."""
+        """Send one message to several addresses; those that cannot be parsed are counted.
+
+        Addresses come from keys of the store: one that another writer spoilt must not end the
+        telling to all others.
+        """
         if not self.open:
             return
         frame = encode_frame((kind, message))
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            self._transport.sendto(frame, (host, int(port)))
+            target = _target(address)
+            if target is None:
+                self.misaddressed += 1
+                continue
+            self._transport.sendto(frame, target)
             self.bytes_sent += len(frame)
 
     def close(self) -> None:
