--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -473,7 +473,8 @@
         "forwarding/crash_reports.py",
         "        self._ledger.clear(crashes)\n        for one in crashes:",
         "        for one in ():",
-        "forwarding/test_crashing_requests.py::test_two_that_only_ever_ran_together_are_told_apart",
+        "../unit/forwarding/test_crash_reports.py"
+        "::test_a_whole_run_of_a_free_content_is_told_once_another_engine_ends_under_it",
     ),
     _one(
         "suspected contents run together",
--- a/tests/unit/test_crash_ledger.py
+++ b/tests/unit/forwarding/test_crash_ledger.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.unit.forwarding.conftest import Clock
 from wheelslip.deployment import Incarnation
 from wheelslip.routing import crash_ledger
 from wheelslip.routing.crash_ledger import (
@@ -16,19 +17,6 @@
 )
 
 
-class Clock:
-    def __init__(self):
-        self.now = 50.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
 @pytest.fixture
 def ledger(clock):
     return CrashLedger(clock)
