Workers of the soak end under deadly contents from their first moment on

Traced: the content ran whole at p0 (41:28.793 n8 request_finished; content_cleared), since the harness armed workers only before each call, and a start that came up in between, or whose faults had just been set, bore the content once. A whole run clears a content, as it should. Ruled out: the product (each count after the clearing is right: refused at the third, alone). Change: each start has the mark as it is made, apart from its faults.

--- a/bench/forwarding_deadly.py
+++ b/bench/forwarding_deadly.py
@@ -39,25 +39,19 @@
         self._rng = rng
         self._tasks: set[asyncio.Task] = set()
         self.crashes: Counter[str] = Counter()
+        # From their first moment on: a start that bore a deadly content once would clear it.
+        world.deadly = DEADLY
+        world.on_crash = self._crashed
 
     async def run(self, until: float) -> None:
         """Repeat until a moment, and end when all workers are back."""
         while time.monotonic() < until:
-            self._arm()
             name = self._rng.choice(self._world.nodes)
             key = self._world.keys[-1]
             await self._callers.call(name, self._rng.choice(PATHS), key, content=DEADLY)
             await asyncio.sleep(self._rng.uniform(*REPEAT_SECONDS))
-        for worker in self._world.site.workers.values():
-            worker.faults.crash_on = b""
         await asyncio.gather(*self._tasks)
 
-    def _arm(self) -> None:
-        """Have all present workers end under the content, whatever else ails them."""
-        for worker in self._world.site.workers.values():
-            worker.faults.crash_on = DEADLY
-            worker.on_crash = self._crashed
-
     def _crashed(self, worker: PlatformWorker) -> None:
         self.crashes[worker.crashes[-1].request.path] += 1
         seconds = self._rng.uniform(*DOWN_SECONDS)
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -13,6 +13,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from bench.forwarding_judge import (
@@ -78,6 +79,8 @@
 
     :param nodes: number of processes.
     :param zones: number of zones over which they are dealt out.
+    :ivar deadly: workers end when they begin a request with this in its body.
+    :ivar on_crash: called once such a worker has ended.
     :ivar longest_start: most seconds from the start of a process until it listened.
     """
 
@@ -113,6 +116,8 @@
         self._instances = 0
         self._place_of: dict[str, str] = {}
         self._earlier: list[EarlierStart] = []
+        self.deadly = b""
+        self.on_crash: Callable[[PlatformWorker], None] = lambda worker: None
 
     async def start(self) -> None:
         """Start store, workers and nodes."""
@@ -183,6 +188,8 @@
         worker.born = round(time.time() * 1000)
         worker.version = weights
         worker.named_versions = set(FOREVER)
+        worker.deadly = self.deadly
+        worker.on_crash = lambda ended: self.on_crash(ended)
         await worker.server.start()
         host, _, port = worker.server.address.rpartition(":")
         self.worker_links[name] = FaultProxy((self._host, self._free_port()), (host, int(port)))
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -103,6 +103,7 @@
         and orders nor requests for another instance or version.
     :ivar born: Unix millisecond of its start, told in all that it says of itself; ``None`` for
         a worker that tells none.
+    :ivar deadly: the same as ``faults.crash_on``, whatever its faults are at the time.
     :ivar on_crash: called once the process has ended, for whoever starts it again.
     """
 
@@ -115,6 +116,7 @@
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     named_versions: set[int] = field(default_factory=lambda: {1})
     born: int | None = None
+    deadly: bytes = b""
     on_crash: Callable[["PlatformWorker"], None] = lambda worker: None
 
     def __post_init__(self):
@@ -185,7 +187,8 @@
         tenant = run.request.headers.get("wheelslip-tenant-id", "")
         if self.faults.crash_tenant not in ("", tenant):
             return False
-        return bool(self.faults.crash_on) and self.faults.crash_on in run.request.body
+        marker = self.deadly or self.faults.crash_on
+        return bool(marker) and marker in run.request.body
 
     async def _crash(self, run: Run) -> None:
         self.crashes.append(run)
