--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -5,8 +5,11 @@
 """
 
 import asyncio
+import contextlib
+import itertools
 import json
 import pathlib
+import random
 import socket
 import time
 from collections.abc import Callable, Coroutine
@@ -32,11 +35,25 @@
 ENGINES = {"name": "engines", "backend_engine": {"capacity": 8, "kv_capacity": 100000}}
 
 
+PORTS = range(20_000, 32_000)
+"""Ports that the system gives to nobody by itself: it takes those of outgoing connections, and of
+servers that ask for any, from 32,768 on (Linux)."""
+
+_next_ports = itertools.cycle(PORTS)
+for _ in range(random.SystemRandom().randrange(len(PORTS))):
+    next(_next_ports)
+
+
 def free_port() -> int:
-    """Return a port that nothing listens on just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on just now, and that this process has not given out of late.
+
+    A node listens on it some time later. Of ports that the system gave for a moment, one was taken again in
+    between, beside another run of all tests: ``address already in use``.
+    """
+    for port in _next_ports:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def configuration(version: int = 1, routes=None, keys=(KEY,), **changes) -> dict:
