What engines say of themselves in answers is decoded and logged

Cause looked for: the logs could not tell whether a node had not heard that an engine leaves, or had heard and forgotten it. Change: the adapter decodes the word of leaving and the rest asked for; events 307 to 309 and three gauges tell them, from answers to requests, reports and orders. Nobody asks for them yet: no choice is changed. The connections of reports and orders are kept outside the platform's folder, which holds names and formats only. Run: tests/unit/forwarding, test_catalogues, test_path, test_weights: passed.

--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -333,6 +333,8 @@
 
     :ivar not_executed: the worker proves that it did not run the request.
     :ivar keep_alive_seconds: how long the worker keeps an idle connection.
+    :ivar leaving: the worker says that it is about to end.
+    :ivar retry_seconds: after how long it says to come back; ``None`` when it says nothing of use.
     """
 
     request_id: str | None
@@ -342,3 +344,5 @@
     weights_version: int | None
     keep_alive_seconds: float | None
     closes: bool
+    leaving: bool = False
+    retry_seconds: float | None = None
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -12,6 +12,7 @@
     Dispatch,
     RouteKind,
 )
+from wheelslip.forwarding.answer_notices import AnswerSource
 from wheelslip.forwarding.assignment import Assignment
 from wheelslip.forwarding.caller_connection import CallerConnection
 from wheelslip.forwarding.event_stream import EventSplitter, StreamEvent
@@ -147,7 +148,7 @@
         try:
             self._send()
             response, answer = await self._read_head()
-            self._note_answer(answer)
+            self._note_answer(response.status_code, answer)
             if answer.not_executed or response.status_code == 421:
                 return await self._not_run(response, answer)
             is_stream = job.route.kind is RouteKind.STREAM
@@ -194,13 +195,16 @@
                 pass
             self._connection.skip_foreign_answer()
 
-    def _note_answer(self, answer: AnswerMetadata) -> None:
-        """Learn weights and identity of the worker from its answer."""
+    def _note_answer(self, status: int, answer: AnswerMetadata) -> None:
+        """Learn from an answer what the worker tells of itself."""
         registry, info = self._services.registry, self._placement.worker.info
         model = self._job.request.metadata.model
         if answer.instance is not None and answer.instance != info.worker_id:
+            # Another process answers there; what it says of itself says nothing of the one meant.
             registry.mark_replaced(info.id)
-        elif answer.weights_version is not None and model:
+            return
+        registry.notices.heard(info, status, answer, AnswerSource.REQUEST)
+        if answer.weights_version is not None and model:
             registry.note_weights(info.id, model, answer.weights_version)
 
     def _note_outcome(self, failed: bool) -> None:
--- a/src/wheelslip/forwarding/interface.py
+++ b/src/wheelslip/forwarding/interface.py
@@ -3,7 +3,7 @@
 A dialect translates names, formats and calls; it decides nothing.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -18,6 +18,7 @@
     UnusableEntry,
     WorkerInfo,
 )
+from wheelslip.forwarding.answer_notices import AnswerSource
 from wheelslip.keyvalue.model import RangeResult, Transaction, TransactionResult, WatchBatch
 
 
@@ -122,7 +123,12 @@
 
 
 class WorkerControl(Protocol):
-    """Reports and orders of workers."""
+    """Reports and orders of workers.
+
+    :ivar on_answer: called with what a worker tells of itself in an answer.
+    """
+
+    on_answer: Callable[[WorkerInfo, int, AnswerMetadata, AnswerSource], None]
 
     async def report(self, worker: WorkerInfo) -> WorkerReport:
         """Ask a worker for its report.
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -75,6 +75,7 @@
         random_source = random.Random()
         store = make_store(lambda: self.settings.store.address)
         self._registry = Registry(documents, self.bounds, clock)
+        control.on_answer = self._registry.notices.heard
         section = self.settings.node
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
@@ -300,6 +301,9 @@
             "granted_requests": lambda: float(self._dispatcher.granted),
             **self._meter.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_contents()),
+            "engines_said_leaving": lambda: float(self._registry.notices.said_leaving),
+            "engine_rests_begun": lambda: float(self._registry.notices.rests_begun),
+            "engines_resting": lambda: float(self._registry.notices.resting),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -17,6 +17,7 @@
     WorkerInfo,
 )
 from wheelslip.events import LogBudget, LogEvent, log_event
+from wheelslip.forwarding.answer_notices import AnswerNotices
 from wheelslip.forwarding.entry_log import EntryLog
 from wheelslip.forwarding.interface import RegistryDialect
 from wheelslip.forwarding.settings import BoundsSection
@@ -57,6 +58,7 @@
     """The view of one node.
 
     :param clock: steady clock in seconds.
+    :ivar notices: what engines said of themselves in their answers.
     :ivar refused_entries: documents that could not be read since the start, each change once.
     """
 
@@ -79,6 +81,7 @@
         self._refused: dict[str, UnusableEntry] = {}
         self.refused_entries = 0
         self.configuration: RoutingConfiguration | None = None
+        self.notices = AnswerNotices(clock, self._announce)
         self.view = WorkerView(bounds, clock)
         self.loading: frozenset[Incarnation] = frozenset()
         self.loading_since = clock()
@@ -233,6 +236,7 @@
 
     def expire_workers(self) -> None:
         """Drop workers that did not come back in time, and do what else is due in the view."""
+        self.notices.tell_ended()
         if self.view.expire():
             self._announce()
 
--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -1,5 +1,6 @@
 """Header names of requests and answers (PROTOCOL, "Requests", "Answers", "KV cache")."""
 
+import re
 from collections.abc import Iterable
 
 from wheelslip.deployment import (
@@ -31,6 +32,11 @@
 _NOT_EXECUTED = b"wheelslip-not-executed"
 _INSTANCE = b"wheelslip-instance-id"
 _VERSIONS = b"wheelslip-weight-versions"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+
+_SECONDS = re.compile(r"\d+(\.\d+)?", re.ASCII)
+"""Seconds, fractions included. Dates, signs, exponents and the like tell no time to come back."""
 
 _OWNED_BY_SYSTEM = frozenset(
     name.lower()
@@ -132,6 +138,8 @@
             weights_version=int(version) if version.isdigit() else None,
             keep_alive_seconds=_keep_alive(values.get(b"keep-alive", "")),
             closes="close" in values.get(b"connection", "").lower(),
+            leaving=values.get(_LEAVING, "").strip() == "1",
+            retry_seconds=_seconds(values.get(_RETRY_AFTER, "")),
         )
 
     def own_answer_headers(self, request_id: str | None) -> Headers:
@@ -170,6 +178,12 @@
     return tuple(parts)
 
 
+def _seconds(text: str) -> float | None:
+    """Return a time in seconds, ``None`` for what is none; too many digits for a number are infinite."""
+    text = text.strip()
+    return float(text) if _SECONDS.fullmatch(text) else None
+
+
 def _keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
