--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -30,6 +30,9 @@
     :ivar crash_on: begin a request with this in its body, and the process ends.
     :ivar crash_tenant: only for this tenant; empty for all.
     :ivar crash_after: a stream has that many events before the process ends.
+    :ivar rest: asked for in answers that turn requests away, as it is written; empty for none.
+    :ivar hides_not_run: such an answer does not say that the request was not run.
+    :ivar shed_while: requests are turned away while so many are under way; 0 for never.
     """
 
     shed: int = 0
@@ -44,6 +47,9 @@
     crash_on: bytes = b""
     crash_tenant: str = ""
     crash_after: int = 0
+    rest: str = ""
+    hides_not_run: bool = False
+    shed_while: int = 0
 
 
 def worker_entry(
@@ -104,6 +110,8 @@
     :ivar born: Unix millisecond of its start, told in all that it says of itself; ``None`` for
         a worker that tells none.
     :ivar deadly: the same as ``faults.crash_on``, whatever its faults are at the time.
+    :ivar says_leaving: it says in all its answers that it leaves, whatever its entry says.
+    :ivar rests: moment at which each answer that asks for rest was written, and the id in it.
     :ivar on_crash: called once the process has ended, for whoever starts it again.
     """
 
@@ -117,6 +125,7 @@
     named_versions: set[int] = field(default_factory=lambda: {1})
     born: int | None = None
     deadly: bytes = b""
+    says_leaving: bool = False
     on_crash: Callable[["PlatformWorker"], None] = lambda worker: None
 
     def __post_init__(self):
@@ -124,6 +133,8 @@
         self.runs: list[Run] = []
         self.crashes: list[Run] = []
         self.arrivals: list[tuple[str, float]] = []
+        self.rests: list[tuple[str, float]] = []
+        self.running = 0
         self.orders: list[dict] = []
         self.ordered_at: list[float] = []
         self.sequence = 0
@@ -159,11 +170,30 @@
             return
         request_id = request.headers.get("wheelslip-request-id", "")
         self.arrivals.append((request_id, time.monotonic()))
-        if self.faults.shed or self.busy:
+        if self.faults.shed or self.busy or self._is_full():
             self.faults.shed = max(0, self.faults.shed - 1)
-            self._answer(exchange, request, 503, b"", [("Wheelslip-Not-Executed", "1")])
-        else:
+            self._turn_away(request, exchange)
+            return
+        self.running += 1
+        try:
             await self._run(request, exchange)
+        finally:
+            self.running -= 1
+
+    def _is_full(self) -> bool:
+        return 0 < self.faults.shed_while <= self.running
+
+    def _turn_away(self, request: StandInRequest, exchange: Exchange) -> None:
+        headers = [] if self.faults.hides_not_run else [("Wheelslip-Not-Executed", "1")]
+        if self.faults.rest:
+            headers.append(("Retry-After", self.faults.rest))
+            request_id = request.headers.get("wheelslip-request-id", "")
+            self.rests.append((request_id, time.monotonic()))
+        self._answer(exchange, request, 503, b"", headers)
+
+    def _of_itself(self) -> list[tuple[str, str]]:
+        """Return what it says of itself in every answer."""
+        return [("Server-Leaving", "1")] if self.says_leaving else []
 
     async def _run(self, request: StandInRequest, exchange: Exchange) -> None:
         run = Run(request.headers.get("wheelslip-request-id", ""), request, self.version)
@@ -215,7 +245,7 @@
             headers.append(("Wheelslip-Response-Signature", f"sig-{self.id}-{request_id}"))
         if self.model:
             headers.append(("Wheelslip-Weight-Versions", str(self.version)))
-        return headers
+        return headers + self._of_itself()
 
     async def _plain(self, run: Run, exchange: Exchange) -> None:
         if not await self._wait(run, exchange):
@@ -264,7 +294,7 @@
         headers = [("Wheelslip-Request-Id", request_id), ("Wheelslip-Instance-Id", self.id)]
         if self.model:
             headers.append(("Wheelslip-Weight-Versions", str(self.version)))
-        exchange.answer(status, [*headers, *(extra or [])], body)
+        exchange.answer(status, [*headers, *self._of_itself(), *(extra or [])], body)
 
     def _report(self, exchange: Exchange) -> None:
         document = {
@@ -280,7 +310,8 @@
         }
         if self.born is not None:
             document["born"] = self.born
-        exchange.answer(200, [("Content-Type", "application/json")], json.dumps(document).encode())
+        headers = [("Content-Type", "application/json"), *self._of_itself()]
+        exchange.answer(200, headers, json.dumps(document).encode())
 
     def _order(self, order: dict, exchange: Exchange) -> None:
         status = self._take_order(order)
@@ -288,7 +319,7 @@
             self.faults.ignore_orders -= 1
             exchange.reset()
             return
-        exchange.answer(status, [], b"")
+        exchange.answer(status, self._of_itself(), b"")
 
     def _take_order(self, order: dict) -> int:
         if "holder" not in order or "fence" not in order:
