What an engine says of itself in an answer binds the node that heard it

Cause: nothing of an answer but weights and identity reached the view. An engine that leaves was known by its entry alone, which the store takes late when it is away; a turned away request was one cost beside others, which fades in 2 s, so a rest asked for was not kept. Its class: a worker's own word is taken from one channel and not from the other, though the other may be the only one that works. Ruled out: a view that was overwritten (no change of the engine was logged, and the failing tests have none), and requests under way before the answer (they were sent seconds after it). Change: routing/worker_notices.py (pure) holds by start who leaves, for good, and who rests until when; the view asks it for leaving, questions to dispatchers rule out those that rest for this node, and a request looks once more before its bytes go, handed back without a retry spent. After a rest a node sends one request at a time, then twice as many. Where all that is left rests, a request waits within its target, and is otherwise refused at once with the time of return, each a later one.

--- a/src/wheelslip/forwarding/answer_notices.py
+++ b/src/wheelslip/forwarding/answer_notices.py
@@ -5,7 +5,7 @@
 
 from wheelslip.deployment import AnswerMetadata, WorkerInfo, worker_id_of
 from wheelslip.events import LogEvent, log_event
-from wheelslip.routing.worker_notices import WorkerNotices
+from wheelslip.routing.worker_notices import RestTurn, WorkerNotices
 
 TURNED_AWAY = 503
 """Only an answer with this status asks for rest; elsewhere the same header is a caller's affair."""
@@ -48,6 +48,11 @@
             seconds = round(min(answer.retry_seconds, 1e6), 3)
             _log(LogEvent.ENGINE_REST_BEGAN, info, source=source.value, seconds=seconds)
 
+    def ended(self, turn: RestTurn | None, was_served: bool) -> None:
+        """A request has ended; those that wait for its turn after a rest look again."""
+        if self.end(turn, was_served):
+            self._announce()
+
     def tell_ended(self) -> None:
         """Log the rests that are over, and let waiting requests look again."""
         ended = self.expire()
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from wheelslip.forwarding.job import Job
+from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.dispatch_link import DispatchLink, Grant
 from wheelslip.peers.dispatcher_health import NoDispatcher
@@ -107,6 +108,7 @@
     def __init__(
         self,
         zone: str,
+        registry: Registry,
         records: WorkerPlacement,
         pool: WorkerPool,
         link: DispatchLink | None,
@@ -115,6 +117,7 @@
         clock: Callable[[], float],
     ):
         self._zone = zone
+        self._registry = registry
         self._records = records
         self._pool = pool
         self._link = link
@@ -170,7 +173,8 @@
             job.priority,
             self._zone,
             self._pool.idle_workers(),
-            frozenset(job.excluded),
+            # Workers that rest asked this node alone: the dispatcher may grant them to others.
+            self._registry.withheld(service) | job.excluded,
             job.sent > 0,
             job.tenant.name if limit else "",
             units,
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -39,9 +39,13 @@
 
 
 class AttemptOutcome(enum.Enum):
-    """How one attempt at one worker ended."""
+    """How one attempt at one worker ended.
+
+    ``WITHHELD`` means that nothing was sent, since the worker wants nothing now.
+    """
 
     ANSWERED = "answered"
+    WITHHELD = "withheld"
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     LOST = "lost"
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -23,14 +23,14 @@
 )
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
 from wheelslip.forwarding.crash_guard import CrashGuard
-from wheelslip.forwarding.http_client import PeerUnreachable
+from wheelslip.forwarding.http_client import HttpConnection, PeerUnreachable
 from wheelslip.forwarding.interface import RequestDialect
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.forwarding.worker_pool import WorkerPool
-from wheelslip.routing.overload import Overloaded
+from wheelslip.routing.overload import Overloaded, Turns
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import SmoothSplit
 from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
@@ -45,6 +45,12 @@
 ASK_AGAIN_SECONDS = 0.08
 """Pause before a worker is looked for again, when none could take a request."""
 
+REST_TURN_SECONDS = 0.05
+"""Callers that are refused while all workers rest come back so far apart: just after a rest a worker
+gets one request at a time."""
+
+LEAST_RETRY_SECONDS = 0.05
+
 MAX_SENDS = 3
 """Most workers one request is sent to, those that proved not to run it included."""
 
@@ -52,6 +58,13 @@
 """A worker's own answer at the deadline is waited for this much longer."""
 
 
+_PROVEN_NOT_RUN = frozenset(
+    {AttemptOutcome.NOT_SENT, AttemptOutcome.WITHHELD, AttemptOutcome.NOT_RUN}
+)
+
+_SERVED = frozenset({AttemptOutcome.ANSWERED, AttemptOutcome.FAILED})
+"""The worker ran the request and answered."""
+
 REQUEST_LINES_PER_SECOND = 50.0
 """Log lines about single requests and their attempts that one node writes on average."""
 
@@ -83,6 +96,7 @@
         self._services = AttemptServices(dialect, registry, pool, metrics, clock)
         self._splits: dict[str, SmoothSplit] = {}
         self._budgets: dict[str, RetryWindow] = {}
+        self._rest_turns: dict[str, Turns] = {}
 
     async def handle(self, received: ReceivedRequest, caller: CallerConnection) -> None:
         """Answer one request, whatever happens."""
@@ -226,14 +240,33 @@
                 raise self._unserved_error(job, str(exc), exc.retry_seconds) from exc
             if assignment is not None:
                 return assignment
+            returns_at = self._returns_at(job, service)
+            if returns_at is not None:
+                give_up_at = max(give_up_at, returns_at + ASK_AGAIN_SECONDS)
             remaining = give_up_at - self._clock()
             if remaining <= 0:
                 raise self._unserved_error(job, reason)
-            try:
-                async with asyncio.timeout(min(remaining, ASK_AGAIN_SECONDS)):
+            pause = max(ASK_AGAIN_SECONDS, (returns_at or 0.0) - self._clock())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(remaining, pause)):
                     await self._registry.changed()
-            except TimeoutError:
-                continue
+
+    def _returns_at(self, job: Job, service: str) -> float | None:
+        """Return when a worker that rests takes requests again; ``None`` if none rests.
+
+        :raises WheelslipError: when none returns within its target. Another node may have a
+            right to them now, so its caller is told at once, and each a later turn than the last.
+        """
+        rests_until = self._registry.rests_until(service)
+        if rests_until is None:
+            return None
+        now = self._clock()
+        returns_at = max(now, rests_until)
+        if returns_at <= job.request.arrived + job.route.target_seconds:
+            return returns_at
+        turns = self._rest_turns.setdefault(service, Turns())
+        seconds = turns.retry_seconds(now, returns_at - now, REST_TURN_SECONDS)
+        raise self._unserved_error(job, "the engines left rest", max(seconds, LEAST_RETRY_SECONDS))
 
     def _unserved_error(
         self, job: Job, message: str, retry_seconds: float = NO_WORKER_RETRY_SECONDS
@@ -254,10 +287,12 @@
             weights_version=placement.weights_version,
             granted=assignment.granted,
             registry_age=round(self._registry.age(), 3),
-            proven_not_run=outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN),
+            proven_not_run=outcome in _PROVEN_NOT_RUN,
             content=job.fingerprint if outcome is AttemptOutcome.LOST else None,
             reason=job.reason,
         )
+        if outcome is AttemptOutcome.WITHHELD:
+            return
         job.excluded.add(info.id)
         if outcome is AttemptOutcome.LOST and not assignment.silent:
             self._crash_guard.lost(job, info)
@@ -265,6 +300,8 @@
     def _may_go_on(self, job: Job, outcome: AttemptOutcome, budget: RetryWindow) -> bool:
         if self._clock() >= job.deadline:
             return False
+        if outcome is AttemptOutcome.WITHHELD:
+            return True
         if outcome is AttemptOutcome.NOT_SENT:
             return len(job.excluded) < MAX_SENDS
         if outcome in (AttemptOutcome.LOST, AttemptOutcome.FAILED):
@@ -301,17 +338,27 @@
             # The caller has left, or its time is up, while the connection was being opened.
             assignment.unused()
             raise
-        if not self._registry.takes_requests(worker.id):
-            # It has left while the connection was opened, which may take a third of the drain time.
+        if not self._registry.may_begin(worker.id):
+            # It has said so since it was chosen: opening a connection may take a third of the
+            # drain time. Nothing is awaited from here until the request is written.
             connection.close()
             assignment.unused()
-            job.reason = "the engine has left"
-            return AttemptOutcome.NOT_SENT
+            job.reason = "the engine leaves or rests"
+            return AttemptOutcome.WITHHELD
+        return await self._send(job, assignment, connection, caller)
+
+    async def _send(
+        self, job: Job, assignment: Assignment, connection: HttpConnection, caller: CallerConnection
+    ) -> AttemptOutcome:
+        start = job.last_start = assignment.placement.worker.info.id
+        notices = self._registry.notices
+        turn, outcome = notices.begin(start), None
         assignment.begin()
-        job.last_start = worker.id
         attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
-            return await attempt.run()
+            outcome = await attempt.run()
+            return outcome
         finally:
             attempt.finish()
             assignment.end(attempt.had_first_token)
+            notices.ended(turn, outcome in _SERVED)
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -143,6 +143,7 @@
         self._metrics = self._make_metrics()
         assigner = WorkerAssigner(
             section.zone,
+            self._registry,
             self._placement,
             self._pool,
             self._dispatch_link if section.peers else None,
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -82,7 +82,7 @@
         self.refused_entries = 0
         self.configuration: RoutingConfiguration | None = None
         self.notices = AnswerNotices(clock, self._announce)
-        self.view = WorkerView(bounds, clock)
+        self.view = WorkerView(bounds, clock, self.notices)
         self.loading: frozenset[Incarnation] = frozenset()
         self.loading_since = clock()
         self.on_own_entry: Callable[[str], None] = lambda key: None
@@ -264,6 +264,22 @@
         worker = self.workers.get(incarnation)
         return worker is not None and self.view.takes_requests(worker)
 
+    def may_begin(self, incarnation: Incarnation) -> bool:
+        """Return whether a request of this node may begin at a worker at this moment."""
+        return self.takes_requests(incarnation) and self.notices.may_begin(incarnation)
+
+    def withheld(self, service: str) -> frozenset[Incarnation]:
+        """Return the workers of a service that are in use, but get nothing of this node now."""
+        held = self.notices.withheld()
+        if not held:
+            return held
+        return held & {one.info.id for one in self.workers_of(service)}
+
+    def rests_until(self, service: str) -> float | None:
+        """Return when the first of the withheld workers returns; ``None`` if there is none."""
+        held = self.withheld(service)
+        return min(map(self.notices.rest_until, held), default=None)
+
     def mark_replaced(self, incarnation: Incarnation) -> None:
         """Another process answered at a worker's address."""
         if self.view.mark_replaced(incarnation):
--- a/src/wheelslip/forwarding/worker_view.py
+++ b/src/wheelslip/forwarding/worker_view.py
@@ -11,6 +11,7 @@
 from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.routing.worker_notices import WorkerNotices
 
 HEARTBEATS_OF_A_LIVE_START = 3
 """A start writes its entry each heartbeat. An older start's entry that has stood for so many is no
@@ -28,13 +29,20 @@
     """Keeps one start of each worker.
 
     :param clock: steady clock in seconds.
+    :param notices: what workers said of themselves; it outlives their entries.
     :ivar workers: by incarnation.
     :ivar on_gone: called with each incarnation that is no longer there.
     """
 
-    def __init__(self, bounds: Callable[[], BoundsSection], clock: Callable[[], float]):
+    def __init__(
+        self,
+        bounds: Callable[[], BoundsSection],
+        clock: Callable[[], float],
+        notices: WorkerNotices,
+    ):
         self._bounds = bounds
         self._clock = clock
+        self._notices = notices
         self._current: dict[str, Incarnation] = {}
         self._older: dict[str, _OlderEntry] = {}
         self.workers: dict[Incarnation, Worker] = {}
@@ -180,7 +188,9 @@
         return self._is_serving(worker) and worker.doubtful_until is None
 
     def _is_serving(self, worker: Worker) -> bool:
+        # A worker's own word goes before its entry, which the store may take much later.
         ready = worker.info.state is WorkerState.READY
+        ready = ready and not self._notices.is_leaving(worker.info.id)
         return ready and not worker.replaced and not worker.unusable
 
 
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -211,7 +211,7 @@
             return None
         worker = self._records.worker(answer.worker)
         if worker is None or not self._records.accepts(worker, query):
-            # This node knows better: the worker leaves, or its weights are too old.
+            # This node knows better: the worker leaves or rests, or its weights are too old.
             self._send(address, ticket_id, Progress.UNUSED)
             raise NoDispatcher
         version = answer.weights_version
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -21,6 +21,9 @@
 MAX_CONNECTED = 8
 """Most idle connections that a question names, so that it fits a packet of 1,400 bytes."""
 
+MAX_EXCLUDED = 24
+"""Most workers that a question rules out, for the same reason."""
+
 PART_REQUESTS = 8
 """Running requests in one datagram, for the same reason."""
 
@@ -71,7 +74,7 @@
             query.priority,
             query.zone,
             sorted(query.connected)[:MAX_CONNECTED],
-            sorted(query.excluded),
+            sorted(query.excluded)[:MAX_EXCLUDED],
             query.begun,
             query.tenant,
             query.limit_units,
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -147,6 +147,8 @@
 
     def accepts(self, worker: Worker, query: PlacementQuery) -> bool:
         """Whether this node's own view allows a worker for a request just now."""
+        if worker.info.id in query.excluded:
+            return False
         if worker not in self._registry.workers_of(query.service):
             return False
         return not query.model or self._may_begin(worker, query.model)
