--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,8 @@
 
 NODES ?= 0
 forwarding-soak: setup
-	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES)
+	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
+		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly)
 
 replay: setup
 	$(RUN) -m bench.replay
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -104,6 +104,14 @@
     acknowledged_at: float
 
 
+class BuildStarted(NamedTuple):
+    """A process of a node was started from a checkout of this name."""
+
+    at: float
+    node: str
+    build: str
+
+
 @dataclass
 class Record:
     """The facts of one run.
@@ -119,6 +127,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
     namings: list[Naming] = field(default_factory=list)
+    builds: list[BuildStarted] = field(default_factory=list)
     workers: dict[str, PlatformWorker] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
 
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -19,6 +19,7 @@
 
 import fire
 
+from bench.forwarding_builds import Replacement, check_out, remove
 from bench.forwarding_callers import Callers
 from bench.forwarding_deadly import DeadlyCaller, judge_crashes
 from bench.forwarding_faults import Faults
@@ -51,6 +52,7 @@
     :param restarts: whether workers start again under their ids, and entries are spoilt.
     :param deadly: whether a caller sends requests that end workers.
     :param notices: whether workers say in answers that they leave or want rest.
+    :param older: a checkout of an older build, which all nodes run at first.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         restarts: bool = True,
         deadly: bool = False,
         notices: bool = False,
+        older: pathlib.Path | None = None,
     ):
         rng = random.Random(seed)
         drawn, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
@@ -78,6 +81,8 @@
         self.deadly = DeadlyCaller(self.world, self.callers, of_deadly) if deadly else None
         of_notices = random.Random(f"{seed} notices")
         self.notices = NoticeFaults(self.world, self.faults, of_notices) if notices else None
+        of_builds = random.Random(f"{seed} builds")
+        self.replacement = Replacement(self.world, older, of_builds) if older else None
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -92,6 +97,8 @@
             works.append(self.deadly.run(ends_at))
         if self.notices is not None:
             works.append(self.notices.run(ends_at))
+        if self.replacement is not None:
+            works.append(self.replacement.run(ends_at))
         await asyncio.gather(*works)
         await self._settle()
         lag.cancel()
@@ -135,7 +142,8 @@
             for one in self.record.leavings
         ]
         namings = [(one.acknowledged_at, f"weights {one.version}") for one in self.record.namings]
-        events = sorted(disruptions + leavings + namings)
+        builds = [(one.at, f"{one.node} starts from {one.build}") for one in self.record.builds]
+        events = sorted(disruptions + leavings + namings + builds)
         return [f"{seconds(moment)} {text}" for moment, text in events]
 
     def summary(self) -> str:
@@ -152,13 +160,19 @@
     restarts: bool = True,
     deadly: bool = False,
     notices: bool = False,
+    older: str = "",
 ) -> Soak:
     """Play one seed and return the run, ended and judged."""
-    soak = Soak(seed, folder, nodes, restarts, deadly, notices)
+    checkout = check_out(older, folder) if older else None
     try:
-        await soak.run(seconds)
+        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout)
+        try:
+            await soak.run(seconds)
+        finally:
+            await soak.world.stop()
     finally:
-        await soak.world.stop()
+        if checkout is not None:
+            remove(checkout)
     return soak
 
 
@@ -170,6 +184,7 @@
     restarts: bool = True,
     deadly: bool = False,
     notices: bool = False,
+    older: str = "",
 ) -> None:
     """Run one seed; exits with 1 when a promise was broken.
 
@@ -180,11 +195,12 @@
     :param restarts: whether workers start again under their ids, and entries are spoilt.
     :param deadly: whether a caller sends requests that end workers.
     :param notices: whether workers say in answers that they leave or want rest.
+    :param older: a commit of this repository that all nodes run at first, and some again halfway.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
-    soak = asyncio.run(play(seed, seconds, logs, nodes, restarts, deadly, notices))
+    soak = asyncio.run(play(seed, seconds, logs, nodes, restarts, deadly, notices, str(older)))
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
         f"of this process {soak.longest_lag:.3f} s at {soak.longest_lag_at} s"
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -22,7 +22,16 @@
     EVENTS,
     VERSION_SECONDS,
 )
-from bench.forwarding_record import Disruption, Leaving, Naming, Part, Record, Revocation, Strike
+from bench.forwarding_record import (
+    BuildStarted,
+    Disruption,
+    Leaving,
+    Naming,
+    Part,
+    Record,
+    Revocation,
+    Strike,
+)
 from standins.fault_proxy import FaultProxy
 from standins.platform_site import Caller, Site, configuration
 from standins.platform_store import PlatformStoreServer
@@ -79,6 +88,7 @@
 
     :param nodes: number of processes.
     :param zones: number of zones over which they are dealt out.
+    :ivar build_of: the checkout from which each node's process is started.
     :ivar deadly: workers end when they begin a request with this in its body.
     :ivar on_crash: called once such a worker has ended.
     :ivar longest_start: most seconds from the start of a process until it listened.
@@ -102,6 +112,7 @@
         self.service_of: dict[str, str] = {}
         self.keys = ["key-1"]
         self.weights = 1
+        self.build_of = dict.fromkeys(self.nodes, ROOT)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._zones = zones
         self._folder = folder
@@ -293,6 +304,7 @@
     async def start_node(self, name: str, planned: bool = False) -> None:
         """Start a node's process."""
         now = time.monotonic()
+        self.record.builds.append(BuildStarted(now, name, self.build_of[name].name))
         starting = Strike(name, now, now + START_SECONDS)
         self.record.strikes.append(starting)
         with (
@@ -301,7 +313,7 @@
         ):
             self.processes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "deploy" / "node.py"),
+                str(self.build_of[name] / "deploy" / "node.py"),
                 env=self._environment[name],
                 stdout=log,
                 stderr=log,
--- a/tests/unit/forwarding/test_dispatch_messages.py
+++ b/tests/unit/forwarding/test_dispatch_messages.py
@@ -6,6 +6,7 @@
     ASK,
     KEPT,
     MAX_CONNECTED,
+    MAX_EXCLUDED,
     PART_REQUESTS,
     RUNNING,
     KeptTold,
@@ -46,8 +47,10 @@
 def test_each_message_fits_a_packet():
     running = RunningRequest(12_345, WORKER, 12, CHAIN, 12_345, 12_345)
     asks = list(range(10_000, 10_040))
+    ruled_out = [f"{WORKER}/{1_764_700_000_000 + number}" for number in range(MAX_EXCLUDED)]
     frames = [
         (ASK, asked()),
+        (ASK, asked()._replace(excluded=ruled_out, connected=ruled_out[:MAX_CONNECTED])),
         (RUNNING, RunningTold(NODE, asks, [running] * PART_REQUESTS)),
         (KEPT, KeptTold([KeptPrompt(WORKER, CHAIN)] * PART_REQUESTS)),
     ]
@@ -65,3 +68,8 @@
     assert sender == "10.0.0.1:7" and socket.refused == 4
     assert message.ticket_id() == TicketId(NODE, 12_345)
     assert WorkerAsk.of(message.ticket_id(), message.query()) == message
+
+
+def test_a_question_rules_so_many_workers_out_and_no_more():
+    query = PlacementQuery("s", excluded=frozenset(f"i-{one}" for one in range(100)))
+    assert len(WorkerAsk.of(TicketId(NODE, 1), query).excluded) == MAX_EXCLUDED
