--- a/bench/forwarding_callers.py
+++ b/bench/forwarding_callers.py
@@ -127,7 +127,7 @@
             answer.complete,
             error,
             content,
-            "server-leaving" in answer.headers,
+            _leaving_worker(answer, request_id),
         )
         world.record.calls.append(call)
         self._judge.judge_answer(call)
@@ -149,6 +149,14 @@
                     await asyncio.sleep(PAUSE_SECONDS)
 
 
+def _leaving_worker(answer: Answer, request_id: str) -> str:
+    """Return the worker that signed an answer which says that it leaves; empty for others."""
+    if "server-leaving" not in answer.headers:
+        return ""
+    signature = answer.headers.get("wheelslip-response-signature", "")
+    return signature.removeprefix("sig-").removesuffix(f"-{request_id}")
+
+
 def _is_usable(caller: Caller) -> bool:
     """Whether another request may be sent: the node has neither closed nor said it would."""
     return caller.parser.our_state is h11.IDLE and not caller.reader.at_eof()
--- a/bench/forwarding_notices.py
+++ b/bench/forwarding_notices.py
@@ -128,7 +128,8 @@
         told_at: dict[str, float] = {}
         for run in worker.runs:
             call = self._calls.get(run.request_id)
-            if call is not None and call.said_leaving:
+            # A stream that went on at another worker has the head of its first.
+            if call is not None and call.leaving_worker == worker.id:
                 told_at[call.node] = min(call.ended_at, told_at.get(call.node, call.ended_at))
         self.judged["words of leaving"] += len(told_at)
         for request_id, at in worker.arrivals:
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -18,7 +18,7 @@
 class Call(NamedTuple):
     """One request and what its caller got; ``status`` is 0 when no answer came at all.
 
-    :ivar said_leaving: the answer said that its worker leaves.
+    :ivar leaving_worker: id of the worker that wrote the answer's head, if that says that it leaves.
     """
 
     node: str
@@ -32,7 +32,7 @@
     complete: bool
     error: str = ""
     content: bytes = b"x"
-    said_leaving: bool = False
+    leaving_worker: str = ""
 
 
 class Revocation(NamedTuple):
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -39,3 +39,11 @@
     assert soak.faults.counts["worker_starts_again"] > 0
     assert soak.faults.counts["entry_is_spoilt"] > 0
     assert soak.judge.judged["calls at nodes in touch"] > 0
+
+
+def test_workers_say_in_answers_that_they_leave_and_want_rest(tmp_path):
+    """On code that read nothing of the kind in answers, this run broke 224 promises."""
+    soak = asyncio.run(play(701, SECONDS, tmp_path, notices=True))
+    assert soak.record.violations == [], soak.history()
+    assert soak.judge.judged["words of leaving"] > 0
+    assert soak.judge.judged["rests"] > 0
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -11,6 +11,7 @@
     VERSION_SECONDS,
     Judge,
 )
+from bench.forwarding_notices import NoticeJudge
 from bench.forwarding_record import (
     Call,
     Disruption,
@@ -21,7 +22,7 @@
     Revocation,
     Strike,
 )
-from standins.platform_worker import PlatformWorker, Run
+from standins.platform_worker import PlatformWorker, RestAsked, Run
 
 
 @pytest.fixture
@@ -327,3 +328,77 @@
     with record.disrupted(Part.CORE) as one:
         assert one.touches(time.monotonic(), time.monotonic())
     assert not one.touches(one.ended_at + JUST, one.ended_at + 1.0)
+
+
+# What workers say of themselves in their answers
+
+
+def asked(record, request_id, sent_at, leaving_worker="", node="n0", ended_at=None):
+    ended_at = sent_at + 0.1 if ended_at is None else ended_at
+    call = Call(node, request_id, "/plain/x", "k", sent_at, ended_at, 200, b"", True)
+    record.calls.append(call._replace(leaving_worker=leaving_worker))
+
+
+def arrived(record, request_id, at, name="p0"):
+    record.workers[name].runs.append(Run(request_id, None, 1, began_at=at))
+    record.workers[name].arrivals.append((request_id, at))
+
+
+def of_notices(record) -> list[str]:
+    NoticeJudge(record).judge()
+    return record.violations
+
+
+def test_a_request_long_after_the_word_of_leaving_was_passed_on_is_a_violation(record):
+    for request_id, sent_at, node in (("r1", 1.0, "n0"), ("r2", 3.0, "n0"), ("r3", 3.2, "n0")):
+        asked(record, request_id, sent_at, "p0", node)
+        arrived(record, request_id, sent_at)
+    asked(record, "r4", 9.0, "", "n1")
+    arrived(record, "r4", 9.0)
+    (found,) = of_notices(record)
+    assert found.startswith("DRAIN r3 reached p0 through n0")
+
+
+def test_the_word_of_the_worker_at_which_a_stream_began_is_not_of_the_one_where_it_went_on(record):
+    """e2 had said that it leaves and broke a stream off, which went on at e1: 23 violations that were
+    none (``attempt_failed`` at e2, then ``request_finished`` with 2 attempts at e1)."""
+    asked(record, "r1", 1.0, "p1")
+    arrived(record, "r1", 1.0, "p1")
+    arrived(record, "r1", 1.05, "p0")
+    asked(record, "r2", 5.0)
+    arrived(record, "r2", 5.0, "p0")
+    assert of_notices(record) == []
+
+
+def test_a_restart_since_the_word_is_an_excuse_and_a_signal_before_it_is_none(record):
+    asked(record, "r1", 1.0, "p0")
+    arrived(record, "r1", 1.0)
+    asked(record, "r2", 9.0)
+    arrived(record, "r2", 9.0)
+    record.strikes.append(Strike("n0", 0.1, 0.9))
+    assert len(of_notices(record)) == 1
+    record.violations.clear()
+    record.strikes.append(Strike("n0", 4.0, 5.0))
+    assert of_notices(record) == []
+
+
+def rested(record, *arrivals):
+    record.workers["p0"].rests.append(RestAsked("r0", 1.0, "3"))
+    asked(record, "r0", 0.9)
+    for number, at in enumerate(arrivals):
+        asked(record, f"r{number + 1}", at - 0.01)
+        arrived(record, f"r{number + 1}", at)
+
+
+def test_three_requests_in_a_rest_are_a_violation_and_two_are_none(record):
+    rested(record, 1.3, 1.4, 2.0, 3.9, 4.1)
+    assert of_notices(record) == []
+    asked(record, "r9", 3.0)
+    arrived(record, "r9", 3.0)
+    assert of_notices(record) == ["BUDGET p0 asked n0 for 3 s of rest at 1.0 s and got r3, r4, r9"]
+
+
+def test_what_comes_after_a_cut_since_a_rest_began_does_not_count(record):
+    rested(record, 2.0, 2.5, 3.0)
+    record.disruptions.append(Disruption(Part.LINK, "p0", 1.5, 1.8))
+    assert of_notices(record) == []
