--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -280,6 +280,15 @@
             node = self.nodes[zone]
             await until(lambda node=node: len(node.known_relays()) == len(zones), "all relays")
 
+    async def add_nodes(self, zones: tuple[str, ...]) -> None:
+        """Start a node in each zone, named like it, and wait until all are ready."""
+        if len(zones) > 1:
+            await self.add_relays(zones)
+        else:
+            await self.add_node(zones[0])
+        for zone in zones:
+            await self.ready(zone)
+
     def cut_from_store(self, name: str) -> None:
         """Give one node an address of the store at which nothing answers."""
         self.lead_to_store(name, "127.0.0.1:9")
--- a/tests/probe/forwarding/test_crashing_requests.py
+++ b/tests/probe/forwarding/test_crashing_requests.py
@@ -38,12 +38,7 @@
         worker.faults = WorkerFaults(crash_on=DEADLY, **faults)
         site.revive_after_crashes(worker, service, DOWN_SECONDS)
         await site.add_worker(worker, service)
-    if len(zones) > 1:
-        await site.add_relays(zones)
-    else:
-        await site.add_node(zones[0])
-    for zone in zones:
-        await site.ready(zone)
+    await site.add_nodes(zones)
     for number in range(20):
         await site.ask("/plain/", f"before-{number}", zones[number % len(zones)])
 
--- a/tests/probe/forwarding/test_said_in_answers.py
+++ b/tests/probe/forwarding/test_said_in_answers.py
@@ -111,12 +111,7 @@
     for number in range(workers):
         worker = PlatformWorker(f"i-{number}", model=model, born=BORN, seconds=SERVICE_SECONDS)
         await site.add_worker(worker, service)
-    if len(zones) > 1:
-        await site.add_relays(zones)
-    else:
-        await site.add_node(zones[0])
-    for zone in zones:
-        await site.ready(zone)
+    await site.add_nodes(zones)
 
 
 ONE = ("z1",)
@@ -132,10 +127,11 @@
     assert traffic.late_at(leaving) == []
 
 
-async def test_a_worker_that_asks_for_rest_has_it(site):
+@pytest.mark.parametrize("hides_not_run", [False, True])
+async def test_a_worker_that_asks_for_rest_has_it(site, hides_not_run):
     await site_of(site)
     resting = site.workers["i-0"]
-    resting.faults = WorkerFaults(shed=1, rest="3")
+    resting.faults = WorkerFaults(shed=1, rest="3", hides_not_run=hides_not_run)
     traffic = Traffic(site, ONE)
     await traffic.run(3.0)
     assert resting.rests
@@ -245,16 +241,6 @@
     assert (await traffic.ask("waits", "z1")).status == 200
 
 
-async def test_rest_is_kept_where_the_answer_does_not_say_that_it_did_not_run(site):
-    await site_of(site)
-    resting = site.workers["i-0"]
-    resting.faults = WorkerFaults(shed=1, rest="3", hides_not_run=True)
-    traffic = Traffic(site, ONE)
-    await traffic.run(3.0)
-    assert resting.rests
-    assert traffic.most_in_a_rest(resting, 3.0) <= ALLOWED_IN_A_REST
-
-
 async def test_all_workers_ask_all_nodes_for_rest_at_once(site):
     await site_of(site, THREE)
     for worker in site.workers.values():
