--- a/bench/forwarding_notices.py
+++ b/bench/forwarding_notices.py
@@ -35,7 +35,17 @@
 """How often all workers of a service ask for rest together."""
 
 RESTS = ("1", "2", "3.5", "6")
+"""In seconds, as they are written in answers."""
+
 UNREADABLE_RESTS = ("soon", "-3", "nan", "")
+UNREADABLE_SHARE = 0.1
+"""How often what is written is no time."""
+
+HIDES_SHARE = 0.2
+"""How often the answer does not say that the request was not run."""
+
+WAYS_TO_TURN_AWAY = ((1, 0), (6, 0), (3, 2), (0, 1))
+"""How many requests are turned away, and from how many under way on all are; 0 for never."""
 
 
 class NoticeFaults:
@@ -96,11 +106,14 @@
             if worker.faults is faults:
                 worker.faults = WorkerFaults()
 
-    def _ask(self, worker: PlatformWorker, rng: random.Random):
-        rest = rng.choice(UNREADABLE_RESTS if rng.random() < 0.1 else RESTS)
-        shed, full_at = rng.choice(((1, 0), (6, 0), (3, 2), (0, 1)))
+    def _ask(
+        self, worker: PlatformWorker, rng: random.Random
+    ) -> tuple[PlatformWorker, WorkerFaults]:
+        """Have a worker turn requests away; return it with what it was told, to be taken back."""
+        rest = rng.choice(UNREADABLE_RESTS if rng.random() < UNREADABLE_SHARE else RESTS)
+        shed, full_at = rng.choice(WAYS_TO_TURN_AWAY)
         faults = WorkerFaults(
-            shed=shed, shed_while=full_at, rest=rest, hides_not_run=rng.random() < 0.2
+            shed=shed, shed_while=full_at, rest=rest, hides_not_run=rng.random() < HIDES_SHARE
         )
         worker.faults = faults
         return worker, faults
