--- a/src/wheelslip/routing/crash_ledger.py
+++ b/src/wheelslip/routing/crash_ledger.py
@@ -21,7 +21,7 @@
 """From so many on it is refused, if one of them ended while the content ran alone in that sense, and
 all else that ran there has run whole since: several engines that lose power at one moment all end
 under what is asked for often, and a content that ends engines may run beside for the first time (one
-that was not under suspicion yet had a harmless one refused in 1 of 30 randomised runs of processes)."""
+that was not under suspicion yet had a harmless one refused in 1 of 16 randomised runs of processes)."""
 
 REFUSED_FROM_ALONE = 2
 """From so many that ended while it ran alone it is refused whatever else ran there. With 1, a content
