--- a/src/wheelslip/routing/crash_ledger.py
+++ b/src/wheelslip/routing/crash_ledger.py
@@ -137,11 +137,11 @@
         """Whether news of another content at the same start may still come, and would matter."""
         if self._clock() >= self._seen[content][start].at + NEWS_SECONDS:
             return False
-        ran_there = self._ran_at.get(start, set())
+        # What a clearing told of is known too, whichever of it and the crash came first.
         return any(
             len(self._open(other)) >= TRIAL_FROM - 1
-            for other in self._seen
-            if other != content and other not in ran_there
+            for other, starts in self._seen.items()
+            if other != content and start not in starts
         )
 
     def news_seconds(self, content: str) -> float:
--- a/tests/unit/forwarding/test_crash_ledger.py
+++ b/tests/unit/forwarding/test_crash_ledger.py
@@ -102,6 +102,17 @@
     assert ledger.standing("c") is Standing.REFUSED
 
 
+def test_a_clearing_that_came_before_its_crash_is_news_that_need_not_be_waited_for(ledger):
+    """Two nodes that had heard the same judged differently: at the one that heard the clearing first, the
+    other content was not taken to be known at that engine, and the verdict waited for news of it."""
+    ledger.clear([crash(2, "beside")])
+    ledger.take(crash(2, "beside"))
+    ledger.take(crash(5, "beside"))
+    for number in (0, 1, 2):
+        ledger.take(crash(number))
+    assert ledger.standing("c") is Standing.REFUSED
+
+
 def test_a_second_crash_alone_is_proof_whatever_ran_beside(ledger):
     for number in (0, 2, 3):
         ledger.take(crash(number))
