--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -548,6 +548,15 @@
         "../unit/forwarding/test_silent_peers.py"
         "::test_silent_peers_do_not_keep_a_node_from_a_store_that_answers",
     ),
+    _one(
+        "one renewal that gets no answer ends a lease",
+        FORWARDING,
+        "forwarding/leased_key.py",
+        "for timeout in (patience_seconds, None):",
+        "for timeout in (None,):",
+        "../unit/forwarding/test_lost_renewal.py"
+        "::test_a_renewal_that_gets_no_answer_does_not_end_a_lease",
+    ),
     _one(
         "after a rest the number doubles with each request served",
         FORWARDING,
--- a/src/wheelslip/forwarding/leased_key.py
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -14,6 +14,9 @@
 from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
 
 RENEWALS_PER_LEASE = 3
+"""One whose answer is not there after the pause between two is sent once more beside it. A call waits for
+its answer for 1.5 s, and one lost answer ended a lease of 1.5 s or 3.0 s."""
+
 POLL_SECONDS = 0.1
 ELECTION_JITTER_SECONDS = 0.3
 
@@ -48,6 +51,7 @@
         self._lease = 0
         self._token = 0
         self._valid_until = 0.0
+        self._renew_at = 0.0
         self._stopped = False
 
     def token(self) -> int | None:
@@ -94,7 +98,7 @@
             await asyncio.sleep(POLL_SECONDS)
             return
         self._lease, self._token = lease, result.revision
-        self._valid_until = sent_at + seconds
+        self._note_valid(sent_at, seconds)
         self._gained()
         log_event(LogEvent.LEASE_GAINED, duty=self._key, fencing_token=self._token)
 
@@ -103,12 +107,39 @@
 
     async def _renew(self) -> None:
         seconds = self._lease_seconds()
-        await asyncio.sleep(seconds / RENEWALS_PER_LEASE)
-        sent_at = self._clock()
-        if not await self._store.keep_lease(self._lease):
+        await asyncio.sleep(max(0.0, self._renew_at - self._clock()))
+        sent_at, is_there = await self._keep(seconds / RENEWALS_PER_LEASE)
+        if not is_there:
             self.lose("over")
             return
+        self._note_valid(sent_at, seconds)
+
+    async def _keep(self, patience_seconds: float) -> tuple[float, bool]:
+        """Return when the renewal that was answered was sent, and whether the lease was there.
+
+        :raises KeyValueError: when none was answered, or the store refuses.
+        """
+        sent_at: dict[asyncio.Task, float] = {}
+        try:
+            for timeout in (patience_seconds, None):
+                call = asyncio.create_task(self._store.keep_lease(self._lease))
+                sent_at[call] = self._clock()
+                done, _ = await asyncio.wait(
+                    sent_at, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    break
+            answered = done.pop()
+            return sent_at[answered], answered.result()
+        finally:
+            for call in sent_at:
+                call.cancel()
+            await asyncio.gather(*sent_at, return_exceptions=True)
+
+    def _note_valid(self, sent_at: float, seconds: float) -> None:
+        """The store has granted so much from the sending of a call on."""
         self._valid_until = sent_at + seconds
+        self._renew_at = sent_at + seconds / RENEWALS_PER_LEASE
 
     def lose(self, reason: str) -> None:
         """Hold the key no longer; whoever may gain it next gets a higher token."""
