--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -335,6 +335,9 @@
     :ivar keep_alive_seconds: how long the worker keeps an idle connection.
     :ivar leaving: the worker says that it is about to end.
     :ivar retry_seconds: after how long it says to come back; ``None`` when it says nothing of use.
+    :ivar rate_limit: requests a second that it takes from all nodes together; ``None`` when it
+        names no limit that can be read.
+    :ivar unreadable_limit: the beginning of what it wrote instead of a number; empty for nothing.
     """
 
     request_id: str | None
@@ -346,3 +349,5 @@
     closes: bool
     leaving: bool = False
     retry_seconds: float | None = None
+    rate_limit: float | None = None
+    unreadable_limit: str = ""
--- a/src/wheelslip/forwarding/answer_notices.py
+++ b/src/wheelslip/forwarding/answer_notices.py
@@ -3,26 +3,38 @@
 import enum
 from collections.abc import Callable
 
-from wheelslip.deployment import AnswerMetadata, WorkerInfo, worker_id_of
+from wheelslip.deployment import AnswerMetadata, Incarnation, WorkerInfo, worker_id_of
 from wheelslip.events import LogEvent, log_event
+from wheelslip.routing.named_limits import NamedLimits
 from wheelslip.routing.worker_notices import RestTurn, WorkerNotices
 
 TURNED_AWAY = 503
 """Only an answer with this status asks for rest; elsewhere the same header is a caller's affair."""
 
 
+REFUSED = frozenset({421, 429, 503})
+"""Answers with these statuses may come from another part of an engine than served ones do, so they
+do not show that a limit has ended."""
+
+MAX_UNREADABLE = 4096
+"""Starts of engines whose unreadable limits have been logged, the newest."""
+
+
 class AnswerSource(enum.Enum):
-    """What an engine answered."""
+    """How a node learned what an engine says."""
 
     REQUEST = "request"
     REPORT = "report"
     ORDER = "order"
+    PEER = "peer"
 
 
 class AnswerNotices(WorkerNotices):
     """What this node has heard from engines, told in its log.
 
     :param announce: called when choices may change.
+    :ivar limits: rate limits that engines name.
+    :ivar on_limit_change: called with each start whose limit changed by an answer to this node.
     :ivar said_leaving: engines that said so since the start of this node.
     :ivar rests_begun: rests that engines asked for since then.
     """
@@ -30,13 +42,25 @@
     def __init__(self, clock: Callable[[], float], announce: Callable[[], None]):
         super().__init__(clock)
         self._announce = announce
+        self._unreadable: dict[Incarnation, None] = {}
+        self.limits = NamedLimits(clock)
+        self.on_limit_change: Callable[[Incarnation], None] = lambda start: None
         self.said_leaving = 0
         self.rests_begun = 0
 
     def heard(
-        self, info: WorkerInfo, status: int, answer: AnswerMetadata, source: AnswerSource
+        self,
+        info: WorkerInfo,
+        status: int,
+        answer: AnswerMetadata,
+        source: AnswerSource,
+        sent_at: float = float("-inf"),
     ) -> None:
-        """Take the head of an answer."""
+        """Take the head of an answer.
+
+        :param sent_at: when its request was sent, if that is known.
+        """
+        self._hear_limit(info, status, answer, source, sent_at)
         if answer.leaving and self.note_leaving(info.id):
             self.said_leaving += 1
             _log(LogEvent.ENGINE_SAID_LEAVING, info, source=source.value)
@@ -48,6 +72,39 @@
             seconds = round(min(answer.retry_seconds, 1e6), 3)
             _log(LogEvent.ENGINE_REST_BEGAN, info, source=source.value, seconds=seconds)
 
+    def _hear_limit(
+        self,
+        info: WorkerInfo,
+        status: int,
+        answer: AnswerMetadata,
+        source: AnswerSource,
+        sent_at: float,
+    ) -> None:
+        if answer.unreadable_limit:
+            self._log_unreadable(info, answer.unreadable_limit)
+        elif answer.rate_limit is not None:
+            if self.limits.note_limit(info.id, answer.rate_limit):
+                rate = self.limits.rate(info.id)
+                _log(LogEvent.ENGINE_LIMIT_NAMED, info, rate=rate, source=source.value, age=0.0)
+                self.on_limit_change(info.id)
+                self._announce()
+        elif (
+            source is AnswerSource.REQUEST
+            and status not in REFUSED
+            and self.limits.note_no_limit(info.id, sent_at)
+        ):
+            _log(LogEvent.ENGINE_LIMIT_ENDED, info, source=source.value, age=0.0)
+            self.on_limit_change(info.id)
+            self._announce()
+
+    def _log_unreadable(self, info: WorkerInfo, value: str) -> None:
+        if info.id in self._unreadable:
+            return
+        self._unreadable[info.id] = None
+        if len(self._unreadable) > MAX_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
+        _log(LogEvent.ENGINE_LIMIT_UNREADABLE, info, value=value)
+
     def ended(self, turn: RestTurn | None, was_served: bool) -> None:
         """A request has ended; those that wait for its turn after a rest look again."""
         if self.end(turn, was_served):
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -115,6 +115,7 @@
         self._connection = connection
         self._caller = caller
         self.had_first_token = False
+        self._sent_at = services.clock()
         self._guard: asyncio.TimerHandle | None = None
         self.released = False
 
@@ -207,7 +208,7 @@
             # Another process answers there; what it says of itself says nothing of the one meant.
             registry.mark_replaced(info.id)
             return
-        registry.notices.heard(info, status, answer, AnswerSource.REQUEST)
+        registry.notices.heard(info, status, answer, AnswerSource.REQUEST, self._sent_at)
         if answer.weights_version is not None and model:
             registry.note_weights(info.id, model, answer.weights_version)
 
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -305,6 +305,7 @@
             "engines_said_leaving": lambda: float(self._registry.notices.said_leaving),
             "engine_rests_begun": lambda: float(self._registry.notices.rests_begun),
             "engines_resting": lambda: float(self._registry.notices.resting),
+            "engines_limited": lambda: float(self._registry.notices.limits.count()),
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -34,10 +34,17 @@
 _VERSIONS = b"wheelslip-weight-versions"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+_RATE_LIMIT = b"server-limit"
 
 _SECONDS = re.compile(r"\d+(\.\d+)?", re.ASCII)
 """Seconds, fractions included. Dates, signs, exponents and the like tell no time to come back."""
 
+_DECIMAL = re.compile(r"\d+(\.\d+)?|\.\d+", re.ASCII)
+"""A rate. Signs, exponents, units and words are none."""
+
+SHOWN_CHARACTERS = 40
+"""So much of a value that cannot be read goes into the log."""
+
 _OWNED_BY_SYSTEM = frozenset(
     name.lower()
     for name in (
@@ -130,6 +137,8 @@
         """Read a worker's answer (PROTOCOL, "Answers", "Workers")."""
         values = {name.lower(): value.decode("latin-1") for name, value in headers}
         version = values.get(_VERSIONS, "")
+        limit = values.get(_RATE_LIMIT)
+        rate = _rate(limit)
         return AnswerMetadata(
             request_id=values.get(REQUEST_ID.lower()),
             signed=_SIGNATURE in values,
@@ -140,6 +149,8 @@
             closes="close" in values.get(b"connection", "").lower(),
             leaving=values.get(_LEAVING, "").strip() == "1",
             retry_seconds=_seconds(values.get(_RETRY_AFTER, "")),
+            rate_limit=rate,
+            unreadable_limit=limit[:SHOWN_CHARACTERS] if limit and rate is None else "",
         )
 
     def own_answer_headers(self, request_id: str | None) -> Headers:
@@ -184,6 +195,12 @@
     return float(text) if _SECONDS.fullmatch(text) else None
 
 
+def _rate(text: str | None) -> float | None:
+    """Return a rate, ``None`` for what is none; too many digits for a number are infinite."""
+    text = (text or "").strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def _keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -124,6 +124,8 @@
         a worker that tells none.
     :ivar deadly: the same as ``faults.crash_on``, whatever its faults are at the time.
     :ivar says_leaving: it says in all its answers that it leaves, whatever its entry says.
+    :ivar limit: requests a second that it names in all its answers, as it is written; empty for
+        none.
     :ivar rests: the answers that asked for rest.
     :ivar on_crash: called once the process has ended, for whoever starts it again.
     """
@@ -139,6 +141,7 @@
     born: int | None = None
     deadly: bytes = b""
     says_leaving: bool = False
+    limit: str = ""
     on_crash: Callable[["PlatformWorker"], None] = lambda worker: None
 
     def __post_init__(self):
@@ -206,7 +209,10 @@
 
     def _of_itself(self) -> list[tuple[str, str]]:
         """Return what it says of itself in every answer."""
-        return [("Server-Leaving", "1")] if self.says_leaving else []
+        headers = [("Server-Leaving", "1")] if self.says_leaving else []
+        if self.limit:
+            headers.append(("Server-Limit", self.limit))
+        return headers
 
     async def _run(self, request: StandInRequest, exchange: Exchange) -> None:
         run = Run(request.headers.get("wheelslip-request-id", ""), request, self.version)
--- a/tests/unit/forwarding/test_platform_headers.py
+++ b/tests/unit/forwarding/test_platform_headers.py
@@ -135,3 +135,25 @@
 
 def test_more_digits_than_a_number_holds_are_for_ever():
     assert DIALECT.decode_answer([(b"retry-after", b"9" * 400)]).retry_seconds == float("inf")
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"), [(b"1", 1.0), (b" 2.6 ", 2.6), (b".5", 0.5), (b"0", 0.0), (b"007", 7.0)]
+)
+def test_a_rate_limit_is_a_decimal_number(value, rate):
+    answer = DIALECT.decode_answer([(b"Server-Limit", value)])
+    assert (answer.rate_limit, answer.unreadable_limit) == (rate, "")
+
+
+@pytest.mark.parametrize(
+    "value", [b"soon", b"-4", b"+3", b"1e400", b"nan", b"inf", b"1.", b"3/s", b"\xb2", b"1_0"]
+)
+def test_a_rate_limit_that_cannot_be_read_is_told_apart_from_none(value):
+    answer = DIALECT.decode_answer([(b"server-limit", value)])
+    assert answer.rate_limit is None and answer.unreadable_limit == value.decode("latin-1")
+
+
+@pytest.mark.parametrize("headers", [[], [(b"server-limit", b"")]])
+def test_no_rate_limit_is_none(headers):
+    answer = DIALECT.decode_answer(headers)
+    assert (answer.rate_limit, answer.unreadable_limit) == (None, "")
