--- a/src/wheelslip/forwarding/crash_reports.py
+++ b/src/wheelslip/forwarding/crash_reports.py
@@ -16,7 +16,7 @@
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.registry import Registry
 from wheelslip.keyvalue.model import KeyValueError, Put, Transaction, TransactionResult
-from wheelslip.routing.crash_ledger import Crash, CrashLedger, Standing
+from wheelslip.routing.crash_ledger import MAX_CONTENTS, Crash, CrashLedger, Standing
 
 CRASHES_PREFIX = "wheelslip/crashes/"
 
@@ -69,6 +69,7 @@
         self._crashes: dict[_Key, Crash] = {}
         self._cleared: dict[_Key, Crash] = {}
         self._untold: set[str] = set()
+        self._logged: set[str] = set()
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         self._written.set()
@@ -142,13 +143,17 @@
             self._mark_changed()
         if before is Standing.REFUSED:
             return
+        self._logged.discard(content)
         self._log_verdict(content)
         wait = self._ledger.news_seconds(content)
         if wait > 0:
             asyncio.get_running_loop().call_later(wait, self._log_verdict, content)
 
     def _log_verdict(self, content: str) -> None:
-        if self._ledger.standing(content) is Standing.REFUSED:
+        if content not in self._logged and self._ledger.standing(content) is Standing.REFUSED:
+            if len(self._logged) >= MAX_CONTENTS:
+                self._logged.clear()
+            self._logged.add(content)
             ended = [one.start for one in self._ledger.crashes(content)]
             log_event(LogEvent.CONTENT_REFUSED, content=content, ended=ended)
 
--- a/tests/unit/forwarding/test_crash_reports.py
+++ b/tests/unit/forwarding/test_crash_reports.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wheelslip.deployment import Incarnation
+from wheelslip.events import LogEvent
 from wheelslip.forwarding import crash_reports
 from wheelslip.forwarding.crash_reports import CRASHES_PREFIX, CrashReport, CrashReports
 from wheelslip.keyvalue.model import (
@@ -135,3 +136,19 @@
     told = store.report().crashes
     assert len(told) == 20
     assert [one for one in told if one.content == "c"] == [crash(0), crash(1), crash(2)]
+
+
+def test_a_verdict_is_logged_once(store, registry, clock, monkeypatch):
+    """It was logged at once and again when the wait for news was over."""
+    node = Node(store, registry, clock)
+    logged = []
+    monkeypatch.setattr(crash_reports, "log_event", lambda event, **fields: logged.append(event))
+
+    async def crash_three_times() -> None:
+        monkeypatch.setattr(node.ledger, "news_seconds", lambda content: 0.001)
+        for number in range(1, 4):
+            node.reports.add(crash(number))
+        await asyncio.sleep(0.05)
+
+    asyncio.run(crash_three_times())
+    assert logged == [LogEvent.CONTENT_REFUSED]
