--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 NODES ?= 0
 forwarding-soak: setup
 	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
-		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly)
+		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly) $(if $(LIMITS),--limits)
 
 replay: setup
 	$(RUN) -m bench.replay
--- a/bench/forwarding_callers.py
+++ b/bench/forwarding_callers.py
@@ -127,7 +127,9 @@
             answer.complete,
             error,
             content,
-            _leaving_worker(answer, request_id),
+            _worker_of(answer, request_id, "server-leaving"),
+            _worker_of(answer, request_id, "server-limit"),
+            answer.headers.get("server-limit", ""),
         )
         world.record.calls.append(call)
         self._judge.judge_answer(call)
@@ -149,9 +151,9 @@
                     await asyncio.sleep(PAUSE_SECONDS)
 
 
-def _leaving_worker(answer: Answer, request_id: str) -> str:
-    """Return the worker that signed an answer which says that it leaves; empty for others."""
-    if "server-leaving" not in answer.headers:
+def _worker_of(answer: Answer, request_id: str, header: str) -> str:
+    """Return the worker that signed an answer with a header; empty for others."""
+    if header not in answer.headers:
         return ""
     signature = answer.headers.get("wheelslip-response-signature", "")
     return signature.removeprefix("sig-").removesuffix(f"-{request_id}")
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -19,6 +19,8 @@
     """One request and what its caller got; ``status`` is 0 when no answer came at all.
 
     :ivar leaving_worker: id of the worker that wrote the answer's head, if that says that it leaves.
+    :ivar limited_worker: the same, if that names a limit.
+    :ivar limit: the limit that it names, as it is written.
     """
 
     node: str
@@ -33,6 +35,8 @@
     error: str = ""
     content: bytes = b"x"
     leaving_worker: str = ""
+    limited_worker: str = ""
+    limit: str = ""
 
 
 class Revocation(NamedTuple):
@@ -104,6 +108,14 @@
     acknowledged_at: float
 
 
+class LimitNamed(NamedTuple):
+    """From a moment on, a start of a worker names a limit in its answers; empty for none."""
+
+    worker: PlatformWorker
+    at: float
+    value: str
+
+
 class BuildStarted(NamedTuple):
     """A process of a node was started from a checkout of this name."""
 
@@ -127,6 +139,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
     namings: list[Naming] = field(default_factory=list)
+    limits: list[LimitNamed] = field(default_factory=list)
     builds: list[BuildStarted] = field(default_factory=list)
     workers: dict[str, PlatformWorker] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -24,6 +24,7 @@
 from bench.forwarding_deadly import DeadlyCaller, judge_crashes
 from bench.forwarding_faults import Faults
 from bench.forwarding_judge import Judge
+from bench.forwarding_limits import LimitFaults, LimitJudge
 from bench.forwarding_notices import NoticeFaults, NoticeJudge
 from bench.forwarding_record import Record
 from bench.forwarding_world import World
@@ -53,6 +54,7 @@
     :param deadly: whether a caller sends requests that end workers.
     :param notices: whether workers say in answers that they leave or want rest.
     :param older: a checkout of an older build, which all nodes run at first.
+    :param limits: whether workers name in answers how many requests a second they take.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         deadly: bool = False,
         notices: bool = False,
         older: pathlib.Path | None = None,
+        limits: bool = False,
     ):
         rng = random.Random(seed)
         drawn, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
@@ -81,6 +84,8 @@
         self.deadly = DeadlyCaller(self.world, self.callers, of_deadly) if deadly else None
         of_notices = random.Random(f"{seed} notices")
         self.notices = NoticeFaults(self.world, self.faults, of_notices) if notices else None
+        of_limits = random.Random(f"{seed} limits")
+        self.limits = LimitFaults(self.world, of_limits) if limits else None
         of_builds = random.Random(f"{seed} builds")
         self.replacement = Replacement(self.world, older, of_builds) if older else None
         self.longest_lag = self.longest_lag_at = 0.0
@@ -97,6 +102,8 @@
             works.append(self.deadly.run(ends_at))
         if self.notices is not None:
             works.append(self.notices.run(ends_at))
+        if self.limits is not None:
+            works.append(self.limits.run(ends_at))
         if self.replacement is not None:
             works.append(self.replacement.run(ends_at))
         await asyncio.gather(*works)
@@ -106,7 +113,9 @@
         judge_crashes(self.record, self.judge.in_touch)
         of_notices = NoticeJudge(self.record)
         of_notices.judge()
-        self.judge.judged += of_notices.judged
+        of_limits = LimitJudge(self.record)
+        of_limits.judge()
+        self.judge.judged += of_notices.judged + of_limits.judged
 
     async def _watch_lag(self) -> None:
         """Measure by how much this process itself is late: it holds store, workers, callers."""
@@ -161,11 +170,12 @@
     deadly: bool = False,
     notices: bool = False,
     older: str = "",
+    limits: bool = False,
 ) -> Soak:
     """Play one seed and return the run, ended and judged."""
     checkout = check_out(older, folder) if older else None
     try:
-        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout)
+        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout, limits)
         try:
             await soak.run(seconds)
         finally:
@@ -185,6 +195,7 @@
     deadly: bool = False,
     notices: bool = False,
     older: str = "",
+    limits: bool = False,
 ) -> None:
     """Run one seed; exits with 1 when a promise was broken.
 
@@ -196,11 +207,13 @@
     :param deadly: whether a caller sends requests that end workers.
     :param notices: whether workers say in answers that they leave or want rest.
     :param older: a commit of this repository that all nodes run at first, and some again halfway.
+    :param limits: whether workers name in answers how many requests a second they take.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
-    soak = asyncio.run(play(seed, seconds, logs, nodes, restarts, deadly, notices, str(older)))
+    older = str(older)
+    soak = asyncio.run(play(seed, seconds, logs, nodes, restarts, deadly, notices, older, limits))
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
         f"of this process {soak.longest_lag:.3f} s at {soak.longest_lag_at} s"
@@ -210,6 +223,8 @@
     print("faults:", dict(soak.faults.counts))
     if soak.notices is not None:
         print("notices:", dict(soak.notices.counts))
+    if soak.limits is not None:
+        print("limits:", dict(soak.limits.counts))
     print("history:", *soak.history(), sep="\n  ")
     if soak.deadly is not None:
         print("crashes:", dict(soak.deadly.crashes))
