A limit that is named no more ends after two answers at whichever nodes; nodes that contradict each other agree

Now a node reports each such answer while it believes in a limit, and the relays count them for all (pure: count_report). A node that missed the end of a limit handed grants back for as long as nothing contradicted it: a relay answers a report that is not what it believes. Beliefs of starts that are not in view end after 60 s.

Evidence: new unit tests, among them one that lets two nodes correct each other for leads of -1 to 1 s and delays of 0 to 0.2 s until they agree; probe with six nodes.

--- a/src/wheelslip/forwarding/answer_notices.py
+++ b/src/wheelslip/forwarding/answer_notices.py
@@ -34,7 +34,7 @@
 
     :param announce: called when choices may change.
     :ivar limits: rate limits that engines name.
-    :ivar on_limit_change: called with each start whose limit changed by an answer to this node.
+    :ivar report_limit: called with what other nodes are to hear of a limit.
     :ivar said_leaving: engines that said so since the start of this node.
     :ivar rests_begun: rests that engines asked for since then.
     """
@@ -44,7 +44,7 @@
         self._announce = announce
         self._unreadable: dict[Incarnation, None] = {}
         self.limits = NamedLimits(clock)
-        self.on_limit_change: Callable[[Incarnation], None] = lambda start: None
+        self.report_limit: Callable[[LimitReport], None] = lambda report: None
         self.said_leaving = 0
         self.rests_begun = 0
 
@@ -80,37 +80,40 @@
         source: AnswerSource,
         sent_at: float,
     ) -> None:
+        before = self.limits.rate(info.id)
+        report = None
         if answer.unreadable_limit:
             self._log_unreadable(info, answer.unreadable_limit)
         elif answer.rate_limit is not None:
-            if self.limits.note_limit(info.id, answer.rate_limit):
-                rate = self.limits.rate(info.id)
-                _log(LogEvent.ENGINE_LIMIT_NAMED, info, rate=rate, source=source.value, age=0.0)
-                self.on_limit_change(info.id)
-                self._announce()
-        elif (
-            source is AnswerSource.REQUEST
-            and status not in REFUSED
-            and self.limits.note_no_limit(info.id, sent_at)
-        ):
-            _log(LogEvent.ENGINE_LIMIT_ENDED, info, source=source.value, age=0.0)
-            self.on_limit_change(info.id)
-            self._announce()
+            report = self.limits.note_limit(info.id, answer.rate_limit)
+        elif source is AnswerSource.REQUEST and status not in REFUSED:
+            report = self.limits.note_no_limit(info.id, sent_at)
+        if report is not None:
+            self.report_limit(report)
+        if self.limits.rate(info.id) != before:
+            self._limit_changed(info.id, source, 0.0)
+
+    def _limit_changed(
+        self, start: Incarnation, source: AnswerSource, age: float, **fields: object
+    ) -> None:
+        rate = self.limits.rate(start)
+        event = LogEvent.ENGINE_LIMIT_ENDED
+        if rate is not None:
+            event = LogEvent.ENGINE_LIMIT_NAMED
+            fields["rate"] = rate
+        fields |= {"engine": worker_id_of(start), "incarnation": start}
+        log_event(event, source=source.value, age=age, **fields)
+        self._announce()
 
-    def take_report(self, report: LimitReport, peer: str) -> bool:
-        """Take what another node has seen of a limit; return whether that is news."""
-        if not self.limits.merge(report):
+    def take_report(self, report: LimitReport, peer: str, is_counted: bool) -> bool:
+        """Take another node's report on a limit; return whether that is news.
+
+        :param is_counted: answers without a limit are counted here, for all nodes.
+        """
+        take = self.limits.count_report if is_counted else self.limits.merge
+        if not take(report):
             return False
-        fields = {"source": AnswerSource.PEER.value, "told_by": peer, "age": report.age}
-        if report.rate is not None:
-            fields["rate"] = report.rate
-        log_event(
-            LogEvent.ENGINE_LIMIT_ENDED if report.rate is None else LogEvent.ENGINE_LIMIT_NAMED,
-            engine=worker_id_of(report.start),
-            incarnation=report.start,
-            **fields,
-        )
-        self._announce()
+        self._limit_changed(report.start, AnswerSource.PEER, report.age, told_by=peer)
         return True
 
     def _log_unreadable(self, info: WorkerInfo, value: str) -> None:
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -125,7 +125,7 @@
             lambda: self._relay.by_tenure() if self._relay else [],
             self._feed.heard,
         )
-        notices.on_limit_change = self._limit_reports.announce
+        notices.report_limit = self._limit_reports.announce
         self._dispatch_link = DispatchLink(
             section.peers,
             self._datagrams,
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -247,6 +247,7 @@
     def expire_workers(self) -> None:
         """Drop workers that did not come back in time, and do what else is due in the view."""
         self.notices.tell_ended()
+        self.limits.expire(self.workers)
         if self.view.expire():
             self._announce()
 
--- a/src/wheelslip/peers/limit_reports.py
+++ b/src/wheelslip/peers/limit_reports.py
@@ -1,15 +1,15 @@
 """Tells other nodes which rate limits workers name, and takes what they tell.
 
-A node reports each change that it sees in an answer to all relays at once, since one of them counts
-for the limits. Each relay passes changes on to the nodes that follow it. Reports are repeated while
-answers keep naming a limit: datagrams are lost, and a relay that has started again knows nothing.
+A node reports what it sees in answers to all relays at once, since one of them counts for the
+limits: a limit that is news, and each answer without one while it still believes in one. The relays
+decide when a limit has ended, and pass changes on to the nodes that follow them. Reports are
+repeated: datagrams are lost, and a relay that has started again knows nothing.
 """
 
 import asyncio
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from wheelslip.deployment import Incarnation
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.routing.named_limits import LimitReport, NamedLimits
 
@@ -33,7 +33,8 @@
     """Reports limits to other nodes.
 
     :param address: of this node, ``IP:PORT``.
-    :param take: takes the report of the node at an address; returns whether it changed a belief.
+    :param take: takes the report of the node at an address, and whether answers without a limit are
+        to be counted; returns whether it changed a belief.
     :param relays: returns the addresses of all relays.
     :param followers: returns the addresses of the nodes that follow this one.
     """
@@ -43,7 +44,7 @@
         address: str,
         socket: DatagramSocket,
         limits: NamedLimits,
-        take: Callable[[LimitReport, str], bool],
+        take: Callable[[LimitReport, str, bool], bool],
         relays: Callable[[], list[str]],
         followers: Callable[[], list[str]],
     ):
@@ -63,9 +64,11 @@
             if self._is_relay():
                 self._send(self._others(self._followers()), self._limits.reports())
 
-    def announce(self, start: Incarnation) -> None:
-        """Report a change that this node has seen in an answer."""
-        self._send(self._others(self._receivers()), [self._limits.report(start)])
+    def announce(self, report: LimitReport) -> None:
+        """Report what this node has seen in an answer."""
+        self._send(self._others(self._relays()), [report])
+        if self._is_relay() and self._limits.rate(report.start) == report.rate:
+            self._send(self._others(self._followers()), [report])
 
     def report_to(self, address: str) -> None:
         """Report all limits to a node that seems not to know them."""
@@ -74,11 +77,8 @@
     def _is_relay(self) -> bool:
         return self._address in self._relays()
 
-    def _receivers(self) -> set[str]:
-        return {*self._relays(), *(self._followers() if self._is_relay() else ())}
-
-    def _others(self, addresses: Iterable[str], beside: str = "") -> list[str]:
-        return sorted(set(addresses) - {self._address, beside})
+    def _others(self, addresses: Iterable[str]) -> list[str]:
+        return sorted(set(addresses) - {self._address})
 
     def _send(self, addresses: list[str], reports: list[LimitReport]) -> None:
         if not addresses:
@@ -88,7 +88,10 @@
             self._socket.send_to(addresses, LIMITS, part)
 
     def _received(self, message: LimitsReported, sender: str) -> None:
-        changed = [one.start for one in message.reports if self._take(one, sender)]
-        if changed and self._is_relay():
-            reports = [self._limits.report(one) for one in changed]
-            self._send(self._others(self._followers(), sender), reports)
+        is_relay = self._is_relay()
+        changed = [one.start for one in message.reports if self._take(one, sender, is_relay)]
+        if not is_relay:
+            return
+        self._send(self._others(self._followers()), [self._limits.report(one) for one in changed])
+        # A node that missed the end of a limit would hand back grants for ever.
+        self._send([sender], self._limits.contradicted(message.reports))
--- a/src/wheelslip/routing/named_limits.py
+++ b/src/wheelslip/routing/named_limits.py
@@ -5,7 +5,7 @@
 which it was observed, and an older observation never replaces a newer one.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -24,12 +24,19 @@
 """Two observations closer than this may have been made in either order, since they are dated on
 arrival. The lower limit of the two holds."""
 
+REPEATED_SECONDS = 5.0
+"""That a limit has ended is repeated to other nodes for this long."""
+
+FORGOTTEN_SECONDS = 60.0
+"""What was observed of a start that is not in view is forgotten after this long. Entries that lapse in
+an outage of the store are back much sooner."""
+
 
 class LimitReport(NamedTuple):
     """What one node tells another about the limit of a worker.
 
-    :ivar rate: requests a second; ``None`` when the worker names no limit any more.
-    :ivar age: seconds since the answer that showed it.
+    :ivar rate: requests a second; ``None`` for an answer that named no limit.
+    :ivar age: seconds since it was observed.
     """
 
     start: Incarnation
@@ -61,76 +68,105 @@
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
         self._beliefs: dict[Incarnation, _Belief] = {}
+        self._limited: dict[Incarnation, float] = {}
 
-    # Learning
+    # Answers to this node
 
-    def note_limit(self, start: Incarnation, rate: float) -> bool:
-        """An answer to this node named a limit; return whether it changes the belief."""
-        known = self._beliefs.get(start)
+    def note_limit(self, start: Incarnation, rate: float) -> LimitReport | None:
+        """An answer to this node named a limit; return what to report if it is news."""
         rate = min(rate, MAX_RATE)
+        is_news = self.rate(start) != rate
         self._set(start, _Belief(rate, self._clock(), is_direct=True))
-        return known is None or known.rate != rate
+        return self.report(start) if is_news else None
 
-    def note_no_limit(self, start: Incarnation, sent_at: float) -> bool:
-        """An answer to this node named no limit; return whether that ends one.
+    def note_no_limit(self, start: Incarnation, sent_at: float) -> LimitReport | None:
+        """An answer to this node named no limit; return what to report if one is known.
 
-        :param sent_at: when the request was sent. The answer is no newer than that for certain.
+        :param sent_at: when the request was sent. The answer is no older than that for certain.
         """
         known = self._beliefs.get(start)
         if known is None or known.rate is None or sent_at <= known.observed_at:
-            return False
+            return None
+        self._count_without(start, known)
+        return LimitReport(start, None, round(self._clock() - sent_at, 4))
+
+    def _count_without(self, start: Incarnation, known: _Belief) -> None:
         known.answers_without += 1
-        if known.answers_without < ANSWERS_TO_LIFT:
-            return False
-        self._set(start, _Belief(None, self._clock(), is_direct=True))
-        return True
+        if known.answers_without >= ANSWERS_TO_LIFT:
+            self._set(start, _Belief(None, self._clock()))
+
+    # Reports of other nodes
+
+    def count_report(self, report: LimitReport) -> bool:
+        """Take a report on an answer to another node; return whether that changes the belief.
+
+        An answer without a limit counts like one to this node.
+        """
+        known = self._beliefs.get(report.start)
+        if report.rate is not None or known is None or known.rate is None:
+            return self.merge(report)
+        if self._observed_at(report) > known.observed_at + REORDER_SECONDS:
+            self._count_without(report.start, known)
+        return self.rate(report.start) is None
 
     def merge(self, report: LimitReport) -> bool:
-        """Take another node's report; return whether it changes the belief."""
-        observed_at = self._clock() - max(0.0, report.age)
+        """Take what another node believes, if that is newer; return whether it is news."""
         known = self._beliefs.get(report.start)
+        observed_at = self._observed_at(report)
         if known is None:
-            if report.rate is None:
-                return False
-            self._set(report.start, _Belief(report.rate, observed_at))
-            return True
+            if report.rate is not None:
+                self._set(report.start, _Belief(report.rate, observed_at))
+            return report.rate is not None
         if known.rate == report.rate:
             known.observed_at = max(known.observed_at, observed_at)
             return False
         distance = observed_at - known.observed_at
-        is_later = distance > REORDER_SECONDS
         is_lower = _as_number(report.rate) < _as_number(known.rate)
-        if not is_later and not (is_lower and distance > -REORDER_SECONDS):
+        is_newer = distance >= -REORDER_SECONDS if is_lower else distance > REORDER_SECONDS
+        if not is_newer:
             return False
         self._set(report.start, _Belief(report.rate, observed_at))
         return True
 
+    def _observed_at(self, report: LimitReport) -> float:
+        return self._clock() - max(0.0, report.age)
+
     def _set(self, start: Incarnation, belief: _Belief) -> None:
-        self._beliefs.pop(start, None)
+        self._forget(start)
         self._beliefs[start] = belief
+        if belief.rate is not None:
+            self._limited[start] = belief.rate
         if len(self._beliefs) > MAX_STARTS:
-            del self._beliefs[next(iter(self._beliefs))]
+            self._forget(next(iter(self._beliefs)))
+
+    def _forget(self, start: Incarnation) -> None:
+        self._beliefs.pop(start, None)
+        self._limited.pop(start, None)
+
+    def expire(self, in_view: Container[Incarnation]) -> None:
+        """Forget starts that are not in view and have not been heard of for long."""
+        oldest = self._clock() - FORGOTTEN_SECONDS
+        for start in [one for one in self._beliefs if one not in in_view]:
+            if self._beliefs[start].observed_at < oldest:
+                self._forget(start)
 
     # Reading
 
     def rate(self, start: Incarnation) -> float | None:
         """Return the limit of a start in requests a second, ``None`` where there is none."""
-        known = self._beliefs.get(start)
-        return known.rate if known is not None else None
+        return self._limited.get(start)
 
     def limited(self, starts: Iterable[Incarnation]) -> frozenset[Incarnation]:
         """Return those of some starts that have a limit."""
-        if not self._beliefs:
-            return frozenset()
-        return frozenset(one for one in starts if self.rate(one) is not None)
+        return frozenset(one for one in starts if one in self._limited)
 
     def limited_starts(self) -> list[Incarnation]:
         """Return all starts that have a limit."""
-        return [start for start, one in self._beliefs.items() if one.rate is not None]
+        return list(self._limited)
 
     def count(self) -> int:
         """Return the number of starts that have a limit."""
-        return len(self.limited_starts())
+        return len(self._limited)
 
     def report(self, start: Incarnation) -> LimitReport:
         """Return the report on one start that is known."""
@@ -138,8 +174,13 @@
         return LimitReport(start, known.rate, round(self._clock() - known.observed_at, 4))
 
     def reports(self) -> list[LimitReport]:
-        """Return a report on each start that is known."""
-        return [self.report(start) for start in self._beliefs]
+        """Return a report on each limit that holds or has just ended."""
+        oldest = self._clock() - REPEATED_SECONDS
+        return [
+            self.report(start)
+            for start, one in self._beliefs.items()
+            if one.rate is not None or one.observed_at >= oldest
+        ]
 
     def direct_reports(self) -> list[LimitReport]:
         """Return reports on what answers to this node have shown since the last call."""
@@ -148,6 +189,14 @@
             self._beliefs[start].is_direct = False
         return [self.report(start) for start in fresh]
 
+    def contradicted(self, reports: Iterable[LimitReport]) -> list[LimitReport]:
+        """Return what this node believes where another node's reports say otherwise."""
+        return [
+            self.report(one.start)
+            for one in reports
+            if one.start in self._beliefs and self.rate(one.start) != one.rate
+        ]
+
 
 def _as_number(rate: float | None) -> float:
     return float("inf") if rate is None else rate
--- a/tests/probe/forwarding/test_worker_limits.py
+++ b/tests/probe/forwarding/test_worker_limits.py
@@ -114,18 +114,17 @@
 
 
 async def test_a_limit_that_is_named_no_more_binds_no_more(site):
-    await site_of(site, THREE, workers=1)
+    await site_of(site, SIX, workers=1)
     limited = site.workers["i-0"]
     limited.limit = "2"
-    traffic = Traffic(site, THREE)
+    traffic = Traffic(site, SIX)
     await traffic.run(1.5)
     limited.limit = ""
-    running = asyncio.create_task(traffic.run(6.0))
-    await until_all_know(site, 0)
     before = len(limited.arrivals)
-    await asyncio.sleep(1.0)
-    assert len(limited.arrivals) - before > 10
+    running = asyncio.create_task(traffic.run(4.0))
+    await until_all_know(site, 0)
     await running
+    assert len(limited.arrivals) - before > 10
 
 
 async def test_a_limit_in_answers_that_turn_requests_away_holds_too(site):
@@ -161,7 +160,7 @@
     """The node that chooses runs a build that knows no limits."""
     await site_of(site, THREE)
     dispatcher = site.nodes[next(zone for zone in THREE if is_first_relay(site, zone))]
-    monkeypatch.setattr(dispatcher._registry.limits, "merge", lambda report: False)
+    monkeypatch.setattr(dispatcher._registry.limits, "count_report", lambda report: False)
     limited = site.workers["i-0"]
     limited.limit = "1"
     others = [zone for zone in THREE if site.nodes[zone] is not dispatcher]
--- a/tests/unit/forwarding/test_named_limits.py
+++ b/tests/unit/forwarding/test_named_limits.py
@@ -5,9 +5,11 @@
 from wheelslip.deployment import Incarnation
 from wheelslip.routing.named_limits import (
     ANSWERS_TO_LIFT,
+    FORGOTTEN_SECONDS,
     MAX_RATE,
     MAX_STARTS,
     REORDER_SECONDS,
+    REPEATED_SECONDS,
     LimitReport,
     NamedLimits,
 )
@@ -21,8 +23,8 @@
 
 
 def test_a_limit_is_of_one_start(limits):
-    assert limits.note_limit(A, 2.0)
-    assert not limits.note_limit(A, 2.0)
+    assert limits.note_limit(A, 2.0) == LimitReport(A, 2.0, 0.0)
+    assert limits.note_limit(A, 2.0) is None
     assert limits.limited([A, LATER_A]) == {A}
 
 
@@ -31,9 +33,11 @@
     clock.now += 1.0
     sent_at = clock.now
     clock.now += 0.1
-    ends = [limits.note_no_limit(A, sent_at) for _ in range(ANSWERS_TO_LIFT)]
-    assert ends == [False] * (ANSWERS_TO_LIFT - 1) + [True]
+    for _ in range(ANSWERS_TO_LIFT):
+        assert limits.rate(A) == 2.0
+        assert limits.note_no_limit(A, sent_at) == LimitReport(A, None, 0.1)
     assert limits.rate(A) is None
+    assert limits.note_no_limit(A, sent_at) is None
 
 
 def test_an_answer_that_was_asked_for_before_the_limit_was_named_does_not_end_it(limits, clock):
@@ -49,7 +53,7 @@
     limits.note_limit(A, 2.0)
     for _ in range(5):
         clock.now += 0.1
-        assert not limits.note_no_limit(A, clock.now - 0.01)
+        limits.note_no_limit(A, clock.now - 0.01)
         limits.note_limit(A, 2.0)
     assert limits.rate(A) == 2.0
 
@@ -71,6 +75,69 @@
     assert limits.rate(A) == 1.0
 
 
+def test_answers_without_a_limit_to_several_nodes_end_it(limits, clock):
+    """At hundreds of nodes before a worker that takes one request a second, none sees two soon."""
+    limits.note_limit(A, 1.0)
+    clock.now += 1.0
+    reports = [LimitReport(A, None, 0.01)] * ANSWERS_TO_LIFT
+    assert [limits.count_report(one) for one in reports] == [False] * (ANSWERS_TO_LIFT - 1) + [True]
+    assert limits.rate(A) is None
+
+
+def test_an_older_report_of_an_answer_without_a_limit_is_not_counted(limits, clock):
+    clock.now += 10.0
+    limits.note_limit(A, 1.0)
+    assert not any(limits.count_report(LimitReport(A, None, 1.0)) for _ in range(10))
+    assert limits.rate(A) == 1.0
+
+
+def test_two_nodes_that_contradict_each_other_agree(clock):
+    """Whichever observation was first, and however long each message takes."""
+    for lead in (-1.0, -REORDER_SECONDS, -0.01, 0.0, 0.01, REORDER_SECONDS, 1.0):
+        for delay in (0.0, 0.001, 0.2):
+            assert agree(clock, lead, delay)
+
+
+def agree(clock, lead: float, delay: float) -> bool:
+    """Let one node see a limit and another one none, and let each correct the other."""
+    nodes = [NamedLimits(clock), NamedLimits(clock)]
+    clock.now += 100.0
+    seen_at = clock.now
+    nodes[0].merge(LimitReport(A, 5.0, 0.0))
+    nodes[1].merge(LimitReport(A, 9.0, 1.0))
+    clock.now += 2.0
+    nodes[1].merge(LimitReport(A, None, clock.now - seen_at - lead))
+    reports = [nodes[0].report(A)]
+    for number in range(10):
+        clock.now += delay
+        receiver = nodes[(number + 1) % 2]
+        for one in reports:
+            receiver.count_report(one)
+        reports = receiver.contradicted(reports)
+    return nodes[0].rate(A) == nodes[1].rate(A)
+
+
+def test_a_start_that_is_gone_is_forgotten_after_a_while(limits, clock):
+    limits.note_limit(A, 1.0)
+    clock.now += FORGOTTEN_SECONDS - 1.0
+    limits.expire(())
+    assert limits.rate(A) == 1.0
+    clock.now += 2.0
+    limits.expire((A,))
+    assert limits.rate(A) == 1.0
+    limits.expire(())
+    assert limits.rate(A) is None
+
+
+def test_the_end_of_a_limit_is_repeated_for_a_while(limits, clock):
+    limits.note_limit(A, 1.0)
+    clock.now += 1.0
+    limits.merge(LimitReport(A, None, 0.0))
+    assert [one.rate for one in limits.reports()] == [None]
+    clock.now += REPEATED_SECONDS + 0.1
+    assert limits.reports() == []
+
+
 def test_what_answers_showed_is_reported_once(limits):
     limits.note_limit(A, 2.0)
     assert limits.direct_reports() == [LimitReport(A, 2.0, 0.0)]
