--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -47,3 +47,11 @@
     assert soak.record.violations == [], soak.history()
     assert soak.judge.judged["words of leaving"] > 0
     assert soak.judge.judged["rests"] > 0
+
+
+def test_workers_name_how_many_requests_they_take(tmp_path):
+    """On code that read no limits, this run broke three promises."""
+    soak = asyncio.run(play(1001, SECONDS, tmp_path, limits=True))
+    assert soak.record.violations == [], soak.history()
+    assert soak.judge.judged["limits passed on"] > 0
+    assert soak.judge.judged["windows of limits"] > 0
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -11,11 +11,14 @@
     VERSION_SECONDS,
     Judge,
 )
+from bench.forwarding_limits import LimitJudge
 from bench.forwarding_notices import NoticeJudge
 from bench.forwarding_record import (
+    BuildStarted,
     Call,
     Disruption,
     Leaving,
+    LimitNamed,
     Naming,
     Part,
     Record,
@@ -402,3 +405,91 @@
     rested(record, 2.0, 2.5, 3.0)
     record.disruptions.append(Disruption(Part.LINK, "p0", 1.5, 1.8))
     assert of_notices(record) == []
+
+
+# Limits that workers name
+
+
+def names_limit(record, at, value, name="p0"):
+    record.limits.append(LimitNamed(record.workers[name], at, value))
+
+
+def passed_on(record, request_id, at, limit, node="n0", name="p0"):
+    call = Call(node, request_id, "/plain/x", "k", at - 0.1, at, 200, b"", True)
+    record.calls.append(call._replace(limited_worker=name, limit=limit))
+    arrived(record, request_id, at - 0.05, name)
+
+
+def flood(record, since, count, node="n0", every=0.1):
+    """A worker gets that many requests through a node, one after the other."""
+    for number in range(count):
+        at = since + every * number
+        asked(record, f"{node}-{at:.2f}", at - 0.01, node=node)
+        arrived(record, f"{node}-{at:.2f}", at)
+
+
+def of_limits(record) -> list[str]:
+    LimitJudge(record).judge()
+    return record.violations
+
+
+def limited_since_100(record, value="1") -> None:
+    names_limit(record, 100.0, value)
+    passed_on(record, "first", 100.2, value)
+
+
+def test_more_than_a_limit_allows_is_a_violation(record):
+    limited_since_100(record)
+    flood(record, 102.0, 12)
+    (found,) = of_limits(record)
+    assert found.startswith("LIMIT p0") and "12 requests" in found
+
+
+def test_as_much_as_a_limit_allows_is_none(record):
+    limited_since_100(record)
+    flood(record, 102.0, 11)
+    assert of_limits(record) == []
+
+
+def test_all_nodes_that_passed_a_limit_on_count_together(record):
+    limited_since_100(record)
+    passed_on(record, "second", 100.3, "1", node="n1")
+    flood(record, 103.0, 6)
+    flood(record, 103.05, 6, node="n1")
+    assert len(of_limits(record)) == 1
+
+
+def test_a_node_that_has_passed_no_limit_on_is_not_bound_by_it(record):
+    limited_since_100(record)
+    flood(record, 103.0, 30, node="n1")
+    assert of_limits(record) == []
+
+
+@pytest.mark.parametrize("since", [99.0, 100.3])
+def test_the_first_time_after_a_limit_was_named_does_not_count(record, since):
+    limited_since_100(record)
+    flood(record, since, 12, every=0.02)
+    assert of_limits(record) == []
+
+
+@pytest.mark.parametrize("value", ["", "20"])
+def test_a_limit_that_is_named_no_more_or_raised_binds_no_more(record, value):
+    limited_since_100(record)
+    names_limit(record, 101.0, value)
+    flood(record, 104.0, 30)
+    assert of_limits(record) == []
+
+
+@pytest.mark.parametrize("part", [Part.NODE, Part.LINK])
+def test_a_strike_or_a_cut_of_a_node_excuses_it(record, part):
+    limited_since_100(record)
+    struck(record, part, 101.0, 101.5, "n0")
+    flood(record, 103.0, 30)
+    assert of_limits(record) == []
+
+
+def test_an_older_build_is_bound_by_no_limit(record):
+    limited_since_100(record)
+    record.builds.append(BuildStarted(99.0, "n0", "older"))
+    flood(record, 103.0, 30)
+    assert of_limits(record) == []
