--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -12,6 +12,7 @@
 import asyncio
 import pathlib
 import random
+import re
 import sys
 import tempfile
 import time
@@ -41,6 +42,9 @@
 """Without faults all is well again within this time."""
 
 SETTLE_SECONDS_PER_NODE = 1.0
+EVIDENCE_LINES = 60
+"""Log lines of each node named in a violation that a failed run shows."""
+
 LAG_STEP_SECONDS = 0.02
 LAG_OF_DOUBT_SECONDS = 1.0
 """Where this process was later than this, the machine bore no such run; said, and not excused."""
@@ -155,6 +159,21 @@
         events = sorted(disruptions + leavings + namings + builds)
         return [f"{seconds(moment)} {text}" for moment, text in events]
 
+    def evidence(self) -> str:
+        """Return all that a reader of a failed run needs who cannot see its folder."""
+        named = [one for one in self.world.nodes if self._is_named(one)]
+        lines = ["", "history:", *self.history(), "violations:", *self.record.violations]
+        for node in named:
+            builds = [one.build for one in self.record.builds if one.node == node]
+            lines.append(f"last lines of {node}, builds {', '.join(builds)}:")
+            lines += self.world.log_lines(node)[-EVIDENCE_LINES:]
+        return "\n".join(lines)
+
+    def _is_named(self, node: str) -> bool:
+        """Whether a violation names a node."""
+        word = re.compile(rf"\b{re.escape(node)}\b")
+        return any(word.search(one) for one in self.record.violations)
+
     def summary(self) -> str:
         """Return what callers got, by path and status."""
         outcomes = Counter((one.path.split("/")[1], one.status) for one in self.record.calls)
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -269,6 +269,10 @@
         self.site.model.remove(f"servers/{name}")
         self.record.leavings.append(Leaving(self.place(name), time.monotonic()))
 
+    def log_lines(self, node: str) -> list[str]:
+        """Return what the processes of a node have written."""
+        return (self._folder / f"{node}.log").read_text(errors="replace").splitlines()
+
     # Nodes
 
     def reader(self) -> str | None:
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -17,7 +17,7 @@
 @pytest.mark.parametrize("seed", [2, 8])
 def test_a_short_soak_breaks_no_promise(seed, tmp_path):
     soak = asyncio.run(play(seed, SECONDS, tmp_path, restarts=False))
-    assert soak.record.violations == [], soak.history()
+    assert soak.record.violations == [], soak.evidence()
     # A run in which nothing fell under the bounds in time would prove nothing about them.
     assert soak.judge.judged["leavings"] > 0
     assert soak.judge.judged["calls at nodes in touch"] > 0
@@ -26,7 +26,7 @@
 def test_requests_that_end_workers_reach_few_beside_all_other_faults(tmp_path):
     """Where nothing remembers a content, each repeat of one that ends workers ends another."""
     soak = asyncio.run(play(602, SECONDS, tmp_path, deadly=True))
-    assert soak.record.violations == [], soak.history()
+    assert soak.record.violations == [], soak.evidence()
     assert sum(soak.deadly.crashes.values()) >= 3
     assert any(b"request_crashes_engines" in one.body for one in soak.record.calls)
     assert soak.judge.judged["calls at nodes in touch"] > 0
@@ -35,7 +35,7 @@
 def test_workers_start_again_under_their_ids_and_entries_are_spoilt(tmp_path):
     """On code that held what it knew of a worker by its id, and passed unusable entries over."""
     soak = asyncio.run(play(12, SECONDS, tmp_path))
-    assert soak.record.violations == [], soak.history()
+    assert soak.record.violations == [], soak.evidence()
     assert soak.faults.counts["worker_starts_again"] > 0
     assert soak.faults.counts["entry_is_spoilt"] > 0
     assert soak.judge.judged["calls at nodes in touch"] > 0
@@ -44,7 +44,7 @@
 def test_workers_say_in_answers_that_they_leave_and_want_rest(tmp_path):
     """On code that read nothing of the kind in answers, this run broke 224 promises."""
     soak = asyncio.run(play(701, SECONDS, tmp_path, notices=True))
-    assert soak.record.violations == [], soak.history()
+    assert soak.record.violations == [], soak.evidence()
     assert soak.judge.judged["words of leaving"] > 0
     assert soak.judge.judged["rests"] > 0
 
@@ -52,6 +52,6 @@
 def test_workers_name_how_many_requests_they_take(tmp_path):
     """On code that read no limits, this run broke three promises."""
     soak = asyncio.run(play(1001, SECONDS, tmp_path, limits=True))
-    assert soak.record.violations == [], soak.history()
+    assert soak.record.violations == [], soak.evidence()
     assert soak.judge.judged["limits passed on"] > 0
     assert soak.judge.judged["windows of limits"] > 0
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -25,6 +25,7 @@
     Revocation,
     Strike,
 )
+from bench.forwarding_soak import Soak
 from standins.platform_worker import PlatformWorker, RestAsked, Run
 
 
@@ -493,3 +494,14 @@
     record.builds.append(BuildStarted(99.0, "n0", "older"))
     flood(record, 103.0, 30)
     assert of_limits(record) == []
+
+
+def test_a_failed_run_shows_the_logs_of_the_nodes_that_its_violations_name(tmp_path):
+    soak = Soak(1, tmp_path, nodes=12)
+    for node in ("n1", "n11"):
+        (tmp_path / f"{node}.log").write_text(f"a line of {node}\n")
+    soak.record.violations.append("LIMIT p0 through n11 at 3.0 s")
+    soak.record.builds.append(BuildStarted(1.0, "n11", "older"))
+    evidence = soak.evidence()
+    assert "a line of n11" in evidence and "builds older" in evidence
+    assert "a line of n1\n" not in evidence
