Names of limits' parts read anew: reports are reported, a bucket's creation drops ended ones

No change of what is decided: buckets of ended limits were dropped by a question that looked pure, now as a bucket is made; the log's field is reported_by.

--- a/src/wheelslip/forwarding/answer_notices.py
+++ b/src/wheelslip/forwarding/answer_notices.py
@@ -12,7 +12,7 @@
 """Only an answer with this status asks for rest; elsewhere the same header is a caller's affair."""
 
 
-REFUSED = frozenset({421, 429, 503})
+NOT_SERVED = frozenset({421, 429, 503})
 """Answers with these statuses may come from another part of an engine than served ones do, so they
 do not show that a limit has ended."""
 
@@ -60,7 +60,7 @@
 
         :param sent_at: when its request was sent, if that is known.
         """
-        self._hear_limit(info, status, answer, source, sent_at)
+        self._note_limit(info, status, answer, source, sent_at)
         if answer.leaving and self.note_leaving(info.id):
             self.said_leaving += 1
             _log(LogEvent.ENGINE_SAID_LEAVING, info, source=source.value)
@@ -72,7 +72,7 @@
             seconds = round(min(answer.retry_seconds, 1e6), 3)
             _log(LogEvent.ENGINE_REST_BEGAN, info, source=source.value, seconds=seconds)
 
-    def _hear_limit(
+    def _note_limit(
         self,
         info: WorkerInfo,
         status: int,
@@ -86,7 +86,7 @@
             self._log_unreadable(info, answer.unreadable_limit)
         elif answer.rate_limit is not None:
             report = self.limits.note_limit(info.id, answer.rate_limit)
-        elif source is AnswerSource.REQUEST and status not in REFUSED:
+        elif source is AnswerSource.REQUEST and status not in NOT_SERVED:
             report = self.limits.note_no_limit(info.id, sent_at)
         if report is not None:
             self.report_limit(report)
@@ -96,6 +96,7 @@
     def _limit_changed(
         self, start: Incarnation, source: AnswerSource, age: float, **fields: object
     ) -> None:
+        """Log what is believed of a limit now, and let waiting requests look again."""
         rate = self.limits.rate(start)
         event = LogEvent.ENGINE_LIMIT_ENDED
         if rate is not None:
@@ -113,7 +114,7 @@
         take = self.limits.count_report if is_counted else self.limits.merge
         if not take(report):
             return False
-        self._limit_changed(report.start, AnswerSource.PEER, report.age, told_by=peer)
+        self._limit_changed(report.start, AnswerSource.PEER, report.age, reported_by=peer)
         return True
 
     def _log_unreadable(self, info: WorkerInfo, value: str) -> None:
--- a/src/wheelslip/forwarding/limit_meter.py
+++ b/src/wheelslip/forwarding/limit_meter.py
@@ -63,15 +63,10 @@
             self.limits,
             relay.by_tenure,
             health.answers,
-            self._is_active,
+            lambda: bool(self._in_force()) or self._registry.limits.count() > 0,
             self._clock,
         )
 
-    def _is_active(self) -> bool:
-        """Whether there is any limit to count for."""
-        self.allowance.trim()
-        return bool(self._in_force()) or self._registry.limits.count() > 0
-
     def _in_force(self) -> dict[str, TenantLimit]:
         cfg = self._registry.configuration
         return cfg.tenant_limits if cfg is not None else NO_LIMITS
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -56,7 +56,7 @@
 
 UNCOUNTED_SECONDS = 1.0
 """A dispatcher that granted a limited worker without counting is not offered such workers for this
-long: it has just been told of their limits, or it runs a build that knows none."""
+long: it has just got a report of their limits, or it runs a build that knows none."""
 
 MAX_READ = 256
 """Most such prompts that a node remembers."""
@@ -106,7 +106,7 @@
     :param counters: returns the other nodes that may count a request for its tenant's limit when
         the dispatcher does not answer, the first choice first.
     :param limits: what workers name.
-    :param report_limits: tells a node all of them.
+    :param report_limits: reports all of them to the node at an address.
     :ivar incarnation: of this node, random at each start.
     :ivar uncounted: grants handed back since they were not counted for their worker's limit.
     """
--- a/src/wheelslip/peers/limit_reports.py
+++ b/src/wheelslip/peers/limit_reports.py
@@ -1,4 +1,4 @@
-"""Tells other nodes which rate limits workers name, and takes what they tell.
+"""Reports the rate limits that workers name to other nodes, and takes their reports.
 
 A node reports what it sees in answers to all relays at once, since one of them counts for the
 limits: a limit that is news, and each answer without one while it still believes in one. The relays
--- a/src/wheelslip/routing/worker_allowance.py
+++ b/src/wheelslip/routing/worker_allowance.py
@@ -73,7 +73,7 @@
     def wait_seconds(self, starts: Iterable[Incarnation]) -> float | None:
         """Return when the first of some exhausted workers may get a request.
 
-        ``None`` when this node has no authority and cannot tell.
+        ``None`` when this node has no authority.
         """
         share = self._authority.share()
         if share <= 0.0:
@@ -85,7 +85,7 @@
         """Return the requests a second that this node may send to some workers together."""
         return self._authority.share() * sum(self._bucket(one).rate for one in starts)
 
-    def trim(self) -> None:
+    def _trim(self) -> None:
         """Forget the buckets of workers whose limit has ended."""
         ended = [one for one in self._buckets if self.limits.rate(one) is None]
         for start in ended:
@@ -97,6 +97,7 @@
         now = self._authority.seconds()
         bucket = self._buckets.get(start)
         if bucket is None:
+            self._trim()
             bucket = self._buckets[start] = TokenBucket(rate, 0.0, 0.0, now)
         bucket.refill(now)
         bucket.rate = rate
@@ -127,7 +128,7 @@
         else:
             chosen = self._placement.choose(query._replace(excluded=query.excluded | exhausted))
             if chosen is None:
-                self._refuse(query.service, exhausted, now)
+                self._raise_overloaded(query.service, exhausted, now)
         if chosen is not None and self._allowance.take(chosen.worker.info.id):
             return replace(chosen, is_counted=True)
         return chosen
@@ -141,11 +142,15 @@
             if start not in query.excluded and placement.serves(start, query.service)
         ]
 
-    def _refuse(self, service: str, exhausted: frozenset[Incarnation], now: float) -> None:
+    def _raise_overloaded(
+        self, service: str, exhausted: frozenset[Incarnation], now: float
+    ) -> None:
         """Refuse a request for which only exhausted workers are left.
 
-        Each caller is told a later turn than the last, as the workers' limits allow. A node that
-        cannot tell refuses nothing: another may get the authority in a moment.
+        Each caller gets a later turn than the last, at the rate of the workers' limits. A node
+        without authority refuses nothing: another node may have it in a moment.
+
+        :raises Overloaded: with the turn.
         """
         wait = self._allowance.wait_seconds(exhausted)
         if wait is None:
