--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -140,7 +140,10 @@
             random_source,
         )
         self._dispatch_server = DispatchServer(
-            self._dispatch_link.incarnation, self._datagrams, self._dispatcher
+            self._dispatch_link.incarnation,
+            self._datagrams,
+            self._dispatcher,
+            self._limit_reports.report_to,
         )
         self._sync = RegistrySync(
             store,
--- a/src/wheelslip/peers/dispatch_server.py
+++ b/src/wheelslip/peers/dispatch_server.py
@@ -1,5 +1,7 @@
 """Answers other nodes' questions for workers, and hears how their requests go on."""
 
+from collections.abc import Callable
+
 from wheelslip.deployment import CachePlan
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
@@ -24,6 +26,7 @@
     """The dispatcher of this node, as other nodes reach it.
 
     :param incarnation: of this node, random at each start.
+    :param report_limits: reports the rate limits of workers to the node at an address.
     """
 
     def __init__(
@@ -31,10 +34,12 @@
         incarnation: str,
         socket: DatagramSocket,
         dispatcher: Dispatcher,
+        report_limits: Callable[[str], None],
     ):
         self._incarnation = incarnation
         self._socket = socket
         self._dispatcher = dispatcher
+        self._report_limits = report_limits
         socket.register(ASK, WorkerAsk, self._asked)
         socket.register(TELL, ProgressTold, self._told)
         socket.register(RUNNING, RunningTold, self._listed)
@@ -43,6 +48,10 @@
     def _asked(self, ask: WorkerAsk, sender: str) -> None:
         grant = self._count(ask) if ask.counts_only else self._grant(ask)
         self._socket.send(sender, GRANT, grant)
+        is_refused = grant.worker is None and not grant.retry_seconds
+        if is_refused and not ask.counts_only:
+            # A node that does not know the limits asks one that does not count for them.
+            self._report_limits(sender)
 
     def _grant(self, ask: WorkerAsk) -> WorkerGrant:
         try:
--- a/src/wheelslip/peers/limit_reports.py
+++ b/src/wheelslip/peers/limit_reports.py
@@ -60,9 +60,16 @@
         """Repeat reports for ever."""
         while True:
             await asyncio.sleep(REPEAT_SECONDS)
-            self._send(self._others(self._relays()), self._limits.direct_reports())
-            if self._is_relay():
-                self._send(self._others(self._followers()), self._limits.reports())
+            self._repeat()
+
+    def _repeat(self) -> None:
+        """Repeat what answers to this node have shown; a relay repeats all that it believes."""
+        direct = self._limits.direct_reports()
+        if self._is_relay():
+            receivers = {*self._relays(), *self._followers()}
+            self._send(self._others(receivers), self._limits.reports())
+        else:
+            self._send(self._others(self._relays()), direct)
 
     def announce(self, report: LimitReport) -> None:
         """Report what this node has seen in an answer."""
@@ -71,7 +78,7 @@
             self._send(self._others(self._followers()), [report])
 
     def report_to(self, address: str) -> None:
-        """Report all limits to a node that seems not to know them."""
+        """Report all limits to a node that may not know them."""
         self._send([address], self._limits.reports())
 
     def _is_relay(self) -> bool:
--- a/src/wheelslip/routing/named_limits.py
+++ b/src/wheelslip/routing/named_limits.py
@@ -117,10 +117,12 @@
             if report.rate is not None:
                 self._set(report.start, _Belief(report.rate, observed_at))
             return report.rate is not None
+        distance = observed_at - known.observed_at
         if known.rate == report.rate:
-            known.observed_at = max(known.observed_at, observed_at)
+            # By less it may be no newer: nodes that repeat to each other would make it younger.
+            if distance > REORDER_SECONDS:
+                known.observed_at = observed_at
             return False
-        distance = observed_at - known.observed_at
         is_lower = _as_number(report.rate) < _as_number(known.rate)
         is_newer = distance >= -REORDER_SECONDS if is_lower else distance > REORDER_SECONDS
         if not is_newer:
--- a/tests/probe/forwarding/test_worker_limits.py
+++ b/tests/probe/forwarding/test_worker_limits.py
@@ -171,9 +171,33 @@
     assert all(one.answer.status == 200 for one in traffic.sent.values())
 
 
+ASKS = 20
+"""Requests one after the other, each held for 0.2 s if no worker may take it."""
+
+
+async def test_a_node_that_starts_again_does_not_refuse_for_a_limit_that_it_does_not_know(site):
+    """The dispatcher that it asks knows the limit, and another node counts for it."""
+    await site_of(site, THREE, workers=1)
+    limited = site.workers["i-0"]
+    limited.limit = "1"
+    await Traffic(site, THREE).run(0.5)
+    await until_all_know(site, 1)
+    last = next(zone for zone in THREE if relay_number(site, zone) == len(THREE) - 1)
+    await site.restart_node(last)
+    await site.ready(last)
+    answers = [await site.ask("/plain/x", f"again-{number}", last) for number in range(ASKS)]
+    assert 200 in {one.status for one in answers}
+    assert knows(site, last, 1)
+
+
 def is_first_relay(site, zone: str) -> bool:
+    return relay_number(site, zone) == 0
+
+
+def relay_number(site, zone: str) -> int:
+    """Return the place of a node among the relays, 0 for the longest in office."""
     node = site.nodes[zone]
-    return node.known_relays()[0] == node.settings.node.peers
+    return node.known_relays().index(node.settings.node.peers)
 
 
 @pytest.mark.parametrize("value", ["soon", "-4", "1e400", "nan", "3 s", "9" * 400])
--- a/tests/unit/forwarding/test_named_limits.py
+++ b/tests/unit/forwarding/test_named_limits.py
@@ -117,6 +117,16 @@
     return nodes[0].rate(A) == nodes[1].rate(A)
 
 
+def test_nodes_that_repeat_to_each_other_do_not_make_an_observation_younger(clock):
+    nodes = [NamedLimits(clock), NamedLimits(clock)]
+    nodes[0].note_limit(A, 1.0)
+    for number in range(1000):
+        report = nodes[number % 2].report(A)
+        clock.now += 0.01
+        nodes[(number + 1) % 2].merge(report)
+    assert nodes[0].report(A).age > 9.9
+
+
 def test_a_start_that_is_gone_is_forgotten_after_a_while(limits, clock):
     limits.note_limit(A, 1.0)
     clock.now += FORGOTTEN_SECONDS - 1.0
