--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -49,9 +49,10 @@
     assert soak.judge.judged["rests"] > 0
 
 
-def test_workers_name_how_many_requests_they_take(tmp_path):
-    """On code that read no limits, this run broke three promises."""
-    soak = asyncio.run(play(1001, SECONDS, tmp_path, limits=True))
+@pytest.mark.parametrize(("seed", "notices"), [(1001, False), (1118, True)])
+def test_workers_name_how_many_requests_they_take(seed, notices, tmp_path):
+    """On code that read no limits the first broke three promises; in the second a node never served again."""
+    soak = asyncio.run(play(seed, SECONDS, tmp_path, notices=notices, limits=True))
     assert soak.record.violations == [], soak.evidence()
     assert soak.judge.judged["limits passed on"] > 0
     assert soak.judge.judged["windows of limits"] > 0
