--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 import json
+import os
 import pathlib
 import random
 import socket
@@ -39,8 +40,19 @@
 """Ports that the system gives to nobody by itself: it takes those of outgoing connections, and of
 servers that ask for any, from 32,768 on (Linux)."""
 
-_next_ports = itertools.cycle(PORTS)
-for _ in range(random.SystemRandom().randrange(len(PORTS))):
+PARTS = 8
+"""Test processes side by side that have ports of their own; more of them share."""
+
+
+def _own_ports() -> range:
+    """Return the ports of this process, beside other processes of one test run."""
+    number = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % PARTS
+    size = len(PORTS) // PARTS
+    return PORTS[number * size : (number + 1) * size]
+
+
+_next_ports = itertools.cycle(_own_ports())
+for _ in range(random.SystemRandom().randrange(len(_own_ports()))):
     next(_next_ports)
 
 
