--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -289,6 +289,10 @@
                 f"{other} has revision {revision} in force",
             )
 
+    def wait_configuration(self, node: str) -> None:
+        """Wait until a node has read the key-value service; before that it refuses changes."""
+        self.wait_http(f"http://{self.operators(node)}/v1/objects")
+
     def wait_http(self, url: str) -> None:
         """Wait until a URL answers 200."""
 
--- a/tests/probe/conftest.py
+++ b/tests/probe/conftest.py
@@ -25,6 +25,7 @@
         )
         started.append(cluster)
         cluster.start()
+        cluster.wait_configuration("node-1")
         cluster.apply("node-1", "examples/thibodeau")
         # It reaches the other nodes a moment later: a request there is refused until then.
         cluster.wait_revision_of("node-1")
--- a/tests/probe/test_streams.py
+++ b/tests/probe/test_streams.py
@@ -17,6 +17,7 @@
     engines = [EngineSpec("engine-1", "worcester", options={"step_seconds": 0.005})]
     nodes = [NodeSpec("node-1", "worcester")]
     with Cluster(tmp_path_factory.mktemp("streams"), engines, nodes) as cluster:
+        cluster.wait_configuration("node-1")
         cluster.apply("node-1", "examples/thibodeau")
         cluster.wait_engines(1)
         yield cluster
