Soak: troubles of workers come in series by one piece of code

LimitFaults had written the series of NoticeFaults again, and the choice of one worker or a whole service. Both call bench/forwarding_series.py now. No fault, bound or order of draws changes.

--- a/bench/forwarding_limits.py
+++ b/bench/forwarding_limits.py
@@ -13,7 +13,8 @@
 
 from bench.forwarding_judge import CONTACT_SECONDS
 from bench.forwarding_record import Call, LimitNamed, Part, Record
-from bench.forwarding_world import ROOT, SERVICES, World
+from bench.forwarding_series import one_or_all_of_a_service, strike_in_series
+from bench.forwarding_world import ROOT, World
 from standins.platform_worker import PlatformWorker
 
 PAUSE_SECONDS = (0.5, 3.0)
@@ -50,28 +51,18 @@
     def __init__(self, world: World, rng: random.Random):
         self._world = world
         self._rng = rng
-        self._tasks: set[asyncio.Task] = set()
         self.counts: Counter[str] = Counter()
 
     async def run(self, until: float) -> None:
         """Strike until a moment, and end when all is over."""
-        rng = self._rng
-        while time.monotonic() < until:
-            own = random.Random(rng.getrandbits(64))
-            self._tasks.add(asyncio.get_running_loop().create_task(self._strike(own, until)))
-            await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
-        await asyncio.gather(*self._tasks)
+        await strike_in_series(
+            self._rng, until, PAUSE_SECONDS, lambda: lambda own: self._strike(own, until)
+        )
 
     async def _strike(self, rng: random.Random, until: float) -> None:
-        world = self._world
-        service = rng.choice(sorted(set(SERVICES.values())))
-        workers = [
-            one
-            for one in world.site.workers.values()
-            if world.service_of[one.id] == service and not one.limit
-        ]
-        if rng.random() >= WHOLE_SERVICE_SHARE:
-            workers = rng.sample(workers, min(1, len(workers)))
+        workers = one_or_all_of_a_service(
+            self._world, rng, WHOLE_SERVICE_SHARE, lambda one: not one.limit
+        )
         for _ in range(rng.randint(1, MOST_CHANGES)):
             unreadable = rng.random() < UNREADABLE_SHARE
             value = rng.choice(UNREADABLE_RATES if unreadable else RATES)
--- a/bench/forwarding_notices.py
+++ b/bench/forwarding_notices.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import random
-import time
 from collections import Counter
 
 from bench.forwarding_faults import LAST_SECONDS, SERVE_ON_SECONDS, Faults
 from bench.forwarding_judge import DRAIN_SECONDS
 from bench.forwarding_record import Call, Part, Record
-from bench.forwarding_world import SERVICES, World
+from bench.forwarding_series import Trouble, one_or_all_of_a_service, strike_in_series
+from bench.forwarding_world import World
 from standins.platform_worker import PlatformWorker, WorkerFaults
 
 PAUSE_SECONDS = (0.5, 2.5)
@@ -58,19 +58,16 @@
         self._world = world
         self._faults = faults
         self._rng = rng
-        self._tasks: set[asyncio.Task] = set()
         self.counts: Counter[str] = Counter()
 
     async def run(self, until: float) -> None:
         """Strike until a moment, and end when all is over."""
-        rng = self._rng
-        while time.monotonic() < until:
-            kind = rng.choice((self._says_leaving, self._wants_rest, self._wants_rest))
-            self.counts[kind.__name__.strip("_")] += 1
-            own = random.Random(rng.getrandbits(64))
-            self._tasks.add(asyncio.get_running_loop().create_task(kind(own)))
-            await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
-        await asyncio.gather(*self._tasks)
+        await strike_in_series(self._rng, until, PAUSE_SECONDS, self._draw)
+
+    def _draw(self) -> Trouble:
+        kind = self._rng.choice((self._says_leaving, self._wants_rest, self._wants_rest))
+        self.counts[kind.__name__.strip("_")] += 1
+        return kind
 
     async def _says_leaving(self, rng: random.Random) -> None:
         """A worker says in answers that it leaves; its entry says so later or never; it ends."""
@@ -93,13 +90,7 @@
 
     async def _wants_rest(self, rng: random.Random) -> None:
         """Some workers turn requests away and ask for rest, and then again for a while."""
-        world = self._world
-        service = rng.choice(sorted(set(SERVICES.values())))
-        workers = [
-            one for one in world.site.workers.values() if world.service_of[one.id] == service
-        ]
-        if rng.random() >= WHOLE_SERVICE_SHARE:
-            workers = rng.sample(workers, min(1, len(workers)))
+        workers = one_or_all_of_a_service(self._world, rng, WHOLE_SERVICE_SHARE)
         asked = [self._ask(one, rng) for one in workers if one.faults == WorkerFaults()]
         await asyncio.sleep(rng.uniform(*LAST_SECONDS))
         for worker, faults in asked:
