A node adopts the weights version that a grant names

Cause: such a node may know only the versions in the workers' entries. Those may be older than what the workers run, and the holder publishes its record when the set of loading workers changes, not when a version is observed. Once the deadline of the older version has passed, the node uses no worker, so it never sees a response that would tell the newer version; it refused each grant of a dispatcher that did know it. Change: the version in a grant is recorded if it is newer than the known one. A worker's version only rises within an incarnation, and the grant names the incarnation.

--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -230,6 +230,8 @@
         if not reply.worker:
             return None
         worker = self._records.worker(reply.worker)
+        if worker is not None:
+            self._records.adopt_weights(worker, query.model, reply.weights_version)
         if worker is None or not self._records.accepts(worker, query):
             # In this node's view the worker is not available for the request.
             self._send_progress(address, query_id, Progress.UNUSED)
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -86,6 +86,9 @@
     def start_deadline(self, model: str, version: int) -> float:
         """Return the time until which requests may start on a version; infinite for the newest."""
 
+    def record_weights(self, incarnation: Incarnation, model: str, version: int) -> None:
+        """Record a weights version that was observed at a worker."""
+
 
 class WorkerPlacement(WorkerRecords):
     """Selects workers from this node's own records and the loads that other nodes report.
@@ -158,6 +161,15 @@
             return False
         return not query.model or self._may_begin(worker, query.model)
 
+    def adopt_weights(self, worker: Worker, model: str, version: int | None) -> None:
+        """Adopt a newer weights version that a dispatcher has observed at a worker.
+
+        A node that has just started may know only the version in the worker's entry, which can be
+        older. Without the newer one it would use no worker and so never observe the version itself.
+        """
+        if version is not None and version > worker.weights.get(model, 0):
+            self._registry.record_weights(worker.info.id, model, version)
+
     def _choose_without_engine(
         self, query: PlacementQuery, candidates: list[Worker]
     ) -> Placement | None:
