--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -15,7 +15,8 @@
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimits
+from wheelslip.routing.request_queue import QueuedQuery
+from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimited, TenantLimits
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
 
 UNLISTED_GRACE_SECONDS = 1.0
@@ -56,6 +57,14 @@
     number: int
 
 
+Decision = Placement | Overloaded | TenantLimited
+"""Decision on a waiting request: its worker, or the exception that rejects it."""
+
+
+class NoWorker(Exception):
+    """Raised when no worker may take a request now, whatever its load."""
+
+
 @dataclass
 class _Grant:
     placement: Placement
@@ -69,8 +78,12 @@
 
     :param limits: tenant rate limits.
     :param allowance: this node's share of the rate limits that workers announce.
+    :param queue_enabled: returns whether requests wait here when no worker can start them soon.
     :ivar grants_issued: number of grants since the start.
     :ivar overload_refusals: number of queries refused since the start because of overload.
+    :ivar queued: number of requests that have waited since the start.
+    :ivar displaced: number of waiting requests rejected because they were overtaken.
+    :ivar rejected: number of requests rejected by a queue for other reasons.
     """
 
     def __init__(
@@ -79,8 +92,10 @@
         limits: TenantLimits,
         allowance: WorkerAllowance,
         clock: Callable[[], float],
+        queue_enabled: Callable[[], bool] = lambda: False,
     ):
         self.placement = placement
+        self._queue_enabled = queue_enabled
         self._limits = limits
         self._allowance = allowance
         self._choice = RateLimitedChoice(placement, allowance)
@@ -91,6 +106,9 @@
         self._swept_at = clock()
         self.grants_issued = 0
         self.overload_refusals = 0
+        self.queued = 0
+        self.displaced = 0
+        self.rejected = 0
 
     @property
     def active_grants(self) -> int:
@@ -120,6 +138,41 @@
             self._grants[query_id] = _Grant(placement, began_at, tenant_charge=tenant_charge)
         return placement
 
+    def enqueue(self, query_id: QueryId, queued: QueuedQuery) -> Placement | None:
+        """Grant a worker, or let the request wait; ``None`` means that it waits.
+
+        A repeated call renews a waiting request. One that is not renewed for 1 s is dropped.
+
+        :raises Overloaded: when the request is rejected.
+        :raises TenantLimited: when the tenant exceeds its rate limit.
+        :raises NoWorker: when no worker may take the request now.
+        """
+        placement = self.grant(query_id, queued.query)
+        if placement is None:
+            raise NoWorker
+        return placement
+
+    def withdraw(self, query_id: QueryId) -> None:
+        """Remove a waiting request whose caller has left or whose node has given up.
+
+        If the request has been granted, the grant ends as unused: its node has not sent it.
+        """
+
+    def advance_queues(self) -> list[tuple[QueryId, Decision]]:
+        """Return the decisions on waiting requests: grants and rejections.
+
+        To be called every 10 ms while something waits, and after progress that frees capacity.
+        """
+        return []
+
+    def queue_depth(self) -> int:
+        """Return the number of waiting requests of all services."""
+        return 0
+
+    def expected_seconds(self, query_id: QueryId) -> float:
+        """Return the expected time until a waiting request starts; 0 if it does not wait."""
+        return 0.0
+
     def _place(self, query: PlacementQuery, tenant_charge: Charge | None) -> Placement | None:
         """Choose a worker; refund the charge when there is none."""
         try:
