Queueing over the network: messages, server and link

Requests that a dispatcher refuses for overload were answered at once. With [routing] queue = true the node now enqueues them with a new message (enqueue), renews them each 0.25 s, and withdraws them when the caller leaves. The server decides every 10 ms while something waits and pushes each decision as a grant. A dispatcher that ignores enqueue is taken for an older build: the refusal stands, and nothing is enqueued there for 5 s. A dispatcher that misses two renewals in a row is left for the next one, with a new query number, so that its late grant is returned.

The node checks the API key again when a queued request is granted.

--- a/src/wheelslip/forwarding/admission.py
+++ b/src/wheelslip/forwarding/admission.py
@@ -43,6 +43,17 @@
         """
         return self._admit(self._decode(received))
 
+    def confirm(self, job: Job) -> None:
+        """Check the API key of a request again after it has waited.
+
+        :raises WheelslipError: if the key has been revoked, or if it cannot be verified.
+        """
+        if job.tenant is None:
+            return
+        tenant = self._tenant(self._registry.configuration, job.route, job.request)
+        if tenant is not None and tenant.name != job.tenant.name:
+            self._reject_unknown(ErrorKind.AUTHENTICATION_FAILED, "the API key has been revoked")
+
     def _decode(self, received: ReceivedRequest) -> ForwardedRequest:
         try:
             metadata = self._dialect.decode_request(received.headers)
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -7,6 +7,7 @@
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.dispatch_link import DispatchLink, Grant
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
+from wheelslip.peers.queue_link import QueueTerms
 from wheelslip.routing.dispatcher import Progress
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimits
@@ -46,6 +47,11 @@
         """Whether a dispatcher chose the worker."""
         return self._grant is not None
 
+    @property
+    def queued(self) -> bool:
+        """Whether the request may have waited in the queue of a dispatcher."""
+        return self._grant is not None and self._grant.queued
+
     @property
     def silent(self) -> bool:
         """Whether the worker did not acknowledge the data sent to it."""
@@ -120,6 +126,7 @@
     :param limits: rate limits of tenants, applied if the node has no link.
     :param allowance: this node's share of the rate limits of workers.
     :param uses_dispatcher: returns whether the dispatcher chooses workers.
+    :param uses_queue: returns whether requests wait in the queue of the dispatcher.
     """
 
     def __init__(
@@ -132,6 +139,7 @@
         limits: TenantLimits,
         allowance: WorkerAllowance,
         uses_dispatcher: Callable[[], bool],
+        uses_queue: Callable[[], bool],
         clock: Callable[[], float],
     ):
         self._zone = zone
@@ -143,6 +151,7 @@
         self._allowance = allowance
         self._local_choice = RateLimitedChoice(records, allowance)
         self._uses_dispatcher = uses_dispatcher
+        self._uses_queue = uses_queue
         self._clock = clock
 
     async def assign(self, job: Job, service: str) -> Assignment | None:
@@ -155,7 +164,7 @@
         query = self._query(job, service)
         if self._link is not None and self._uses_dispatcher():
             try:
-                grant = await self._link.request_grant(query)
+                grant = await self._link.request_grant(query, self._queue_terms(job, service))
             except DispatcherUnavailable:
                 await self._charge_quota(job, query)
             else:
@@ -181,6 +190,23 @@
             await self._link.charge(query)
         job.quota_charged = True
 
+    def _queue_terms(self, job: Job, service: str) -> QueueTerms | None:
+        """Return the terms on which a request waits, ``None`` if the queue is switched off."""
+        if not self._uses_queue():
+            return None
+        return QueueTerms(
+            job.request.metadata.request_id,
+            job.request.arrived,
+            job.deadline,
+            lambda: self._queue_query(job, service),
+            lambda: job.fingerprint,
+        )
+
+    def _queue_query(self, job: Job, service: str) -> PlacementQuery:
+        """Return the query with the tenant, by whose share the queue orders, even without a limit."""
+        tenant = job.tenant.name if job.tenant is not None else ""
+        return self._query(job, service)._replace(tenant=tenant)
+
     def _query(self, job: Job, service: str) -> PlacementQuery:
         metadata = job.request.metadata
         is_charged = job.quota_charged or job.may_have_run
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -239,6 +239,7 @@
             except Overloaded as exc:
                 raise self._unserved_error(job, str(exc), exc.retry_seconds) from exc
             if assignment is not None:
+                self._confirm(job, assignment)
                 return assignment
             backoff_end = self._backoff_end(job, service)
             if backoff_end is not None:
@@ -251,6 +252,19 @@
                 async with asyncio.timeout(min(remaining, pause)):
                     await self._registry.changed()
 
+    def _confirm(self, job: Job, assignment: Assignment) -> None:
+        """Check the API key of a request again if it may have waited in a queue.
+
+        :raises WheelslipError: if the request may not run any more; its grant is returned.
+        """
+        if not assignment.queued:
+            return
+        try:
+            self._admission.confirm(job)
+        except WheelslipError:
+            assignment.record_unused()
+            raise
+
     def _backoff_end(self, job: Job, service: str) -> float | None:
         """Return the time at which the first worker in backoff accepts requests again.
 
--- a/src/wheelslip/forwarding/metrics.py
+++ b/src/wheelslip/forwarding/metrics.py
@@ -15,6 +15,7 @@
     "wheelslip_attempts_total": "Attempts at workers, by outcome",
     "wheelslip_first_byte_seconds": "From arrival to a first byte",
     "wheelslip_request_seconds": "From arrival to the end",
+    "wheelslip_queue_wait_seconds": "Wait in the queue of a dispatcher, by priority",
 }
 """Help texts by metric family; other families use their name."""
 
@@ -50,6 +51,7 @@
 
     :ivar requests: number of ended requests by kind and outcome.
     :ivar attempts: number of attempts by outcome.
+    :ivar queue_wait: durations of ended waits in the queue of a dispatcher, by priority.
     :ivar gauges: functions that return the current value, by name.
     """
 
@@ -58,6 +60,7 @@
         self.attempts: Counter[str] = Counter()
         self.first_byte = LatencyHistogram()
         self.duration = LatencyHistogram()
+        self.queue_wait: dict[int, LatencyHistogram] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
 
     def request_ended(self, kind: str, outcome: str, seconds: float) -> None:
@@ -68,6 +71,12 @@
         self.requests[(kind, outcome)] += 1
         self.duration.observe(seconds)
 
+    def record_queue_wait(self, priority: int, seconds: float) -> None:
+        """Record that a request no longer waits in a queue, whatever was decided."""
+        if priority not in self.queue_wait:
+            self.queue_wait[priority] = LatencyHistogram()
+        self.queue_wait[priority].observe(seconds)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format, version 0.0.4."""
         lines: list[str] = []
@@ -80,6 +89,11 @@
         lines += _family("wheelslip_attempts_total", "counter", attempts)
         lines += _histogram("wheelslip_first_byte_seconds", self.first_byte)
         lines += _histogram("wheelslip_request_seconds", self.duration)
+        if self.queue_wait:
+            lines += _family("wheelslip_queue_wait_seconds", "histogram", [])
+        for priority, histogram in sorted(self.queue_wait.items()):
+            label = f'priority="{priority}"'
+            lines += _histogram_samples("wheelslip_queue_wait_seconds", histogram, label)
         for name, value in self.gauges.items():
             lines += _family(f"wheelslip_{name}", "gauge", [("", value())])
         return ("\n".join(lines) + "\n").encode()
@@ -98,10 +112,18 @@
 
 
 def _histogram(name: str, histogram: LatencyHistogram) -> list[str]:
+    return [*_family(name, "histogram", []), *_histogram_samples(name, histogram)]
+
+
+def _histogram_samples(name: str, histogram: LatencyHistogram, label: str = "") -> list[str]:
+    """Return the sample lines of one histogram.
+
+    :param label: formatted label that all lines have, empty for none.
+    """
     bounds = histogram.cumulative()
+    prefix, labels = (f"{label},", f"{{{label}}}") if label else ("", "")
     return [
-        *_family(name, "histogram", []),
-        *(f'{name}_bucket{{le="{bound}"}} {float(count)!r}' for bound, count in bounds),
-        f"{name}_count {float(bounds[-1][1])!r}",
-        f"{name}_sum {histogram.total!r}",
+        *(f'{name}_bucket{{{prefix}le="{bound}"}} {float(count)!r}' for bound, count in bounds),
+        f"{name}_count{labels} {float(bounds[-1][1])!r}",
+        f"{name}_sum{labels} {histogram.total!r}",
     ]
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -43,6 +43,8 @@
 from wheelslip.peers.dispatch_server import DispatchServer
 from wheelslip.peers.dispatcher_health import DispatcherHealth
 from wheelslip.peers.limit_reports import LimitReporter
+from wheelslip.peers.queue_link import QueueLink
+from wheelslip.peers.queue_server import QueueServer
 from wheelslip.routing.dispatcher import Dispatcher
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
@@ -122,7 +124,9 @@
             self.bounds,
             clock,
         )
-        self._dispatcher = Dispatcher(self._fleet, self._meter.limits, self._meter.allowance, clock)
+        self._dispatcher = Dispatcher(
+            self._fleet, self._meter.limits, self._meter.allowance, clock, self._uses_queue
+        )
         notices = self._registry.notices
         self._limit_reports = LimitReporter(
             section.peers,
@@ -133,24 +137,45 @@
             self._feed.recent_followers,
         )
         notices.report_limit = self._limit_reports.report_observation
+        self._metrics = self._make_metrics()
+        incarnation = f"{random_source.getrandbits(48):012x}"
+        queue_server = QueueServer(
+            incarnation,
+            self._datagrams,
+            self._dispatcher,
+            self._uses_queue,
+            self._limit_reports.report_to,
+            clock,
+        )
+        self._queue_link = QueueLink(
+            section.peers,
+            self._datagrams,
+            queue_server,
+            self._dispatchers_of,
+            health,
+            self._metrics.record_queue_wait,
+            clock,
+        )
         self._dispatch_link = DispatchLink(
+            incarnation,
             section.peers,
             self._datagrams,
             self._dispatcher,
             self._placement,
-            lambda service: self._relay.dispatchers_of(service) if self._relay else [],
+            self._dispatchers_of,
             health,
             self._meter.available_meters,
             notices.limits,
             self._limit_reports.report_to,
+            self._queue_link,
             clock,
-            random_source,
         )
         self._dispatch_server = DispatchServer(
-            self._dispatch_link.incarnation,
+            incarnation,
             self._datagrams,
             self._dispatcher,
             self._limit_reports.report_to,
+            queue_server,
         )
         self._sync = RegistrySync(
             store,
@@ -163,7 +188,6 @@
             table,
             own_loads,
         )
-        self._metrics = self._make_metrics()
         assigner = WorkerAssigner(
             section.zone,
             self._registry,
@@ -173,6 +197,7 @@
             self._meter.limits,
             self._meter.allowance,
             lambda: self.settings.routing.dispatch,
+            self._uses_queue,
             clock,
         )
         self._forwarder = Forwarder(
@@ -293,6 +318,12 @@
             lambda: self.settings.limits.link_megabits,
         )
 
+    def _uses_queue(self) -> bool:
+        return self.settings.routing.queue
+
+    def _dispatchers_of(self, service: str) -> list[str]:
+        return self._relay.dispatchers_of(service) if self._relay else []
+
     def _other_relays(self) -> list[str]:
         return self._relay.other_zone_addresses() if self._relay is not None else []
 
@@ -329,6 +360,11 @@
             "grants_given": lambda: float(self._dispatcher.grants_issued),
             "requests_held_back": lambda: float(self._dispatcher.overload_refusals),
             "granted_requests": lambda: float(self._dispatcher.active_grants),
+            "waiting_requests": lambda: float(self._queue_link.waiting),
+            "queue_depth": lambda: float(self._dispatcher.queue_depth()),
+            "queue_queued": lambda: float(self._dispatcher.queued),
+            "queue_displaced": lambda: float(self._dispatcher.displaced),
+            "queue_rejected": lambda: float(self._dispatcher.rejected),
             **self._meter.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_fingerprints()),
             "engines_said_leaving": lambda: float(self._registry.notices.leaving_notices),
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,6 +31,7 @@
     WorkerQuery,
 )
 from wheelslip.peers.dispatcher_health import DispatcherHealth, DispatcherUnavailable
+from wheelslip.peers.queue_link import QueueLink, QueueOutcome, QueueTerms, QueueUnavailable
 from wheelslip.routing.dispatcher import Dispatcher, Progress, QueryId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
@@ -75,6 +75,7 @@
     """A worker granted to one request of this node.
 
     :ivar dispatcher: address of the node that issued the grant.
+    :ivar queued: the request may have waited for the grant in the queue of the dispatcher.
     """
 
     query_id: QueryId
@@ -82,6 +83,7 @@
     service: str
     placement: Placement
     had_first_token: bool = False
+    queued: bool = False
 
     def as_running_request(self) -> RunningRequest:
         """Return the request as reported to a dispatcher."""
@@ -99,6 +101,7 @@
 class DispatchLink:
     """Requests grants from dispatchers and reports the progress of granted requests.
 
+    :param incarnation: incarnation of this node, random at each start.
     :param address: address of this node, ``IP:PORT``.
     :param dispatcher: dispatcher of this node, called directly if it is the one to query.
     :param dispatchers_of: returns the addresses of the dispatchers of a service in order of
@@ -108,7 +111,8 @@
         if the dispatcher does not reply, in order of preference.
     :param limits: rate limits that workers announce.
     :param report_limits: reports these limits to the node at an address.
-    :ivar incarnation: incarnation of this node, random at each start.
+    :param queue: requests of this node that wait at dispatchers.
+    :ivar incarnation: as the parameter.
     :ivar grants_received: number of grants received.
     :ivar local_choices: number of requests for which no dispatcher was available.
     :ivar uncharged_grants: number of grants returned because they were not charged to the rate
@@ -117,6 +121,7 @@
 
     def __init__(
         self,
+        incarnation: str,
         address: str,
         socket: DatagramSocket,
         dispatcher: Dispatcher,
@@ -126,9 +131,10 @@
         meters: Callable[[], list[str]],
         limits: WorkerRateLimits,
         report_limits: Callable[[str], None],
+        queue: QueueLink,
         clock: Callable[[], float],
-        random_source: random.Random,
     ):
+        self.incarnation = incarnation
         self._address = address
         self._socket = socket
         self._dispatcher = dispatcher
@@ -138,9 +144,10 @@
         self._meters = meters
         self._limits = limits
         self._report_limits = report_limits
+        self._queue = queue
+        queue.follow = self._update_dispatcher
         self._uncharged_until: dict[str, float] = {}
         self._clock = clock
-        self.incarnation = f"{random_source.getrandbits(48):012x}"
         self._last_query_number = 0
         self._pending: dict[int, asyncio.Future[WorkerGrant]] = {}
         self._grants: dict[int, Grant] = {}
@@ -151,15 +158,19 @@
         self.uncharged_grants = 0
         socket.register(GRANT, WorkerGrant, self._handle_reply)
 
-    async def request_grant(self, query: PlacementQuery) -> Grant | None:
+    async def request_grant(
+        self, query: PlacementQuery, terms: QueueTerms | None = None
+    ) -> Grant | None:
         """Return a grant, or ``None`` if no worker is available now.
 
+        :param terms: if given, the request waits in the queue of the dispatcher when no worker can
+            start it now.
         :raises DispatcherUnavailable: if this node has to choose a worker itself.
         :raises Overloaded: if no worker can start the request in time.
         :raises TenantLimited: if the tenant has exceeded its rate limit.
         """
         try:
-            return await self._request_grant(query)
+            return await self._request_grant(query, terms)
         except DispatcherUnavailable:
             self.local_choices += 1
             raise
@@ -174,7 +185,7 @@
         message = WorkerQuery.of(query_id, query, charge_only=True)
         for meter in self._meters()[:MAX_METERS_QUERIED]:
             with contextlib.suppress(DispatcherUnavailable):
-                reply = await self._send_query(meter, message)
+                reply, _ = await self._send_query(meter, message)
                 if reply.tenant_limited:
                     raise TenantLimited(query.tenant, reply.retry_seconds)
                 if reply.charged:
@@ -185,23 +196,76 @@
         self._last_query_number += 1
         return QueryId(self.incarnation, self._last_query_number)
 
-    async def _request_grant(self, query: PlacementQuery) -> Grant | None:
+    async def _request_grant(self, query: PlacementQuery, terms: QueueTerms | None) -> Grant | None:
         address = self._health.choose(self._dispatchers_of(query.service))
         query_id = self._next_query_id()
-        if address == self._address:
-            placement = self._dispatcher.grant(query_id, query)
+        sends = 0
+        try:
+            if address == self._address:
+                return self._ask_locally(query_id, query)
+            query = self._without_uncharged(address, query)
+            reply, sends = await self._send_query(address, WorkerQuery.of(query_id, query))
+            self._update_dispatcher(query.service, address, reply.dispatcher)
+            return self._process_reply(query_id, address, query, reply)
+        except Overloaded as refusal:
+            if terms is None or not self._queue.has_queue(address):
+                raise
+            if sends > 1:
+                # The second refusal of a query that was sent twice may still arrive. It must not
+                # be taken for the queue's decision.
+                query_id = self._next_query_id()
+            return await self._wait_for_grant(address, query_id, terms, refusal)
+
+    def _ask_locally(self, query_id: QueryId, query: PlacementQuery) -> Grant | None:
+        placement = self._dispatcher.grant(query_id, query)
+        self._update_dispatcher(query.service, self._address, self.incarnation)
+        return self._record_grant(query_id, self._address, query.service, placement)
+
+    def _without_uncharged(self, address: str, query: PlacementQuery) -> PlacementQuery:
+        """Exclude rate-limited workers from a query to a dispatcher that did not charge one."""
+        if self._clock() >= self._uncharged_until.get(address, 0.0):
+            return query
+        return query._replace(excluded=query.excluded | self._rate_limited_workers(query.service))
+
+    async def _wait_for_grant(
+        self, address: str, query_id: QueryId, terms: QueueTerms, refusal: Overloaded
+    ) -> Grant | None:
+        """Wait in the queue of a dispatcher, and of the next ones if it no longer replies.
+
+        :param refusal: raised if the first dispatcher has no queue.
+        """
+        while True:
+            try:
+                outcome = await self._queue.wait(address, query_id, terms)
+                return self._process_outcome(query_id, address, outcome)
+            except QueueUnavailable as exc:
+                if not exc.ever_replied:
+                    if refusal is not None:
+                        raise refusal from exc
+                    # A dispatcher without a queue still grants or refuses.
+                    return await self._request_grant(terms.query(), None)
+            refusal = None
+            address = self._health.choose(self._dispatchers_of(terms.query().service))
+            query_id = self._next_query_id()
+
+    def _process_outcome(
+        self, query_id: QueryId, address: str, outcome: QueueOutcome
+    ) -> Grant | None:
+        decision, query = outcome.decision, outcome.query
+        if isinstance(decision, Exception):
+            raise decision
+        if isinstance(decision, WorkerGrant):
+            self._update_dispatcher(query.service, address, decision.dispatcher)
+            grant = self._process_reply(query_id, address, query, decision)
+        else:
             self._update_dispatcher(query.service, address, self.incarnation)
-            return self._record_grant(query_id, address, query.service, placement)
-        if self._clock() < self._uncharged_until.get(address, 0.0):
-            query = query._replace(
-                excluded=query.excluded | self._rate_limited_workers(query.service)
-            )
-        reply = await self._send_query(address, WorkerQuery.of(query_id, query))
-        self._update_dispatcher(query.service, address, reply.dispatcher)
-        return self._process_reply(query_id, address, query, reply)
+            grant = self._record_grant(query_id, address, query.service, decision)
+        if grant is not None:
+            grant.queued = True
+        return grant
 
-    async def _send_query(self, address: str, message: WorkerQuery) -> WorkerGrant:
-        """Send a query and return the reply; resend it after a timeout.
+    async def _send_query(self, address: str, message: WorkerQuery) -> tuple[WorkerGrant, int]:
+        """Send a query, again after a timeout; return the reply and the number of messages sent.
 
         :raises DispatcherUnavailable: if no reply is received in time.
         """
@@ -209,12 +273,12 @@
         self._pending[message.query_number] = fut
         sent_at = self._clock()
         try:
-            for _ in range(MAX_SENDS):
+            for sends in range(1, MAX_SENDS + 1):
                 self._socket.send(address, QUERY, message)
                 await asyncio.wait([fut], timeout=self._health.timeout_seconds(address))
                 if fut.done():
                     self._health.record_reply(address, self._clock() - sent_at)
-                    return fut.result()
+                    return fut.result(), sends
         finally:
             del self._pending[message.query_number]
         self._health.record_timeout(address)
@@ -298,6 +362,7 @@
     def _send_progress(self, address: str, query_id: QueryId, progress: Progress) -> None:
         if address == self._address:
             self._dispatcher.record_progress(query_id, progress)
+            self._queue.capacity_changed()
         else:
             self._socket.send(address, PROGRESS, ProgressReport(*query_id, progress))
 
@@ -352,6 +417,8 @@
         fut = self._pending.get(reply.query_number)
         if fut is not None and not fut.done():
             fut.set_result(reply)
+        elif self._queue.deliver_reply(reply):
+            return
         elif reply.worker and reply.query_number not in self._grants:
             # The query timed out or was cancelled, so the grant is not used.
             self._send_progress(
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -2,17 +2,23 @@
 
 from typing import NamedTuple
 
-from wheelslip.deployment import Incarnation, PromptPart
-from wheelslip.routing.dispatcher import Progress, QueryId
+from wheelslip.deployment import CachePlan, Incarnation, PromptPart
+from wheelslip.routing.dispatcher import Decision, Progress, QueryId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
-from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.overload import Overloaded
+from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.request_queue import QueuedQuery
+from wheelslip.routing.tenant_limits import TenantLimited
 
 QUERY = "ask"
 GRANT = "grant"
 PROGRESS = "tell"
 RUNNING = "running"
 CACHED_PROMPTS = "kept"
+ENQUEUE = "enqueue"
+QUEUED = "queued"
+WITHDRAWAL = "withdraw"
 VOTE = "vote"
 VOTE_REPLY = "voted"
 VOTE_COUNT = "votes"
@@ -24,6 +30,9 @@
 MAX_EXCLUDED = 24
 """Maximum number of excluded workers in a query, for the same reason."""
 
+TIME_DIGITS = 4
+"""Decimal places of the times in an enqueue request, for the same reason."""
+
 ITEMS_PER_DATAGRAM = 8
 """Running requests or cached prompts in one datagram, for the same reason."""
 
@@ -136,6 +145,88 @@
     tenant_limited: bool = False
     charged: bool = False
 
+    @classmethod
+    def of(cls, query_number: int, dispatcher: str, decision: Decision | None) -> "WorkerGrant":
+        """Return the message for a decision, ``None`` if no worker may take the request now."""
+        match decision:
+            case Placement():
+                return cls._of_placement(query_number, dispatcher, decision)
+            case Overloaded(retry_seconds=seconds):
+                return cls(query_number, dispatcher, retry_seconds=seconds)
+            case TenantLimited(retry_seconds=seconds):
+                return cls(query_number, dispatcher, retry_seconds=seconds, tenant_limited=True)
+        return cls(query_number, dispatcher)
+
+    @classmethod
+    def _of_placement(
+        cls, query_number: int, dispatcher: str, placement: Placement
+    ) -> "WorkerGrant":
+        cache = placement.cache or CachePlan("")
+        return cls(
+            query_number,
+            dispatcher,
+            placement.worker.info.id,
+            placement.weights_version,
+            placement.prefill_tokens,
+            cache.fetch_from,
+            cache.save_to,
+            charged=placement.rate_limit_charged,
+        )
+
+
+class EnqueueRequest(NamedTuple):
+    """Puts a refused query into the queue of the dispatcher, or renews it there.
+
+    The decision is a :class:`WorkerGrant` with the number of the query. Until then the dispatcher
+    replies with a :class:`QueuedNotice`. Builds without a queue ignore the message.
+
+    :ivar query: its ``target_seconds`` is the time left when the message is sent.
+    :ivar waited_seconds: time since the request arrived at its node.
+    :ivar deadline_seconds: time left until the deadline of the request.
+    :ivar content: fingerprint of method, target, tenant and body.
+    """
+
+    query: WorkerQuery
+    waited_seconds: float
+    deadline_seconds: float
+    content: str
+
+    @classmethod
+    def of(cls, query_id: QueryId, queued: QueuedQuery) -> "EnqueueRequest":
+        """Return the message for a query to be queued."""
+        return cls(
+            WorkerQuery.of(query_id, queued.query),
+            round(queued.waited_seconds, TIME_DIGITS),
+            round(queued.deadline_seconds, TIME_DIGITS),
+            queued.content,
+        )
+
+    def queued_query(self) -> QueuedQuery:
+        """Return the query to be queued."""
+        return QueuedQuery(
+            self.query.placement_query(), self.waited_seconds, self.deadline_seconds, self.content
+        )
+
+
+class QueuedNotice(NamedTuple):
+    """Reply to an :class:`EnqueueRequest` whose request waits.
+
+    :ivar query_number: number of the query at the node that sent it.
+    :ivar dispatcher: incarnation of the dispatcher.
+    :ivar expected_seconds: expected time until the request starts.
+    """
+
+    query_number: int
+    dispatcher: str
+    expected_seconds: float
+
+
+class Withdrawal(NamedTuple):
+    """Removes a query from the queue; a grant that is on its way is not used."""
+
+    node: str
+    query_number: int
+
 
 class ProgressReport(NamedTuple):
     """Reports the progress of a granted request."""
--- a/src/wheelslip/peers/dispatch_server.py
+++ b/src/wheelslip/peers/dispatch_server.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from wheelslip.deployment import CachePlan
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
     CACHED_PROMPTS,
@@ -16,9 +15,9 @@
     WorkerGrant,
     WorkerQuery,
 )
+from wheelslip.peers.queue_server import QueueServer
 from wheelslip.routing.dispatcher import Dispatcher, QueryId
 from wheelslip.routing.overload import Overloaded
-from wheelslip.routing.placement import Placement
 from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
 
 
@@ -27,6 +26,7 @@
 
     :param incarnation: incarnation of this node, random at each start.
     :param report_limits: reports the rate limits of workers to the node at an address.
+    :param queue: decides on waiting requests when a request has ended.
     """
 
     def __init__(
@@ -35,11 +35,13 @@
         socket: DatagramSocket,
         dispatcher: Dispatcher,
         report_limits: Callable[[str], None],
+        queue: QueueServer,
     ):
         self._incarnation = incarnation
         self._socket = socket
         self._dispatcher = dispatcher
         self._report_limits = report_limits
+        self._queue = queue
         socket.register(QUERY, WorkerQuery, self._handle_query)
         socket.register(PROGRESS, ProgressReport, self._handle_progress)
         socket.register(RUNNING, RunningReport, self._handle_running)
@@ -55,50 +57,27 @@
 
     def _grant(self, query: WorkerQuery) -> WorkerGrant:
         try:
-            placement = self._dispatcher.grant(query.query_id(), query.placement_query())
-        except Overloaded as exc:
-            return WorkerGrant(
-                query.query_number, self._incarnation, retry_seconds=exc.retry_seconds
-            )
-        except TenantLimited as exc:
-            return self._refuse_tenant(query, exc)
-        if placement is None:
-            return WorkerGrant(query.query_number, self._incarnation)
-        return self._grant_placement(query, placement)
-
-    def _grant_placement(self, query: WorkerQuery, placement: Placement) -> WorkerGrant:
-        cache = placement.cache or CachePlan("")
-        return WorkerGrant(
-            query.query_number,
-            self._incarnation,
-            placement.worker.info.id,
-            placement.weights_version,
-            placement.prefill_tokens,
-            cache.fetch_from,
-            cache.save_to,
-            charged=placement.rate_limit_charged,
-        )
+            decision = self._dispatcher.grant(query.query_id(), query.placement_query())
+        except (Overloaded, TenantLimited) as exc:
+            decision = exc
+        return WorkerGrant.of(query.query_number, self._incarnation, decision)
 
     def _charge(self, query: WorkerQuery) -> WorkerGrant:
         try:
             self._dispatcher.charge(query.query_id(), query.placement_query())
         except TenantLimited as exc:
-            return self._refuse_tenant(query, exc)
+            return WorkerGrant.of(query.query_number, self._incarnation, exc)
         except NoAuthority:
             return WorkerGrant(query.query_number, self._incarnation)
         return WorkerGrant(query.query_number, self._incarnation, charged=True)
 
-    def _refuse_tenant(self, query: WorkerQuery, exc: TenantLimited) -> WorkerGrant:
-        seconds = exc.retry_seconds
-        return WorkerGrant(
-            query.query_number, self._incarnation, retry_seconds=seconds, tenant_limited=True
-        )
-
     def _handle_progress(self, report: ProgressReport, sender: str) -> None:
         self._dispatcher.record_progress(QueryId(report.node, report.query_number), report.progress)
+        self._queue.capacity_changed()
 
     def _handle_cached_prompts(self, report: CachedPromptsReport, sender: str) -> None:
         self._dispatcher.record_cached_prompts(report.prompts)
 
     def _handle_running(self, report: RunningReport, sender: str) -> None:
         self._dispatcher.reconcile_running(report.node, report.query_numbers, report.requests)
+        self._queue.capacity_changed()
--- a/src/wheelslip/peers/dispatcher_health.py
+++ b/src/wheelslip/peers/dispatcher_health.py
@@ -80,6 +80,16 @@
         peer.round_trip.observe(seconds)
         peer.timeouts = 0
 
+    def skip(self, address: str) -> None:
+        """Use the next dispatcher for a while; this one no longer replies about its queue."""
+        peer = self._peer(address)
+        now = self._clock()
+        if peer.skipped_until > now:
+            return
+        peer.skipped_until = now + FAILOVER_SECONDS
+        peer.timeouts = 0
+        log_event(LogEvent.DISPATCHER_LOST, dispatcher=address, misses=peer.timeouts)
+
     def record_timeout(self, address: str) -> None:
         """Record a query without a reply and back off from the dispatcher."""
         now = self._clock()
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -17,12 +17,15 @@
 from wheelslip.forwarding.rollout_record import RolloutRecord
 from wheelslip.peers.dispatch_messages import (
     CachedPromptsReport,
+    EnqueueRequest,
     ProgressReport,
+    QueuedNotice,
     RunningReport,
     Vote,
     VoteCountReport,
     VoteRelease,
     VoteReply,
+    Withdrawal,
     WorkerGrant,
     WorkerQuery,
 )
@@ -34,6 +37,7 @@
 from wheelslip.routing.load_table import LoadAtWorker, ZoneLoads
 from wheelslip.routing.named_limits import LimitReport
 from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.request_queue import QueuedQuery
 
 INCARNATION = Incarnation("i-1/1764700000000")
 CHAIN = ((2**64 - 1, 800), (17, 410))
@@ -80,6 +84,12 @@
         Sample("grant", grant),
         *progress_reports,
         Sample("running", RunningReport("n1", [7, 8], [running])),
+        Sample(
+            "enqueue",
+            EnqueueRequest.of(QueryId("n1", 7), QueuedQuery(query, 0.25, 3.5, "c0ffee")),
+        ),
+        Sample("queued", QueuedNotice(7, "d1", 0.125)),
+        Sample("withdraw", Withdrawal("n1", 7)),
         Sample("kept", CachedPromptsReport([CachedPrompt(INCARNATION, CHAIN)])),
         Sample("vote", Vote(True)),
         Sample("voted", VoteReply(9)),
--- a/tests/unit/forwarding/test_dispatch_messages.py
+++ b/tests/unit/forwarding/test_dispatch_messages.py
@@ -4,19 +4,26 @@
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
     CACHED_PROMPTS,
+    ENQUEUE,
     ITEMS_PER_DATAGRAM,
     MAX_CONNECTED,
     MAX_EXCLUDED,
     QUERY,
+    QUEUED,
     RUNNING,
+    WITHDRAWAL,
     CachedPromptsReport,
+    EnqueueRequest,
+    QueuedNotice,
     RunningReport,
+    Withdrawal,
     WorkerQuery,
 )
 from wheelslip.routing.dispatcher import QueryId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.request_queue import QueuedQuery
 from wheelslip.wire import encode_frame
 
 MAX_PACKET_BYTES = 1400
@@ -57,6 +64,41 @@
     assert max(len(encode_frame(frame)) for frame in frames) <= MAX_PACKET_BYTES
 
 
+def enqueue_request() -> EnqueueRequest:
+    """Return the longest request: full lists, a tenant, and times with all their digits."""
+    excluded = frozenset(f"{WORKER}/{1_764_700_000_000 + number}" for number in range(MAX_EXCLUDED))
+    query = worker_query().placement_query()
+    query = query._replace(
+        target_seconds=-0.123456789012345,
+        connected=frozenset(sorted(excluded)[:MAX_CONNECTED]),
+        excluded=excluded,
+        tenant="tenant-of-some-length",
+        limit_units=124_690.0,
+    )
+    queued = QueuedQuery(query, 1.23456789012345, 12.3456789012345, "0123456789abcdef01234567")
+    return EnqueueRequest.of(QueryId(NODE, 1_234_567), queued)
+
+
+def test_each_message_of_the_queue_fits_in_a_packet():
+    frames = [
+        (ENQUEUE, enqueue_request()),
+        (QUEUED, QueuedNotice(1_234_567, NODE, 0.1234)),
+        (WITHDRAWAL, Withdrawal(NODE, 1_234_567)),
+    ]
+    assert max(len(encode_frame(frame)) for frame in frames) <= MAX_PACKET_BYTES
+
+
+def test_queued_query_is_received_as_it_was_sent():
+    received = []
+    socket = DatagramSocket()
+    socket.register(ENQUEUE, EnqueueRequest, lambda message, sender: received.append(message))
+    sent = enqueue_request()
+    socket.datagram_received(encode_frame((ENQUEUE, sent)), ("10.0.0.1", 7))
+    [message] = received
+    assert message == sent
+    assert EnqueueRequest.of(sent.query.query_id(), message.queued_query()) == sent
+
+
 def test_query_is_received_unchanged_and_invalid_datagrams_are_counted():
     received = []
     socket = DatagramSocket()
