--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -4,18 +4,25 @@
 active until its node reports that the request has ended. Nodes also list their running requests
 periodically: a grant whose final report was lost is ended, and a dispatcher that has just taken
 over rebuilds the grants of its predecessor.
+
+When the queue is enabled, a worker is granted only requests that it can start soon. Others wait in
+the queue of their service (:mod:`wheelslip.routing.service_queue`) until their node receives the
+decision: a worker or a rejection.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 from typing import NamedTuple
 
+from wheelslip.deployment import Incarnation
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.request_queue import QueuedQuery
+from wheelslip.routing.request_queue import Group, QueuedQuery, WaitingRequest
+from wheelslip.routing.service_queue import MIN_RETRY_SECONDS, ServiceQueue
 from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimited, TenantLimits
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
 
@@ -31,6 +38,17 @@
 CHARGE_DEDUPLICATION_SECONDS = 2.0
 """How long a repeated charge-only query is recognized; longer than a node waits for a reply."""
 
+DECISION_MEMORY_SECONDS = 1.5
+"""How long a rejection or withdrawal is repeated to a node that still renews its request, longer
+than the interval of renewals plus the delay of a datagram."""
+
+MAX_FAILED_TRIES = 2
+"""Number of kinds of waiting requests tried without success in one pass. Requests of another model
+or with other excluded workers may start although the first in order cannot."""
+
+MAX_PASSED_REQUESTS = 64
+"""Number of waiting requests that one pass looks at to find another kind."""
+
 
 class Progress(Enum):
     """Progress of a granted request, as its node reports it.
@@ -71,6 +89,8 @@
     began_at: float
     had_first_token: bool = False
     tenant_charge: Charge | None = None
+    priority: int | None = None
+    """Priority of a request granted while the queue was enabled."""
 
 
 class Dispatcher:
@@ -81,9 +101,6 @@
     :param queue_enabled: returns whether requests wait here when no worker can start them soon.
     :ivar grants_issued: number of grants since the start.
     :ivar overload_refusals: number of queries refused since the start because of overload.
-    :ivar queued: number of requests that have waited since the start.
-    :ivar displaced: number of waiting requests rejected because they were overtaken.
-    :ivar rejected: number of requests rejected by a queue for other reasons.
     """
 
     def __init__(
@@ -106,26 +123,53 @@
         self._swept_at = clock()
         self.grants_issued = 0
         self.overload_refusals = 0
-        self.queued = 0
-        self.displaced = 0
-        self.rejected = 0
+        self._queues: dict[str, ServiceQueue] = {}
+        self._decided: dict[QueryId, tuple[float, Overloaded | TenantLimited]] = {}
 
     @property
     def active_grants(self) -> int:
         """Number of grants whose requests have not been reported as ended."""
         return len(self._grants)
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that have waited since the start."""
+        return sum(queue.queued for queue in self._queues.values())
+
+    @property
+    def displaced(self) -> int:
+        """Number of waiting requests rejected because they were overtaken."""
+        return sum(queue.displaced for queue in self._queues.values())
+
+    @property
+    def rejected(self) -> int:
+        """Number of requests rejected by a queue for other reasons."""
+        return sum(queue.rejected for queue in self._queues.values())
+
+    @property
+    def reserved(self) -> int:
+        """Number of open reservations for callers that were told when to return."""
+        return sum(len(queue.reservations) for queue in self._queues.values())
+
+    @property
+    def returned(self) -> int:
+        """Number of callers that have returned at their reserved time."""
+        return sum(queue.returned for queue in self._queues.values())
+
     def grant(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         """Grant a worker; return ``None`` when no worker may take the request now.
 
         :raises TenantLimited: when the tenant exceeds its rate limit.
-        :raises Overloaded: when no worker can begin the request in time.
+        :raises Overloaded: when no worker can begin the request in time; when the queue is enabled,
+            also when a waiting request starts before it or no worker can start it soon.
         """
         self._record_contact(query_id.node)
         self._sweep()
         existing = self._grants.get(query_id)
         if existing is not None:
             return existing.placement
+        if self._queues_requests():
+            return self._grant_if_next(query_id, query)
         try:
             tenant_charge = self._limits.charge(query)
         except NoAuthority:
@@ -133,46 +177,200 @@
             return None
         placement = self._place(query, tenant_charge)
         if placement is not None:
-            self.grants_issued += 1
-            began_at = self.placement.begin(placement)
-            self._grants[query_id] = _Grant(placement, began_at, tenant_charge=tenant_charge)
+            self._issue(query_id, placement, tenant_charge)
         return placement
 
+    def _issue(
+        self,
+        query_id: QueryId,
+        placement: Placement,
+        tenant_charge: Charge | None,
+        priority: int | None = None,
+    ) -> None:
+        self.grants_issued += 1
+        began_at = self.placement.begin(placement)
+        self._grants[query_id] = _Grant(
+            placement, began_at, tenant_charge=tenant_charge, priority=priority
+        )
+
     def enqueue(self, query_id: QueryId, queued: QueuedQuery) -> Placement | None:
         """Grant a worker, or let the request wait; ``None`` means that it waits.
 
         A repeated call renews a waiting request. One that is not renewed for 1 s is dropped.
 
-        :raises Overloaded: when the request is rejected.
+        :raises Overloaded: when the request is rejected; usually a
+            :class:`~wheelslip.routing.service_queue.QueueRejected` with the reasons.
         :raises TenantLimited: when the tenant exceeds its rate limit.
         :raises NoWorker: when no worker may take the request now.
         """
-        placement = self.grant(query_id, queued.query)
-        if placement is None:
-            raise NoWorker
-        return placement
+        if not self._queues_requests():
+            placement = self.grant(query_id, queued.query)
+            if placement is None:
+                raise NoWorker
+            return placement
+        self._record_contact(query_id.node)
+        self._sweep()
+        existing = self._grants.get(query_id)
+        if existing is not None:
+            return existing.placement
+        queue = self._queue(queued.query.service)
+        if queue.requests.renew(query_id):
+            return None
+        if query_id in self._decided:
+            raise self._decided[query_id][1]
+        return self._start_or_wait(queue, query_id, queued)
+
+    def _start_or_wait(
+        self, queue: ServiceQueue, query_id: QueryId, queued: QueuedQuery
+    ) -> Placement | None:
+        self._limits.check(queued.query)
+        request = queue.submit(query_id, queued)
+        if self._may_start(queue, request):
+            try:
+                placement = self._start(queue, request)
+            except NoAuthority as exc:
+                raise NoWorker from exc
+            except Overloaded:
+                pass
+            else:
+                if placement is None:
+                    raise NoWorker
+                return placement
+        try:
+            queue.offer(request)
+        except Overloaded as exc:
+            self._remember(query_id, exc)
+            raise
+        return None
 
     def withdraw(self, query_id: QueryId) -> None:
         """Remove a waiting request whose caller has left or whose node has given up.
 
         If the request has been granted, the grant ends as unused: its node has not sent it.
         """
+        self._record_contact(query_id.node)
+        self._remember(query_id, Overloaded(MIN_RETRY_SECONDS))
+        for queue in self._queues.values():
+            queue.requests.remove(query_id)
+        if query_id in self._grants:
+            self._end_unused(query_id)
 
     def advance_queues(self) -> list[tuple[QueryId, Decision]]:
         """Return the decisions on waiting requests: grants and rejections.
 
         To be called every 10 ms while something waits, and after progress that frees capacity.
         """
-        return []
+        decisions = []
+        for service, queue in self._queues.items():
+            if queue.is_idle():
+                continue
+            for request in queue.sweep():
+                decisions.append((request.query_id, self._reject(queue, request)))
+            decisions += self._start_waiting(service, queue)
+        return decisions
 
     def queue_depth(self) -> int:
         """Return the number of waiting requests of all services."""
-        return 0
+        return sum(len(queue.requests) for queue in self._queues.values())
 
     def expected_seconds(self, query_id: QueryId) -> float:
         """Return the expected time until a waiting request starts; 0 if it does not wait."""
+        for queue in self._queues.values():
+            request = queue.requests.get(query_id)
+            if request is not None:
+                return queue.requests.wait_seconds(request)
         return 0.0
 
+    def _queues_requests(self) -> bool:
+        return self._queue_enabled() and self.placement.limits_admission()
+
+    def _queue(self, service: str) -> ServiceQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = ServiceQueue(
+                self._clock, lambda: self.placement.start_capacity(service)
+            )
+        return queue
+
+    def _may_start(self, queue: ServiceQueue, request: WaitingRequest) -> bool:
+        """Return whether a new request may start before all waiting ones."""
+        return request.group is Group.RESENT or queue.requests.is_next(request)
+
+    def _grant_if_next(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
+        queue = self._queue(query.service)
+        request = queue.submit(query_id, QueuedQuery(query))
+        try:
+            if self._may_start(queue, request):
+                return self._start(queue, request)
+        except NoAuthority:
+            return None
+        except Overloaded:
+            pass
+        # Builds without a queue tell callers this time; it is no reservation.
+        raise Overloaded(max(MIN_RETRY_SECONDS, queue.requests.wait_seconds(request)))
+
+    def _start(self, queue: ServiceQueue, request: WaitingRequest) -> Placement | None:
+        """Grant a worker that can start a request soon; return ``None`` when none may take it.
+
+        :raises Overloaded: when no worker can start it soon.
+        :raises TenantLimited: when the tenant exceeds its rate limit.
+        :raises NoAuthority: when another node must count the request.
+        """
+        now = self._clock()
+        query = request.remaining_query(now)._replace(must_start_soon=True)
+        placement = self._choice.choose(query, now)
+        if placement is None:
+            return None
+        try:
+            tenant_charge = self._limits.charge(query)
+        except (TenantLimited, NoAuthority):
+            if placement.rate_limit_charged:
+                self._allowance.refund(placement.worker.info.id)
+            raise
+        queue.requests.record_start(request)
+        self._issue(request.query_id, placement, tenant_charge, query.priority)
+        return placement
+
+    def _start_waiting(self, service: str, queue: ServiceQueue) -> list[tuple[QueryId, Decision]]:
+        """Start waiting requests in order until one is found that no worker can start."""
+        decisions = []
+        failed: set[tuple] = set()
+        while len(failed) < MAX_FAILED_TRIES and self.placement.may_start_soon(service):
+            waiting = islice(queue.requests.in_order(), MAX_PASSED_REQUESTS)
+            request = next((each for each in waiting if _kind(each) not in failed), None)
+            if request is None:
+                break
+            decision = self._try_start(queue, request)
+            if decision is None:
+                failed.add(_kind(request))
+            else:
+                decisions.append((request.query_id, decision))
+        return decisions
+
+    def _try_start(self, queue: ServiceQueue, request: WaitingRequest) -> Decision | None:
+        """Decide on a waiting request; return ``None`` when it continues to wait."""
+        try:
+            placement = self._start(queue, request)
+        except TenantLimited as exc:
+            queue.requests.remove(request.query_id)
+            self._remember(request.query_id, exc)
+            return exc
+        except (Overloaded, NoAuthority):
+            return None
+        if placement is None and not self.placement.has_worker(request.query):
+            return self._reject(queue, request)
+        return placement
+
+    def _reject(self, queue: ServiceQueue, request: WaitingRequest) -> Overloaded:
+        queue.requests.remove(request.query_id)
+        rejection = queue.reject(request)
+        self._remember(request.query_id, rejection)
+        return rejection
+
+    def _remember(self, query_id: QueryId, decision: Overloaded | TenantLimited) -> None:
+        """Repeat a decision if a renewal crosses it, as the node does not hold the request."""
+        self._decided[query_id] = (self._clock() + DECISION_MEMORY_SECONDS, decision)
+
     def _place(self, query: PlacementQuery, tenant_charge: Charge | None) -> Placement | None:
         """Choose a worker; refund the charge when there is none."""
         try:
@@ -212,17 +410,21 @@
                 if grant.had_first_token or not grant.placement.chain:
                     self.placement.record_outcome(worker_id, failed=False)
                     self.placement.record_contact(worker_id, query_id.node)
+                    self._record_served(grant)
                 self._end(query_id)
             case Progress.FAILED:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end(query_id)
+                self._record_rejected(worker_id)
             case Progress.SILENT:
                 self.placement.record_outcome(worker_id, failed=True)
                 self.placement.record_unreachable(worker_id, query_id.node)
                 self._end(query_id)
+                self._record_rejected(worker_id)
             case Progress.NOT_RUN:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end_not_run(query_id)
+                self._record_rejected(worker_id)
             case Progress.UNUSED:
                 self._end_unused(query_id)
             case Progress.UNREACHED:
@@ -243,6 +445,26 @@
         if not grant.had_first_token:
             grant.had_first_token = True
             self.placement.first_token(grant.placement, grant.began_at)
+            if grant.priority is not None:
+                queue = self._queue(grant.placement.worker.info.service)
+                queue.record_response(grant.priority, self._clock() - grant.began_at)
+
+    def _record_served(self, grant: _Grant) -> None:
+        """Update what the queue measures from a request that its worker has served."""
+        info = grant.placement.worker.info
+        self.placement.slots.record_served(info)
+        if grant.priority is None:
+            return
+        seconds = self._clock() - grant.began_at
+        queue = self._queue(info.service)
+        queue.rate.record_duration(seconds)
+        self.placement.record_duration(info.service, seconds)
+        if not grant.had_first_token:
+            queue.record_response(grant.priority, seconds)
+
+    def _record_rejected(self, worker_id: Incarnation) -> None:
+        running = self.placement.load(worker_id).running
+        self.placement.slots.record_rejected(worker_id, running)
 
     def _end(self, query_id: QueryId) -> None:
         grant = self._grants.pop(query_id)
@@ -297,6 +519,9 @@
             for query_id, expires_at in self._charged.items()
             if now < expires_at
         }
+        self._decided = {
+            query_id: decided for query_id, decided in self._decided.items() if now < decided[0]
+        }
         timed_out = {
             node
             for node, contact_at in self._last_contact.items()
@@ -308,3 +533,9 @@
             query_id for query_id in self._grants if query_id.node not in self._last_contact
         ]:
             self._end(expired_id)
+
+
+def _kind(request: WaitingRequest) -> tuple:
+    """Return what two requests have in common if none can start when the other cannot."""
+    query = request.query
+    return query.model, query.excluded, query.tenant if query.limit_units else ""
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -34,6 +34,8 @@
     DeploymentView,
     WorkerPlacement,
 )
+from wheelslip.routing.worker_records import REQUEST_SMOOTHING
+from wheelslip.routing.worker_slots import WorkerSlots
 
 ARRIVAL_MEMORY_SECONDS = 2.0
 """Time constant of the arrival rate estimate."""
@@ -45,6 +47,10 @@
 MAX_DELAYED_REQUESTS = 4.0
 """Upper bound of the number of requests that one prefill is assumed to delay."""
 
+MAX_WORKER_WAIT_SECONDS = 0.06
+"""Longest wait at a model engine of a request that must start soon: a quarter of the shortest
+target in use (0.265 s), and twice the longest round trip of 30 ms, so that no engine idles."""
+
 RECENT_CONTACT_SECONDS = 0.5
 """A worker that another node reached within this time is not suspected when one node fails to
 reach it."""
@@ -70,6 +76,7 @@
 
     :param table: table of this node, of which only the saved prompts are used and updated.
     :param limits_admission: returns whether requests that no worker can start in time are refused.
+    :ivar slots: how many requests workers without model engines are given.
     """
 
     def __init__(
@@ -81,7 +88,9 @@
         limits_admission: Callable[[], bool] = lambda: True,
     ):
         super().__init__(registry, clock, random_source, table)
-        self._limits_admission = limits_admission
+        self.limits_admission = limits_admission
+        self.slots = WorkerSlots()
+        self._mean_durations: dict[str, float] = {}
         self._admission: dict[str, AdmissionLimits] = {}
         self._retry_schedule = RetrySchedule()
         self._cache_index = FleetCacheIndex(clock)
@@ -100,6 +109,81 @@
         super().forget(worker_id)
         self._cache_index.forget(worker_id)
         self._last_contact.pop(worker_id, None)
+        self.slots.forget(worker_id)
+
+    def start_capacity(self, service: str) -> int:
+        """Return how many requests the reachable workers of a service may hold."""
+        engine, now = self._engine(service), self._clock()
+        workers = [
+            worker
+            for worker in self._registry.workers_of(service)
+            if not self.load(worker.info.id).is_avoided(now)
+        ]
+        if engine is not None:
+            return engine.capacity * len(workers)
+        return sum(self._slot_limit(worker) for worker in workers)
+
+    def may_start_soon(self, service: str) -> bool:
+        """Return whether any worker of a service has a free slot and a short backlog."""
+        engine = self._engine(service)
+        workers = self._prefer_reachable(self._registry.workers_of(service))
+        if engine is None:
+            return any(self._has_free_slot(worker) for worker in workers)
+        most_tokens = MAX_WORKER_WAIT_SECONDS * PREFILL_TOKENS_PER_SECOND
+        loads = [self.load(worker.info.id) for worker in workers]
+        return any(
+            load.running < engine.capacity and load.prefill_tokens <= most_tokens for load in loads
+        )
+
+    def has_worker(self, query: PlacementQuery) -> bool:
+        """Return whether the service has a worker that is not excluded."""
+        workers = self._registry.workers_of(query.service)
+        return any(worker.info.id not in query.excluded for worker in workers)
+
+    def record_duration(self, service: str, seconds: float) -> None:
+        """Update the mean duration of the requests of a service."""
+        mean = self._mean_durations.get(service, seconds)
+        self._mean_durations[service] = mean + REQUEST_SMOOTHING * (seconds - mean)
+
+    def _slot_limit(self, worker: Worker) -> int:
+        mean_duration = self._mean_durations.get(worker.info.service, 0.0)
+        return self.slots.limit(worker.info, mean_duration)
+
+    def _has_free_slot(self, worker: Worker) -> bool:
+        return self.load(worker.info.id).running < self._slot_limit(worker)
+
+    def _choose_without_engine(
+        self, query: PlacementQuery, candidates: list[Worker]
+    ) -> Placement | None:
+        """Return the least loaded worker.
+
+        :raises Overloaded: when the request must start soon and no worker has a free slot.
+        """
+        if candidates and query.must_start_soon:
+            reachable = self._prefer_reachable(candidates)
+            candidates = [worker for worker in reachable if self._has_free_slot(worker)]
+            if not candidates:
+                raise Overloaded(self._mean_durations.get(query.service, 0.0))
+        return super()._choose_without_engine(query, candidates)
+
+    def _longest_wait(
+        self,
+        query: PlacementQuery,
+        estimate: WorkerEstimate,
+        engine: EngineProfile,
+        limits: AdmissionLimits,
+    ) -> float:
+        """Return the longest acceptable wait of a request at a worker; negative without a slot."""
+        longest = limits.longest_wait(
+            query.priority, query.target_seconds, estimate.prefill_seconds
+        )
+        if not query.must_start_soon:
+            return longest
+        load = self.load(estimate.worker.info.id)
+        held = load.held_tokens + query.prompt_tokens + query.output_tokens
+        if self._slot_wait_seconds(load.running, held, engine) and load.running:
+            return -1.0
+        return min(longest, MAX_WORKER_WAIT_SECONDS)
 
     def _choose_engine(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
@@ -118,7 +202,7 @@
         for worker in candidates:
             by_version[worker.weights.get(query.model)].append(worker)
         limits = self._admission.setdefault(query.service, AdmissionLimits())
-        is_limited = self._limits_admission() and not query.sent_before
+        is_limited = self.limits_admission() and not query.sent_before
         best, best_state, lowest_cost, least_excess = None, None, float("inf"), float("inf")
         for version, workers in by_version.items():
             state = self._cache_state(query, version, workers, engine, store)
@@ -131,9 +215,7 @@
                 if cost >= lowest_cost:
                     continue
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
-                longest = limits.longest_wait(
-                    query.priority, query.target_seconds, estimate.prefill_seconds
-                )
+                longest = self._longest_wait(query, estimate, engine, limits)
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
                 if not is_late and estimate.cost + cost < lowest_cost:
@@ -146,6 +228,9 @@
         self, query: PlacementQuery, engine: EngineProfile, workers: int, wait_seconds: float
     ) -> float:
         """Return after how long a refused request should be retried."""
+        if query.must_start_soon:
+            # The queue sets the retry times of its requests and tries them repeatedly.
+            return max(0.0, wait_seconds)
         work_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
         work_seconds += self._request_seconds / max(1, engine.capacity)
         return self._retry_schedule.retry_seconds(
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -23,6 +23,7 @@
     :ivar sent_before: the request was sent to a worker before, so admission control admits it.
     :ivar tenant: tenant whose limit the request is charged to; empty without a limit.
     :ivar limit_units: units to charge; 0 when they were charged before.
+    :ivar must_start_soon: only a worker that can start the request soon may be selected.
     """
 
     service: str
@@ -41,6 +42,7 @@
     sent_before: bool = False
     tenant: str = ""
     limit_units: float = 0.0
+    must_start_soon: bool = False
 
     @property
     def shared_part(self) -> PromptPart | None:
--- a/src/wheelslip/routing/request_queue.py
+++ b/src/wheelslip/routing/request_queue.py
@@ -123,6 +123,11 @@
         """The class of the request in its present group."""
         return self.class_in(self.group)
 
+    def remaining_query(self, now: float) -> PlacementQuery:
+        """Return the placement query with the time that is left until the target now."""
+        remaining = self.query.target_seconds - (now - self.enqueued_at)
+        return self.query._replace(target_seconds=remaining)
+
     def class_in(self, group: Group) -> OrderClass:
         """Return the class that the request has in a group."""
         return OrderClass(group, self.query.priority, not self.has_reservation)
@@ -215,6 +220,12 @@
         """Yield the first request of each tenant."""
         return (flow.requests[0] for flow in self._flows.values() if flow.requests)
 
+    def last(self) -> WaitingRequest:
+        """Return the last request in order."""
+        flows = [flow for flow in self._flows.values() if flow.requests]
+        longest = max(flows, key=lambda flow: flow.tag + flow.work * len(flow.requests))
+        return longest.requests[-1]
+
     def in_order(self) -> Iterator[WaitingRequest]:
         """Yield the requests in the order in which they start."""
         flows = [flow.requests for flow in self._flows.values() if flow.requests]
@@ -353,10 +364,12 @@
         self._rate.record_start(request.order_class, is_busy)
         self.remove(request.query_id)
         self._class(request.order_class).record_start(request)
-        if any(key.priority < request.query.priority for key in self._occupied()):
-            self._starts_since_lower = 0
-        elif any(key.priority > request.query.priority for key in self._occupied(Group.IN_TIME)):
-            self._starts_since_lower += 1
+        waiting = self._occupied(Group.IN_TIME)
+        is_lower = any(key.priority < request.query.priority for key in waiting)
+        lower_waits = any(key.priority > request.query.priority for key in waiting)
+        self._starts_since_lower = (
+            0 if is_lower or not lower_waits else self._starts_since_lower + 1
+        )
 
     def in_order(self) -> Iterator[WaitingRequest]:
         """Yield the waiting requests in the order in which they start.
@@ -487,5 +500,4 @@
 
     def _last(self) -> WaitingRequest:
         """Return the request that would start last."""
-        *_, last = self._classes[self._occupied()[-1]].in_order()
-        return last
+        return self._classes[self._occupied()[-1]].last()
--- a/src/wheelslip/routing/tenant_limits.py
+++ b/src/wheelslip/routing/tenant_limits.py
@@ -130,6 +130,23 @@
         self.refused += 1
         raise TenantLimited(query.tenant, self._retry_seconds(query, limit, share, wait))
 
+    def check(self, query: PlacementQuery) -> None:
+        """Check whether a request could be charged to its tenant's limit, without charging it.
+
+        :raises TenantLimited: if the tenant exceeds its limit.
+        """
+        self.update()
+        limit = self._limits.get(query.tenant)
+        share = self._authority.share()
+        if limit is None or not query.limit_units or share <= 0.0:
+            return
+        wait = self._charge_bucket(query, limit, share)
+        if wait <= 0.0:
+            self._buckets[query.tenant].refund(query.limit_units)
+        elif self._authority.standby_share <= 0.0:
+            self.refused += 1
+            raise TenantLimited(query.tenant, self._retry_seconds(query, limit, share, wait))
+
     def _charge_bucket(self, query: PlacementQuery, limit: TenantLimit, share: float) -> float:
         """Charge a request to the tenant's bucket.
 
--- a/src/wheelslip/routing/worker_allowance.py
+++ b/src/wheelslip/routing/worker_allowance.py
@@ -142,7 +142,7 @@
         else:
             chosen = self._placement.choose(query._replace(excluded=query.excluded | exhausted))
             if chosen is None:
-                self._raise_overloaded(query.service, exhausted, now)
+                self._raise_overloaded(query, exhausted, now)
         if chosen is not None and self._allowance.charge(chosen.worker.info.id):
             return replace(chosen, rate_limit_charged=True)
         return chosen
@@ -157,7 +157,7 @@
         ]
 
     def _raise_overloaded(
-        self, service: str, exhausted: frozenset[Incarnation], now: float
+        self, query: PlacementQuery, exhausted: frozenset[Incarnation], now: float
     ) -> None:
         """Refuse a request for which only exhausted workers remain.
 
@@ -169,7 +169,10 @@
         wait = self._allowance.wait_seconds(exhausted)
         if wait is None:
             return
-        schedule = self._retry_schedules.setdefault(service, RetrySchedule())
+        if query.must_start_soon:
+            # The queue sets the retry times of its requests and tries them repeatedly.
+            raise Overloaded(wait)
+        schedule = self._retry_schedules.setdefault(query.service, RetrySchedule())
         seconds = schedule.retry_seconds(now, wait, 1.0 / self._allowance.rate(exhausted))
         self._allowance.refused += 1
         raise Overloaded(max(MIN_RETRY_SECONDS, seconds))
