--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -188,7 +188,7 @@
             table,
             own_loads,
         )
-        assigner = WorkerAssigner(
+        self._assigner = WorkerAssigner(
             section.zone,
             self._registry,
             self._placement,
@@ -203,7 +203,7 @@
         self._forwarder = Forwarder(
             requests,
             self._registry,
-            assigner,
+            self._assigner,
             self._pool,
             self._crash_guard,
             self.bounds,
@@ -365,6 +365,9 @@
             "queue_queued": lambda: float(self._dispatcher.queued),
             "queue_displaced": lambda: float(self._dispatcher.displaced),
             "queue_rejected": lambda: float(self._dispatcher.rejected),
+            "queue_reserved": lambda: float(self._dispatcher.reserved),
+            "queue_returned": lambda: float(self._dispatcher.returned),
+            "queue_rejected_alone": lambda: float(self._assigner.local_admission.rejected),
             **self._meter.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_fingerprints()),
             "engines_said_leaving": lambda: float(self._registry.notices.leaving_notices),
--- a/src/wheelslip/peers/queue_server.py
+++ b/src/wheelslip/peers/queue_server.py
@@ -2,9 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
-from wheelslip.events import LogEvent, log_event
+from wheelslip.events import LogBudget, LogEvent, log_event
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
     ENQUEUE,
@@ -20,21 +19,14 @@
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement
 from wheelslip.routing.request_queue import QueuedQuery
+from wheelslip.routing.service_queue import QueueRejected
 from wheelslip.routing.tenant_limits import TenantLimited
 
 ADVANCE_SECONDS = 0.01
 """Interval at which waiting requests are decided on."""
 
-REJECTION_SECONDS = 1.0
-"""Time for which a rejection is repeated to a node that renews its request, because the datagram
-with the rejection was lost. Without it, the request would wait or reserve capacity once more."""
-
-
-class _Rejection(NamedTuple):
-    """A rejection that may have to be repeated."""
-
-    rejected_at: float
-    decision: Overloaded | TenantLimited
+LOG_LINES_PER_SECOND = 10.0
+"""Average rate limit of log lines about decisions on single requests."""
 
 
 class QueueServer:
@@ -62,9 +54,8 @@
         self._dispatcher = dispatcher
         self._enabled = enabled
         self._report_limits = report_limits
-        self._clock = clock
         self._addresses: dict[str, str] = {}
-        self._rejections: dict[QueryId, _Rejection] = {}
+        self._log = LogBudget(LOG_LINES_PER_SECOND, clock)
         self._advancing: asyncio.Task | None = None
         self._advance_scheduled = False
         self.deliver_local: Callable[[int, Decision], bool] = lambda number, decision: False
@@ -78,14 +69,15 @@
         :raises TenantLimited: if its tenant has exceeded its rate limit.
         :raises NoWorker: if no worker may take the request now.
         """
-        rejection = self._rejections.get(query_id)
-        if rejection is not None and self._clock() - rejection.rejected_at < REJECTION_SECONDS:
-            raise rejection.decision
+        returned = self._dispatcher.returned
         try:
             placement = self._dispatcher.enqueue(query_id, queued)
-        except (Overloaded, TenantLimited) as exc:
-            self._remember_rejection(query_id, exc)
+        except QueueRejected as exc:
+            self._log_rejection(query_id, exc)
             raise
+        finally:
+            if self._dispatcher.returned > returned:
+                self._log_decision(LogEvent.QUEUE_RETURNED, query_id, content=queued.content)
         if placement is None:
             self._start_advancing()
         return placement
@@ -155,11 +147,10 @@
             return
         for query_id, decision in decisions:
             self._deliver(query_id, decision)
-        self._forget_rejections()
 
     def _deliver(self, query_id: QueryId, decision: Decision) -> None:
-        if isinstance(decision, (Overloaded, TenantLimited)):
-            self._remember_rejection(query_id, decision)
+        if isinstance(decision, QueueRejected):
+            self._log_rejection(query_id, decision)
         if query_id.node == self._incarnation:
             if not self.deliver_local(query_id.number, decision):
                 self._dispatcher.withdraw(query_id)
@@ -170,13 +161,16 @@
         grant = WorkerGrant.of(query_id.number, self._incarnation, decision)
         self._socket.send(address, GRANT, grant)
 
-    def _remember_rejection(self, query_id: QueryId, decision: Overloaded | TenantLimited) -> None:
-        self._rejections[query_id] = _Rejection(self._clock(), decision)
-
-    def _forget_rejections(self) -> None:
-        """Drop the rejections that have become too old; they are in the order of their time."""
-        expired_before = self._clock() - REJECTION_SECONDS
-        for query_id in list(self._rejections):
-            if self._rejections[query_id].rejected_at > expired_before:
-                return
-            del self._rejections[query_id]
+    def _log_rejection(self, query_id: QueryId, rejection: QueueRejected) -> None:
+        self._log_decision(
+            LogEvent.QUEUE_DISPLACED if rejection.displaced else LogEvent.QUEUE_REJECTED,
+            query_id,
+            waited_seconds=round(rejection.waited_seconds, 4),
+            expected_seconds=round(rejection.wait_seconds, 4),
+            waiting=rejection.waiting,
+            retry_seconds=round(rejection.retry_seconds, 4),
+            reserved=rejection.has_reservation,
+        )
+
+    def _log_decision(self, event: LogEvent, query_id: QueryId, **fields: object) -> None:
+        self._log.log(event, asker=query_id.node, query=query_id.number, **fields)
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -73,13 +73,15 @@
 
 
 class FakeDispatcher:
-    """Refuses each query and lets it wait until the test decides."""
+    """Refuses each query and lets it wait until the test decides; repeats its decisions."""
 
     def __init__(self):
         self.waiting: dict[QueryId, object] = {}
         self.enqueued: list[QueryId] = []
         self.decisions: dict[QueryId, object] = {}
         self.granted: dict[QueryId, Placement] = {}
+        self.rejected: dict[QueryId, Exception] = {}
+        self.returned = 0
         self.unused: list[QueryId] = []
         self.withdrawn: list[QueryId] = []
         self.decide_on_arrival: object = None
@@ -91,6 +93,8 @@
         self.enqueued.append(query_id)
         if query_id in self.granted:
             return self.granted[query_id]
+        if query_id in self.rejected:
+            raise self.rejected[query_id]
         if isinstance(self.decide_on_arrival, Exception):
             raise self.decide_on_arrival
         self.waiting[query_id] = queued
@@ -113,6 +117,8 @@
             del self.waiting[query_id]
             if isinstance(decision, Placement):
                 self.granted[query_id] = decision
+            else:
+                self.rejected[query_id] = decision
         return decisions
 
     def queue_depth(self):
