Probe tests of the queue over sockets

Cases: priority under load, dispatcher cut off or stopped while requests wait, disconnected caller, lost grant, dispatcher without a queue, key revoked during the wait. The stand-in worker can hold its requests until a test releases them, so the order does not depend on the speed of the machine.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -196,6 +196,7 @@
     """A store with workers and nodes.
 
     :ivar folder: holds the settings files of the nodes.
+    :ivar routing: settings of the section ``routing`` of all nodes.
     :ivar model: state of the store.
     :ivar store: HTTP server of the store.
     :ivar workers: by ID.
@@ -206,6 +207,7 @@
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
+        self.routing: dict[str, bool] = {}
         self.model = PlatformStoreModel(time.monotonic)
         self.store = PlatformStoreServer(self.model)
         self.workers: dict[str, PlatformWorker] = {}
@@ -286,12 +288,14 @@
         :param bounds: settings of the section ``bounds``.
         """
         lines = [f"{key} = {json.dumps(value)}" for key, value in bounds.items()]
+        routing = [f"{key} = {json.dumps(value)}" for key, value in self.routing.items()]
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'[node]\nname = "{name}"\nzone = "{zone}"\n'
             f'callers = "{self.addresses[name]}"\nreadiness = "{self.readiness[name]}"\n'
             f'peers = "{peers}"\nseeds = {json.dumps(list(seeds))}\n'
-            f'[store]\naddress = "{self.store.server.address}"\n[bounds]\n' + "\n".join(lines)
+            f'[store]\naddress = "{self.store.server.address}"\n[bounds]\n'
+            + "\n".join([*lines, "[routing]", *routing])
         )
         return path
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -124,6 +124,9 @@
     :ivar version: of the loaded weights.
     :ivar events: number of events in a complete stream.
     :ivar seconds: processing time of a request, or the delay before each event of a stream.
+    :ivar capacity: number of concurrent requests in its entry; it runs more if they are sent.
+    :ivar release: requests wait for this event before their processing time begins; ``None`` for
+        no such wait.
     :ivar load_seconds: time to load other weights.
     :ivar accepted_versions: weights versions that it loads when ordered to.
     :ivar born: start of the worker, in milliseconds of Unix time, included in its entry and
@@ -160,6 +163,8 @@
     crash_on: bytes = b""
     announces_leaving: bool = False
     announced_limit: str = ""
+    capacity: int = 8
+    release: asyncio.Event | None = None
     on_crash: Callable[["PlatformWorker"], None] = lambda worker: None
 
     def __post_init__(self):
@@ -177,14 +182,14 @@
         self.busy = False
         self._load_tasks: set[asyncio.Task] = set()
 
-    def entry(self, service: str, zone: str, state: str = "ready", capacity: int = 8) -> bytes:
+    def entry(self, service: str, zone: str, state: str = "ready") -> bytes:
         """Return the worker's entry in the store."""
         return worker_entry(
             service,
             self.server.address,
             zone,
             state,
-            capacity,
+            self.capacity,
             self.model,
             self.version,
             self.born,
@@ -270,6 +275,8 @@
 
     async def _wait(self, run: Run, connection: ServerConnection) -> bool:
         """Wait for the processing time; return whether the client is still connected."""
+        if self.release is not None:
+            await self.release.wait()
         try:
             async with asyncio.timeout(self.seconds or 0.001):
                 await connection.closed.wait()
--- /dev/null
+++ b/tests/probe/forwarding/test_queue.py
@@ -0,0 +1,217 @@
+"""Requests that wait at the dispatcher for a worker of a plain service."""
+
+import asyncio
+
+from standins.platform_site import PLAIN, Caller, Site, configuration, wait_until
+from standins.platform_worker import PlatformWorker
+from wheelslip.peers.dispatch_messages import ENQUEUE, GRANT
+
+ZONES = ("z1", "z2", "z3")
+LOWER = PLAIN | {"path_prefix": "/lower/", "priority": 2}
+URGENT = PLAIN | {"path_prefix": "/urgent/", "priority": 0}
+TIMES = {"timeout_ms": 25_000, "target_latency_ms": 15_000}
+"""Long enough that no request of a test is rejected on a busy machine."""
+
+
+async def start_fleet(site: Site, queue: bool = True) -> PlatformWorker:
+    """Start a node per zone and one worker of one slot, which holds its requests."""
+    site.routing["queue"] = queue
+    site.configure(configuration(routes=[route | TIMES for route in (LOWER, URGENT)]))
+    worker = PlatformWorker("i-0", capacity=1, seconds=0.02, release=asyncio.Event())
+    await site.add_worker(worker, "plain")
+    await site.add_relays(ZONES)
+    return worker
+
+
+def total(site: Site, gauge: str) -> float:
+    return sum(node.gauge(gauge) for node in site.nodes.values())
+
+
+async def send(site: Site, path: str, request_id: str, zone: str) -> Caller:
+    caller = await site.connect(zone)
+    caller.send(path, request_id, body=request_id.encode())
+    return caller
+
+
+async def occupy(site: Site, zone: str) -> list[Caller]:
+    """Send requests until one waits, and return their callers."""
+    callers = []
+    while not total(site, "queue_depth"):
+        assert len(callers) < 10, "nothing waits"
+        callers.append(await send(site, "/lower/x", f"first-{len(callers)}", zone))
+        sent = len(callers)
+        await wait_until(
+            lambda sent=sent: len(site.workers["i-0"].runs) + total(site, "queue_depth") == sent,
+            "runs or waits",
+        )
+    return callers
+
+
+async def send_waiting(site: Site, path: str, ids: list[str], zones: tuple) -> list[Caller]:
+    """Send requests that have to wait, and return their callers."""
+    depth = total(site, "queue_depth")
+    callers = [
+        await send(site, path, request_id, zones[number % len(zones)])
+        for number, request_id in enumerate(ids)
+    ]
+    await wait_until(lambda: total(site, "queue_depth") == depth + len(ids), "all wait")
+    return callers
+
+
+async def assert_served(callers: list[Caller]) -> None:
+    responses = await asyncio.wait_for(
+        asyncio.gather(*(caller.read_response() for caller in callers)), 20
+    )
+    assert [response.status for response in responses] == [200] * len(callers)
+
+
+def started(worker: PlatformWorker) -> list[str]:
+    return [run.request_id for run in worker.runs]
+
+
+def names_of_dispatcher_and_others(site: Site) -> tuple[str, list[str]]:
+    name = next(name for name, node in site.nodes.items() if node.gauge("queue_depth"))
+    return name, [zone for zone in ZONES if zone != name]
+
+
+async def test_urgent_requests_start_before_waiting_ones_of_lower_priority(site):
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    lower, urgent = [f"lower-{n}" for n in range(5)], [f"urgent-{n}" for n in range(3)]
+    callers += await send_waiting(site, "/lower/x", lower, ZONES)
+    callers += await send_waiting(site, "/urgent/x", urgent, ZONES)
+    before = len(worker.runs)
+    worker.release.set()
+    await assert_served(callers)
+    order = started(worker)[before:]
+    assert sorted(started(worker)) == sorted({*started(worker)})
+    # Two requests may be on their way to the worker at once and arrive in either order.
+    assert set(urgent) <= set(order[: len(urgent) + 1])
+    assert total(site, "queue_rejected") == total(site, "queue_displaced") == 0
+    assert total(site, "waiting_requests") == total(site, "queue_depth") == 0
+    await wait_until(lambda: total(site, "granted_requests") == 0, "all grants released")
+
+
+async def test_waiting_requests_move_to_the_next_dispatcher_and_run_once(site):
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    name, others = names_of_dispatcher_and_others(site)
+    ids = [f"r-{n}" for n in range(6)]
+    waiting = await send_waiting(site, "/lower/x", ids, tuple(others))
+    # The process keeps running and holds its lease, but receives no datagrams.
+    site.nodes[name].stop_receiving()
+    await wait_until(
+        lambda: sum(site.nodes[zone].gauge("queue_depth") for zone in others) >= len(ids),
+        "requests wait at the next dispatcher",
+    )
+    worker.release.set()
+    await assert_served(waiting)
+    assert sorted(run for run in started(worker) if run in ids) == ids
+    assert {run for run in started(worker) if started(worker).count(run) > 1} == set()
+    for caller in callers:
+        caller.abort()
+
+
+async def test_stopping_dispatcher_hands_over_its_queue(site):
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    name, others = names_of_dispatcher_and_others(site)
+    ids = [f"r-{n}" for n in range(6)]
+    waiting = await send_waiting(site, "/lower/x", ids, tuple(others))
+    stopping = asyncio.create_task(site.nodes[name].stop())
+    await wait_until(
+        lambda: sum(site.nodes[zone].gauge("queue_depth") for zone in others) >= len(ids),
+        "requests wait at the next dispatcher",
+    )
+    worker.release.set()
+    await assert_served(waiting)
+    await stopping
+    assert sorted(run for run in started(worker) if run in ids) == ids
+    for caller in callers:
+        caller.abort()
+
+
+async def test_request_of_disconnected_caller_is_withdrawn(site):
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    name, others = names_of_dispatcher_and_others(site)
+    for zone in (name, others[0]):
+        [caller] = await send_waiting(site, "/lower/x", [f"gone-{zone}"], (zone,))
+        depth = total(site, "queue_depth")
+        caller.abort()
+        await wait_until(lambda depth=depth: total(site, "queue_depth") == depth - 1, "withdrawn")
+    worker.release.set()
+    await assert_served(callers)
+    assert not [run for run in started(worker) if run.startswith("gone")]
+    await wait_until(lambda: total(site, "granted_requests") == 0, "all grants released")
+
+
+def drop_messages(site: Site, name: str, kind: str, drops) -> list:
+    """Let a node lose the messages of a kind for which ``drops`` is true; return those."""
+    socket = site.nodes[name]._datagrams
+    send_message, dropped = socket.send, []
+
+    def send(address, sent_kind, message):
+        if sent_kind == kind and drops(message, dropped):
+            dropped.append(message)
+        else:
+            send_message(address, sent_kind, message)
+
+    socket.send = send
+    return dropped
+
+
+async def test_lost_grant_is_recovered_without_a_second_run(site):
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    name, others = names_of_dispatcher_and_others(site)
+    ids = ["r-0", "r-1"]
+    callers += await send_waiting(site, "/lower/x", ids, tuple(others))
+    lost = drop_messages(site, name, GRANT, lambda grant, lost: grant.worker and len(lost) < 2)
+    worker.release.set()
+    await assert_served(callers)
+    assert len(lost) == 2
+    assert sorted(run for run in started(worker) if run in ids) == ids
+
+
+async def test_dispatcher_without_queue_refuses_at_once(site):
+    """A node with the queue asks a dispatcher without one, as during an upgrade."""
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    name, others = names_of_dispatcher_and_others(site)
+    del site.nodes[name]._datagrams._receivers[ENQUEUE]
+    # The node z1 has a request waiting and leaves the dispatcher that no longer replies to it.
+    zone = next(other for other in others if other != "z1")
+    response = await site.request("/lower/x", "refused", zone)
+    assert response.status == 503 and float(response.headers["retry-after"]) > 0
+    assert not site.runs("refused")
+    worker.release.set()
+    await assert_served(callers)
+
+
+async def test_key_revoked_during_the_wait_is_not_used(site):
+    worker = await start_fleet(site)
+    callers = await occupy(site, "z1")
+    _, others = names_of_dispatcher_and_others(site)
+    [caller] = await send_waiting(site, "/lower/x", ["revoked"], (others[0],))
+    routes = [route | TIMES for route in (LOWER, URGENT)]
+    site.configure(configuration(2, routes=routes, keys=("another",)))
+    await wait_until(
+        lambda: all(node.configuration_version() == 2 for node in site.nodes.values()),
+        "all nodes know the new keys",
+    )
+    worker.release.set()
+    response = await asyncio.wait_for(caller.read_response(), 20)
+    assert response.status == 401 and not site.runs("revoked")
+    await wait_until(lambda: total(site, "granted_requests") == 0, "all grants released")
+    for other in callers:
+        other.abort()
+
+
+async def test_queue_is_off_by_default(site):
+    site.configure()
+    await site.add_worker(PlatformWorker("i-0", capacity=1, seconds=0.05), "plain")
+    await site.add_relays(ZONES)
+    requests = [site.request("/plain/x", f"r{n}", ZONES[n % 3]) for n in range(6)]
+    assert {response.status for response in await asyncio.gather(*requests)} == {200}
+    assert total(site, "queue_queued") == 0
