--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -16,7 +16,6 @@
 from itertools import islice
 from typing import NamedTuple
 
-from wheelslip.deployment import Incarnation
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
@@ -415,16 +414,16 @@
             case Progress.FAILED:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end(query_id)
-                self._record_rejected(worker_id)
+                self.placement.record_rejected(grant.placement.worker)
             case Progress.SILENT:
                 self.placement.record_outcome(worker_id, failed=True)
                 self.placement.record_unreachable(worker_id, query_id.node)
                 self._end(query_id)
-                self._record_rejected(worker_id)
+                self.placement.record_rejected(grant.placement.worker)
             case Progress.NOT_RUN:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end_not_run(query_id)
-                self._record_rejected(worker_id)
+                self.placement.record_rejected(grant.placement.worker)
             case Progress.UNUSED:
                 self._end_unused(query_id)
             case Progress.UNREACHED:
@@ -451,21 +450,17 @@
 
     def _record_served(self, grant: _Grant) -> None:
         """Update what the queue measures from a request that its worker has served."""
-        info = grant.placement.worker.info
-        self.placement.slots.record_served(info)
+        worker = grant.placement.worker
+        self.placement.record_served(worker)
         if grant.priority is None:
             return
         seconds = self._clock() - grant.began_at
-        queue = self._queue(info.service)
+        queue = self._queue(worker.info.service)
         queue.rate.record_duration(seconds)
-        self.placement.record_duration(info.service, seconds)
+        self.placement.record_duration(worker.info.service, seconds)
         if not grant.had_first_token:
             queue.record_response(grant.priority, seconds)
 
-    def _record_rejected(self, worker_id: Incarnation) -> None:
-        running = self.placement.load(worker_id).running
-        self.placement.slots.record_rejected(worker_id, running)
-
     def _end(self, query_id: QueryId) -> None:
         grant = self._grants.pop(query_id)
         self.placement.end(grant.placement, grant.began_at, grant.had_first_token)
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -76,7 +76,6 @@
 
     :param table: table of this node, of which only the saved prompts are used and updated.
     :param limits_admission: returns whether requests that no worker can start in time are refused.
-    :ivar slots: how many requests workers without model engines are given.
     """
 
     def __init__(
@@ -89,7 +88,7 @@
     ):
         super().__init__(registry, clock, random_source, table)
         self.limits_admission = limits_admission
-        self.slots = WorkerSlots()
+        self._slots = WorkerSlots(clock)
         self._mean_durations: dict[str, float] = {}
         self._admission: dict[str, AdmissionLimits] = {}
         self._retry_schedule = RetrySchedule()
@@ -109,7 +108,7 @@
         super().forget(worker_id)
         self._cache_index.forget(worker_id)
         self._last_contact.pop(worker_id, None)
-        self.slots.forget(worker_id)
+        self._slots.forget(worker_id)
 
     def start_capacity(self, service: str) -> int:
         """Return how many requests the reachable workers of a service may hold."""
@@ -121,7 +120,7 @@
         ]
         if engine is not None:
             return engine.capacity * len(workers)
-        return sum(self._slot_limit(worker) for worker in workers)
+        return sum(self._slots.usable(worker.info) for worker in workers)
 
     def may_start_soon(self, service: str) -> bool:
         """Return whether any worker of a service has a free slot and a short backlog."""
@@ -145,12 +144,18 @@
         mean = self._mean_durations.get(service, seconds)
         self._mean_durations[service] = mean + REQUEST_SMOOTHING * (seconds - mean)
 
-    def _slot_limit(self, worker: Worker) -> int:
-        mean_duration = self._mean_durations.get(worker.info.service, 0.0)
-        return self.slots.limit(worker.info, mean_duration)
+    def record_served(self, worker: Worker) -> None:
+        """Record that a worker served a request, so that it may be given more."""
+        self._slots.record_served(worker.info)
+
+    def record_rejected(self, worker: Worker) -> None:
+        """Record that a worker rejected or failed a request, so that it is given fewer."""
+        self._slots.record_rejected(worker.info)
 
     def _has_free_slot(self, worker: Worker) -> bool:
-        return self.load(worker.info.id).running < self._slot_limit(worker)
+        load = self.load(worker.info.id)
+        mean_duration = self._mean_durations.get(worker.info.service, 0.0)
+        return self._slots.has_free(worker.info, load.running, load.waiting, mean_duration)
 
     def _choose_without_engine(
         self, query: PlacementQuery, candidates: list[Worker]
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -14,6 +14,10 @@
 
 RESPONSE_SMOOTHING = 0.05
 
+RESPONSE_DEVIATIONS = 2.0
+"""Mean deviations added to the mean response time. With the mean alone, half of the requests that
+start at the last moment would miss their target."""
+
 MAX_RESPONSE_SHARE = 0.5
 """Maximum share of the target that is kept for the time from start to first response."""
 
@@ -23,7 +27,7 @@
 RETURN_MARGIN_SECONDS = 0.02
 """Time that the rejection needs to reach the caller."""
 
-RESERVED_SHARE = 0.3
+RESERVED_SHARE = 0.15
 """Share of the rate left to a priority that is promised to callers who return. A request served
 at its first attempt is worth more than one that returns late."""
 
@@ -57,6 +61,22 @@
         self.waiting = waiting
 
 
+class _MeanAndDeviation:
+    """Exponentially weighted mean and mean absolute deviation."""
+
+    def __init__(self, first: float):
+        self._mean = first
+        self._deviation = 0.0
+
+    def record(self, value: float) -> None:
+        error = value - self._mean
+        self._mean += RESPONSE_SMOOTHING * error
+        self._deviation += RESPONSE_SMOOTHING * (abs(error) - self._deviation)
+
+    def high(self) -> float:
+        return self._mean + RESPONSE_DEVIATIONS * self._deviation
+
+
 class ServiceQueue:
     """Decides which requests of a service wait, start next or are rejected.
 
@@ -72,7 +92,7 @@
         self.rate = StartRate(clock, capacity)
         self.reservations = ReturnReservations()
         self.requests = RequestQueue(clock, self.rate, self.reservations.due_before)
-        self._response_seconds: dict[int, float] = {}
+        self._response_seconds: dict[int, _MeanAndDeviation] = {}
         self._swept_at = clock()
         self._undelivered: list[WaitingRequest] = []
         self.queued = 0
@@ -141,8 +161,7 @@
 
     def record_response(self, priority: int, seconds: float) -> None:
         """Record the time from a start to the first response."""
-        previous = self._response_seconds.get(priority, seconds)
-        self._response_seconds[priority] = previous + RESPONSE_SMOOTHING * (seconds - previous)
+        self._response_seconds.setdefault(priority, _MeanAndDeviation(seconds)).record(seconds)
 
     def _reserve(self, request: WaitingRequest, earliest: float, latest: float) -> float | None:
         if not request.queued.content:
@@ -157,5 +176,6 @@
         )
 
     def _expected_response_seconds(self, query: PlacementQuery) -> float:
-        expected = self._response_seconds.get(query.priority, 0.0)
+        measured = self._response_seconds.get(query.priority)
+        expected = measured.high() if measured else 0.0
         return min(expected, MAX_RESPONSE_SHARE * max(0.0, query.target_seconds))
