--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -121,15 +121,11 @@
         )
 
     def occupancy(self, service: str) -> dict[Incarnation, bool]:
-        """Return for each worker that accepts requests whether its capacity is used up.
-
-        A worker without a capacity in its entry counts as one with room.
-        """
+        """Return for each worker that accepts requests whether its capacity is used up."""
         engine = self._engine(service)
         return {
-            worker.info.id: 0
-            < (engine.capacity if engine else worker.info.capacity)
-            <= self.total_load(worker.info.id).running
+            worker.info.id: self.total_load(worker.info.id).running
+            >= (engine.capacity if engine else worker.info.capacity)
             for worker in self._registry.workers_of(service)
         }
 
--- a/tests/unit/forwarding/test_metrics_text.py
+++ b/tests/unit/forwarding/test_metrics_text.py
@@ -13,6 +13,9 @@
     metrics.request_ended("stream", "answered", 0.02)
     metrics.attempts["lost"] += 3
     metrics.first_byte.observe(0.15)
+    metrics.record_queue_wait(0, 0.03)
+    metrics.record_queue_wait(2, 0.3)
+    metrics.record_queue_wait(2, 0.5)
     metrics.gauges = {"ready": lambda: 1.0}
     return metrics
 
@@ -39,6 +42,11 @@
     assert samples[("wheelslip_request_seconds_bucket", ("le", "+Inf"))] == 2
     assert samples[("wheelslip_request_seconds_count",)] == 2
     assert abs(samples[("wheelslip_request_seconds_sum",)] - 0.32) < 1e-9
+    wait, priority = "wheelslip_queue_wait_seconds", ("priority", "2")
+    assert samples[(f"{wait}_bucket", ("le", "0.4"), priority)] == 1
+    assert samples[(f"{wait}_count", priority)] == 2
+    assert samples[(f"{wait}_count", ("priority", "0"))] == 1
+    assert abs(samples[(f"{wait}_sum", priority)] - 0.8) < 1e-9
     assert samples[("wheelslip_ready",)] == 1
     assert families["wheelslip_request_seconds"].type == "histogram"
     assert families["wheelslip_requests"].type == "counter"
