A dispatcher is left after two unanswered renewals, not after two messages in quick succession

A renewal was repeated after its time-out of 20 to 150 ms, so a dispatcher that stalled for 40 ms could be left by all nodes and lose its queue. Now renewals are sent each 0.25 s only, and two in a row without any reply of the dispatcher end the wait there. Requests of the dispatching node itself log event 412 as well.

The probe tests learn the dispatcher by a first request and let another node occupy the worker: with the dispatching node as the occupier, its cut left the next dispatcher without knowledge of the running requests, and one test failed.

--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -34,7 +34,8 @@
 """Interval at which a waiting request is renewed; the dispatcher drops it after 1 s without."""
 
 MAX_TIMEOUTS = 2
-"""Messages in a row without a reply after which a dispatcher is left."""
+"""Messages in a row without a reply after which a dispatcher is left. Renewals are not repeated
+before the next one is due: a dispatcher that stalls for less than 0.25 s keeps its queue."""
 
 MAX_UNANSWERED_RENEWALS = 4
 """Renewals in a row without a reply after which a dispatcher is left even though it replies to
@@ -199,32 +200,35 @@
 
     async def _renew_until_decided(self, waiter: _Waiter) -> None:
         unanswered = 0
+        sent_at = silent_since = self._clock()
         while True:
-            remaining = waiter.terms.deadline - self._clock()
-            await asyncio.wait([waiter.outcome], timeout=max(0.0, min(remaining, RENEWAL_SECONDS)))
+            next_at = min(sent_at + RENEWAL_SECONDS, waiter.terms.deadline)
+            await asyncio.wait([waiter.outcome], timeout=max(0.0, next_at - self._clock()))
             if waiter.outcome.done():
                 return
             if self._clock() >= waiter.terms.deadline:
                 raise Overloaded(EXPIRED_RETRY_SECONDS)
             if self._is_replaced(waiter):
                 raise QueueUnavailable(ever_replied=True)
-            unanswered = 0 if await self._renew(waiter) else unanswered + 1
-            if unanswered >= MAX_UNANSWERED_RENEWALS:
-                raise QueueUnavailable(ever_replied=True)
+            sent_at = self._clock()
+            if await self._send_and_wait(waiter):
+                unanswered = 0
+                continue
+            silent_since = silent_since if unanswered else sent_at
+            unanswered += 1
+            self._check_silence(waiter.address, unanswered, silent_since)
 
-    async def _renew(self, waiter: _Waiter) -> bool:
-        """Renew a waiting request; return whether the dispatcher has replied to it.
+    def _check_silence(self, address: str, unanswered: int, silent_since: float) -> None:
+        """Decide whether to leave a dispatcher that did not reply to the latest renewals.
 
-        :raises QueueUnavailable: if the dispatcher replies neither to this request nor to others.
+        :raises QueueUnavailable: if it is left.
         """
-        began_at = self._clock()
-        for _ in range(MAX_TIMEOUTS):
-            if await self._send_and_wait(waiter):
-                return True
-        if self._replied_at.get(waiter.address, 0.0) >= began_at:
-            return False
-        self._health.skip(waiter.address)
-        raise QueueUnavailable(ever_replied=True)
+        replied_to_others = self._replied_at.get(address, 0.0) >= silent_since
+        if unanswered >= MAX_TIMEOUTS and not replied_to_others:
+            self._health.skip(address)
+            raise QueueUnavailable(ever_replied=True)
+        if unanswered >= MAX_UNANSWERED_RENEWALS:
+            raise QueueUnavailable(ever_replied=True)
 
     def _is_replaced(self, waiter: _Waiter) -> bool:
         """Return whether new requests of the service go to another dispatcher."""
@@ -262,7 +266,10 @@
         except (Overloaded, TenantLimited) as exc:
             waiter.outcome.set_result(exc)
         else:
-            if decision is not None:
+            if decision is None:
+                notice = self._server.notice(waiter.query_id)
+                self._record_queued(waiter, notice)
+            else:
                 waiter.outcome.set_result(decision)
 
     def _deliver(self, query_number: int, decision: WorkerGrant | Decision) -> bool:
@@ -278,15 +285,19 @@
         if waiter is None or waiter.address != sender:
             return
         self._record_reply(waiter)
+        self._record_queued(waiter, notice)
+
+    def _record_queued(self, waiter: _Waiter, notice: QueuedNotice) -> None:
+        """Follow the dispatcher at which a request waits, and log the first notice of each."""
         if waiter.dispatcher == notice.dispatcher:
             return
         waiter.dispatcher = notice.dispatcher
-        self.follow(waiter.query.service, sender, notice.dispatcher)
+        self.follow(waiter.query.service, waiter.address, notice.dispatcher)
         self._log.log(
             LogEvent.REQUEST_QUEUED,
             request=waiter.terms.request_id,
             query=waiter.query_id.number,
-            dispatcher=sender,
+            dispatcher=waiter.address,
             workload=waiter.query.service,
             priority=waiter.query.priority,
             expected_seconds=notice.expected_seconds,
--- a/src/wheelslip/peers/queue_server.py
+++ b/src/wheelslip/peers/queue_server.py
@@ -82,6 +82,11 @@
             self._start_advancing()
         return placement
 
+    def notice(self, query_id: QueryId) -> QueuedNotice:
+        """Return the notice for a query that waits."""
+        seconds = self._dispatcher.expected_seconds(query_id)
+        return QueuedNotice(query_id.number, self._incarnation, round(seconds, 4))
+
     def withdraw(self, query_id: QueryId) -> None:
         """Remove a query from the queue; its grant, if there is one, has not been used."""
         self._dispatcher.withdraw(query_id)
@@ -114,9 +119,7 @@
         if placement is not None:
             self._send_decision(sender, query_id, placement)
             return
-        seconds = self._dispatcher.expected_seconds(query_id)
-        notice = QueuedNotice(query_id.number, self._incarnation, round(seconds, 4))
-        self._socket.send(sender, QUEUED, notice)
+        self._socket.send(sender, QUEUED, self.notice(query_id))
 
     def _handle_withdrawal(self, withdrawal: Withdrawal, sender: str) -> None:
         self.withdraw(QueryId(withdrawal.node, withdrawal.query_number))
--- a/tests/probe/forwarding/test_queue.py
+++ b/tests/probe/forwarding/test_queue.py
@@ -1,6 +1,7 @@
 """Requests that wait at the dispatcher for a worker of a plain service."""
 
 import asyncio
+from typing import NamedTuple
 
 from standins.platform_site import PLAIN, Caller, Site, configuration, wait_until
 from standins.platform_worker import PlatformWorker
@@ -13,14 +14,29 @@
 """Long enough that no request of a test is rejected on a busy machine."""
 
 
-async def start_fleet(site: Site, queue: bool = True) -> PlatformWorker:
-    """Start a node per zone and one worker of one slot, which holds its requests."""
-    site.routing["queue"] = queue
+class Fleet(NamedTuple):
+    """A node per zone and one worker of one slot, which holds its requests until released.
+
+    :ivar dispatcher: name of the node that chooses workers.
+    :ivar others: names of the other nodes.
+    """
+
+    worker: PlatformWorker
+    dispatcher: str
+    others: tuple[str, ...]
+
+
+async def start_fleet(site: Site) -> Fleet:
+    site.routing["queue"] = True
     site.configure(configuration(routes=[route | TIMES for route in (LOWER, URGENT)]))
     worker = PlatformWorker("i-0", capacity=1, seconds=0.02, release=asyncio.Event())
     await site.add_worker(worker, "plain")
     await site.add_relays(ZONES)
-    return worker
+    worker.release.set()
+    assert (await site.request("/lower/x", "warm-up", "z1")).status == 200
+    worker.release.clear()
+    name = next(name for name, node in site.nodes.items() if node.gauge("grants_given"))
+    return Fleet(worker, name, tuple(zone for zone in ZONES if zone != name))
 
 
 def total(site: Site, gauge: str) -> float:
@@ -35,13 +51,13 @@
 
 async def occupy(site: Site, zone: str) -> list[Caller]:
     """Send requests until one waits, and return their callers."""
-    callers = []
+    callers, worker = [], site.workers["i-0"]
     while not total(site, "queue_depth"):
         assert len(callers) < 10, "nothing waits"
         callers.append(await send(site, "/lower/x", f"first-{len(callers)}", zone))
         sent = len(callers)
         await wait_until(
-            lambda sent=sent: len(site.workers["i-0"].runs) + total(site, "queue_depth") == sent,
+            lambda sent=sent: len(started(worker)) + total(site, "queue_depth") == sent,
             "runs or waits",
         )
     return callers
@@ -66,21 +82,16 @@
 
 
 def started(worker: PlatformWorker) -> list[str]:
-    return [run.request_id for run in worker.runs]
-
-
-def names_of_dispatcher_and_others(site: Site) -> tuple[str, list[str]]:
-    name = next(name for name, node in site.nodes.items() if node.gauge("queue_depth"))
-    return name, [zone for zone in ZONES if zone != name]
+    return [run.request_id for run in worker.runs if run.request_id != "warm-up"]
 
 
 async def test_urgent_requests_start_before_waiting_ones_of_lower_priority(site):
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
+    worker, _, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     lower, urgent = [f"lower-{n}" for n in range(5)], [f"urgent-{n}" for n in range(3)]
     callers += await send_waiting(site, "/lower/x", lower, ZONES)
     callers += await send_waiting(site, "/urgent/x", urgent, ZONES)
-    before = len(worker.runs)
+    before = len(started(worker))
     worker.release.set()
     await assert_served(callers)
     order = started(worker)[before:]
@@ -93,11 +104,10 @@
 
 
 async def test_waiting_requests_move_to_the_next_dispatcher_and_run_once(site):
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
-    name, others = names_of_dispatcher_and_others(site)
+    worker, name, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     ids = [f"r-{n}" for n in range(6)]
-    waiting = await send_waiting(site, "/lower/x", ids, tuple(others))
+    waiting = await send_waiting(site, "/lower/x", ids, others)
     # The process keeps running and holds its lease, but receives no datagrams.
     site.nodes[name].stop_receiving()
     await wait_until(
@@ -113,11 +123,10 @@
 
 
 async def test_stopping_dispatcher_hands_over_its_queue(site):
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
-    name, others = names_of_dispatcher_and_others(site)
+    worker, name, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     ids = [f"r-{n}" for n in range(6)]
-    waiting = await send_waiting(site, "/lower/x", ids, tuple(others))
+    waiting = await send_waiting(site, "/lower/x", ids, others)
     stopping = asyncio.create_task(site.nodes[name].stop())
     await wait_until(
         lambda: sum(site.nodes[zone].gauge("queue_depth") for zone in others) >= len(ids),
@@ -132,9 +141,8 @@
 
 
 async def test_request_of_disconnected_caller_is_withdrawn(site):
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
-    name, others = names_of_dispatcher_and_others(site)
+    worker, name, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     for zone in (name, others[0]):
         [caller] = await send_waiting(site, "/lower/x", [f"gone-{zone}"], (zone,))
         depth = total(site, "queue_depth")
@@ -162,11 +170,10 @@
 
 
 async def test_lost_grant_is_recovered_without_a_second_run(site):
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
-    name, others = names_of_dispatcher_and_others(site)
+    worker, name, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     ids = ["r-0", "r-1"]
-    callers += await send_waiting(site, "/lower/x", ids, tuple(others))
+    callers += await send_waiting(site, "/lower/x", ids, others)
     lost = drop_messages(site, name, GRANT, lambda grant, lost: grant.worker and len(lost) < 2)
     worker.release.set()
     await assert_served(callers)
@@ -176,13 +183,11 @@
 
 async def test_dispatcher_without_queue_refuses_at_once(site):
     """A node with the queue asks a dispatcher without one, as during an upgrade."""
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
-    name, others = names_of_dispatcher_and_others(site)
+    worker, name, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     del site.nodes[name]._datagrams._receivers[ENQUEUE]
-    # The node z1 has a request waiting and leaves the dispatcher that no longer replies to it.
-    zone = next(other for other in others if other != "z1")
-    response = await site.request("/lower/x", "refused", zone)
+    # The other node has a request waiting and leaves the dispatcher that no longer replies to it.
+    response = await site.request("/lower/x", "refused", others[1])
     assert response.status == 503 and float(response.headers["retry-after"]) > 0
     assert not site.runs("refused")
     worker.release.set()
@@ -190,9 +195,8 @@
 
 
 async def test_key_revoked_during_the_wait_is_not_used(site):
-    worker = await start_fleet(site)
-    callers = await occupy(site, "z1")
-    _, others = names_of_dispatcher_and_others(site)
+    worker, _, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
     [caller] = await send_waiting(site, "/lower/x", ["revoked"], (others[0],))
     routes = [route | TIMES for route in (LOWER, URGENT)]
     site.configure(configuration(2, routes=routes, keys=("another",)))
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -345,6 +345,44 @@
     in_fleet(run)
 
 
+def test_dispatcher_that_stalls_for_less_than_two_renewals_keeps_its_requests():
+    """Leaving a dispatcher that only stalls would lose its queue and its records."""
+
+    async def run(fleet):
+        request = fleet.node.request()
+        dispatcher = fleet.first.dispatcher
+        await until(lambda: dispatcher.waiting, "queued")
+        fleet.network.lost.append(ENQUEUE)
+        await until(lambda: not fleet.network.lost, "one renewal lost")
+        count = len(dispatcher.enqueued)
+        await until(lambda: len(dispatcher.enqueued) > count + 1, "renewed")
+        dispatcher.decide(Placement(WORKER))
+        assert (await request).dispatcher == FIRST
+        assert not dispatcher.withdrawn and not fleet.second.dispatcher.enqueued
+
+    in_fleet(run)
+
+
+def test_request_that_alone_gets_no_reply_leaves_its_dispatcher():
+    """Nothing may wait for a reply that will never be sent, even if others receive theirs."""
+
+    async def run(fleet):
+        requests = [fleet.node.request(), fleet.node.request()]
+        dispatcher = fleet.first.dispatcher
+        await until(lambda: len(dispatcher.waiting) == 2, "queued")
+        first, second = dispatcher.waiting
+        handle = fleet.first.socket.handlers[ENQUEUE]
+        fleet.first.socket.handlers[ENQUEUE] = lambda message, sender: (
+            message.query.query_id() == first or handle(message, sender)
+        )
+        await until(lambda: first in dispatcher.withdrawn, "left")
+        dispatcher.decisions = {second: Placement(WORKER)}
+        assert (await requests[1]).dispatcher == FIRST
+        requests[0].cancel()
+
+    in_fleet(run)
+
+
 def test_without_any_dispatcher_the_node_chooses_itself():
     async def run(fleet):
         request = fleet.node.request()
