--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -150,7 +150,9 @@
 
     def record_rejected(self, worker: Worker) -> None:
         """Record that a worker rejected or failed a request, so that it is given fewer."""
-        self._slots.record_rejected(worker.info)
+        running = self.load(worker.info.id).running
+        mean_duration = self._mean_durations.get(worker.info.service, 0.0)
+        self._slots.record_rejected(worker.info, running, mean_duration)
 
     def _has_free_slot(self, worker: Worker) -> bool:
         load = self.load(worker.info.id)
