--- a/src/wheelslip/routing/start_rate.py
+++ b/src/wheelslip/routing/start_rate.py
@@ -8,7 +8,8 @@
 then within one standard deviation of the noise."""
 
 PRIOR_SECONDS = 0.1
-"""Weight of the estimate from capacity and mean duration, as a time of measurement."""
+"""Initial weight of the estimate from capacity and mean duration, as a time of measurement. It
+decays with the measurement: engines are limited by prefill long before their slots are full."""
 
 MIN_LOWER_SHARE = 1.0 / 8.0
 """Share of the starts that lower priorities receive at least."""
@@ -35,6 +36,7 @@
         self._slot_seconds = 0.0
         self._recent: dict[tuple, float] = {}
         self._mean_duration = 0.0
+        self._prior_seconds = PRIOR_SECONDS
 
     def update(self, is_busy: bool) -> None:
         """Advance the measurement.
@@ -48,6 +50,7 @@
         for key in self._recent:
             self._recent[key] *= decay
         if is_busy:
+            self._prior_seconds *= decay
             self._starts *= decay
             self._slot_seconds = self._slot_seconds * decay + self._slots * elapsed
 
@@ -73,15 +76,16 @@
 
     def rate(self) -> float:
         """Return the expected starts per second; infinite while nothing is known."""
-        weight = self._slots * PRIOR_SECONDS
-        if not self._mean_duration:
-            if self._slot_seconds < weight or not self._starts:
-                return math.inf
-            return max(MIN_RATE, self._slots * self._starts / self._slot_seconds)
         if not self._slots:
             return MIN_RATE
-        starts = self._starts + weight / self._mean_duration
-        return max(MIN_RATE, self._slots * starts / (self._slot_seconds + weight))
+        weight = self._slots * self._prior_seconds
+        if not self._mean_duration:
+            is_known = self._slot_seconds > weight and self._starts > 0.0
+            rate = self._starts / self._slot_seconds if is_known else math.inf
+        else:
+            starts = self._starts + weight / self._mean_duration
+            rate = starts / (self._slot_seconds + weight)
+        return max(MIN_RATE, self._slots * rate)
 
     def available(self, key: tuple, min_share: float) -> float:
         """Return the rate that is left to an order class by the classes before it.
