Mutations of the queue over the network; two tests made sharper by them

The tests of the second refusal and of the local limit passed with the mechanism disabled. They now fail: the stale refusal has the number of the query that was asked, and the local choice would prefer the occupied worker.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -632,6 +632,58 @@
         "membership.publish(message.key, message.value)",
         "../unit/test_engine_records.py::test_local_write_after_a_peer_record_is_reported_with_the_next_version",
     ),
+    _single_edit(
+        "queued request not withdrawn when its caller leaves",
+        FORWARDING,
+        "peers/queue_link.py",
+        "            self._withdraw(address, query_id)\n            raise\n",
+        "            raise\n",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_grant_that_arrives_with_the_cancellation_is_returned",
+    ),
+    _single_edit(
+        "late grant of a former dispatcher kept",
+        FORWARDING,
+        "peers/dispatch_link.py",
+        "elif reply.worker and reply.query_number not in self._grants:",
+        "elif False:",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_silent_dispatcher_is_left_and_its_late_grant_is_returned",
+    ),
+    _single_edit(
+        "queued request not renewed",
+        FORWARDING,
+        "peers/queue_link.py",
+        "            if await self._send_and_wait(waiter):\n                unanswered = 0\n",
+        "            if sent_at:\n                unanswered = 0\n",
+        "forwarding/test_queue.py::test_lost_grant_is_recovered_without_a_second_run",
+    ),
+    _single_edit(
+        "second refusal of a repeated query ends the wait",
+        FORWARDING,
+        "peers/dispatch_link.py",
+        "            if sends > 1:\n",
+        "            if False:\n",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_late_second_refusal_of_a_repeated_query_does_not_end_the_wait",
+    ),
+    _single_edit(
+        "API key not checked after a wait",
+        FORWARDING,
+        "forwarding/forwarder.py",
+        "            self._admission.confirm(job)\n",
+        "            pass\n",
+        "forwarding/test_queue.py::test_key_revoked_during_the_wait_is_not_used",
+    ),
+    _single_edit(
+        "occupied workers not passed over by local choice",
+        FORWARDING,
+        "routing/local_admission.py",
+        "return query._replace(excluded=query.excluded | occupied)",
+        "return query",
+        "../unit/forwarding/test_local_admission.py"
+        "::test_occupied_worker_is_passed_over_although_the_other_one_failed_recently",
+    ),
 )
 
 
--- a/tests/unit/forwarding/test_local_admission.py
+++ b/tests/unit/forwarding/test_local_admission.py
@@ -62,6 +62,14 @@
         setup.send()
 
 
+def test_occupied_worker_is_passed_over_although_the_other_one_failed_recently(setup):
+    setup.table.record_loads("n2", [LoadAtWorker(Incarnation("w0"), CAPACITY, 0, 0)], setup.clock())
+    for _ in range(5):
+        setup.records.record_outcome(Incarnation("w1"), failed=True)
+    assert setup.records.choose(QUERY).worker.info.id == Incarnation("w0")
+    assert setup.send() == Incarnation("w1")
+
+
 def test_capacity_of_model_engines_is_that_of_the_service(registry, clock):
     engine = {"capacity": 1, "kv_capacity": 1000}
     setup = Setup(registry, clock, capacity=8, backend_engine=engine)
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -315,8 +315,8 @@
         dispatcher = fleet.first.dispatcher
         await until(lambda: dispatcher.waiting, "queued")
         assert fleet.network.kinds(FIRST).count(QUERY) == 2
-        [query_id] = dispatcher.waiting
-        late = WorkerGrant(query_id.number - 1, f"d-{FIRST}", retry_seconds=0.7)
+        asked = next(message for _, kind, message in fleet.network.sent if kind == QUERY)
+        late = WorkerGrant(asked.query_number, f"d-{FIRST}", retry_seconds=0.7)
         fleet.first.socket.send(NODE, GRANT, late)
         dispatcher.decide(Placement(WORKER))
         assert (await request).queued
