--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -263,7 +263,10 @@
         for service, queue in self._queues.items():
             if queue.is_idle():
                 continue
-            for request in queue.sweep():
+            rejected = queue.sweep()
+            if not self.placement.has_worker(service):
+                rejected += list(queue.requests.in_order())
+            for request in rejected:
                 decisions.append((request.query_id, self._reject(queue, request)))
             decisions += self._start_waiting(service, queue)
         return decisions
@@ -356,7 +359,9 @@
             return exc
         except (Overloaded, NoAuthority):
             return None
-        if placement is None and not self.placement.has_worker(request.query):
+        if placement is None and not self.placement.has_worker(
+            request.query.service, request.query.excluded
+        ):
             return self._reject(queue, request)
         return placement
 
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -134,10 +134,10 @@
             load.running < engine.capacity and load.prefill_tokens <= most_tokens for load in loads
         )
 
-    def has_worker(self, query: PlacementQuery) -> bool:
-        """Return whether the service has a worker that is not excluded."""
-        workers = self._registry.workers_of(query.service)
-        return any(worker.info.id not in query.excluded for worker in workers)
+    def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
+        """Return whether a service has a worker that is not excluded."""
+        workers = self._registry.workers_of(service)
+        return any(worker.info.id not in excluded for worker in workers)
 
     def record_duration(self, service: str, seconds: float) -> None:
         """Update the mean duration of the requests of a service."""
--- a/src/wheelslip/routing/request_queue.py
+++ b/src/wheelslip/routing/request_queue.py
@@ -307,7 +307,9 @@
         """Return whether no waiting request starts before a new one."""
         if not self._by_id:
             return True
-        return not self._ahead(request, request.group) and not self._lower_priority_due(request)
+        key = request.order_class
+        ahead = self._ahead(key) + self._class(key).ahead(request)
+        return not ahead and not self._lower_priority_due(request)
 
     def wait_seconds(self, request: WaitingRequest, group: Group | None = None) -> float:
         """Return the expected time until a request starts.
@@ -315,8 +317,9 @@
         :param group: group to assume instead of that of the request.
         """
         group = request.group if group is None else group
-        rate = self._available(request.class_in(group))
-        seconds = self._ahead(request, group) / rate
+        key = request.class_in(group)
+        rate = self._available(key)
+        seconds = self._seconds(key, self._ahead(key), self._class(key).ahead(request))
         if request.has_reservation or group is Group.RESENT:
             return seconds
         due = self._due_before(self._clock() + seconds, request.query.priority)
@@ -410,11 +413,11 @@
     def _reject_unservable(self) -> list[WaitingRequest]:
         rejected = []
         for key in self._occupied():
-            ahead = sum(self._classes[other].size for other in self._occupied() if other < key)
-            rate = self._available(key)
+            ahead, ahead_in_class = self._ahead(key), 0
             for request in list(self._classes[key].in_order()):
-                if self._is_servable(request, WAITING_MARGIN * ahead / rate):
-                    ahead += 1
+                wait = self._seconds(key, ahead, ahead_in_class)
+                if self._is_servable(request, WAITING_MARGIN * wait):
+                    ahead_in_class += 1
                     continue
                 self.remove(request.query_id)
                 request.group = Group.LATE
@@ -459,10 +462,29 @@
             key, MIN_LATE_SHARE if key.group is Group.LATE else MIN_LOWER_SHARE
         )
 
-    def _ahead(self, request: WaitingRequest, group: Group) -> int:
-        key = request.class_in(group)
-        ahead = sum(fair.size for other, fair in self._classes.items() if other < key)
-        return ahead + self._class(key).ahead(request)
+    def _ahead(self, key: OrderClass) -> int:
+        """Return how many requests wait in the classes before one."""
+        return sum(fair.size for other, fair in self._classes.items() if other < key)
+
+    def _seconds(self, key: OrderClass, ahead: int, ahead_in_class: int) -> float:
+        """Return the expected time until a request starts.
+
+        A request that is not of the first priority waits at most for its turn among the starts
+        that are kept for lower priorities.
+
+        :param ahead: requests that wait in the classes before its own.
+        """
+        seconds = (ahead + ahead_in_class) / self._available(key)
+        waiting = self._occupied(Group.IN_TIME)
+        if key.group is not Group.IN_TIME or not waiting or key.priority == waiting[0].priority:
+            return seconds
+        lower_ahead = ahead_in_class + sum(
+            self._classes[other].size
+            for other in waiting
+            if waiting[0].priority < other.priority and other < key
+        )
+        turn_seconds = LOWER_PRIORITY_INTERVAL * (lower_ahead + 1) / self._rate.rate()
+        return min(seconds, turn_seconds)
 
     def _class(self, key: OrderClass) -> _FairClass:
         if key not in self._classes:
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -27,7 +27,7 @@
 RETURN_MARGIN_SECONDS = 0.02
 """Time that the rejection needs to reach the caller."""
 
-RESERVED_SHARE = 0.1
+RESERVED_SHARE = 0.05
 """Share of the rate left to a priority that is promised to callers who return. A request served
 at its first attempt is worth more than one that returns late."""
 
--- a/src/wheelslip/routing/worker_slots.py
+++ b/src/wheelslip/routing/worker_slots.py
@@ -78,9 +78,7 @@
         ending = sum(now - time >= ends_after for time in began_at)
         return running - min(ending, math.ceil(MAX_ENDING_SHARE * usable)) < usable
 
-    def record_rejected(
-        self, worker: WorkerInfo, running: int, request_seconds: float
-    ) -> None:
+    def record_rejected(self, worker: WorkerInfo, running: int, request_seconds: float) -> None:
         """Record that a worker rejected or failed a request.
 
         :param running: the other requests at the worker.
--- /dev/null
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -0,0 +1,413 @@
+"""Order and bounds of the request queue, and its use by the dispatcher, without a network."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from wheelslip.deployment import (
+    EngineProfile,
+    Service,
+    TenantLimit,
+    Worker,
+    WorkerInfo,
+    WorkerState,
+)
+from wheelslip.routing.dispatcher import Dispatcher, NoWorker, Progress, QueryId
+from wheelslip.routing.fleet_choice import FleetPlacement
+from wheelslip.routing.limit_authority import SingleNodeAuthority
+from wheelslip.routing.named_limits import WorkerRateLimits
+from wheelslip.routing.overload import Overloaded
+from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.request_queue import (
+    LOWER_PRIORITY_INTERVAL,
+    MAX_WAITING,
+    RENEWAL_SECONDS,
+    QueuedQuery,
+    RequestQueue,
+)
+from wheelslip.routing.service_queue import QueueRejected
+from wheelslip.routing.start_rate import StartRate
+from wheelslip.routing.tenant_limits import TenantLimited, TenantLimits
+from wheelslip.routing.worker_allowance import WorkerAllowance
+from wheelslip.routing.worker_slots import PAUSE_SECONDS
+
+ENGINE = EngineProfile(4, 100_000, 1000, 1e9)
+
+
+def queued(tenant="a", priority=0, target=1.0, **changes) -> QueuedQuery:
+    options = {key: changes.pop(key) for key in ("waited_seconds", "content") if key in changes}
+    query = PlacementQuery("s", tenant=tenant, priority=priority, target_seconds=target, **changes)
+    return QueuedQuery(query, **options)
+
+
+def make_queue(clock) -> RequestQueue:
+    return RequestQueue(clock, StartRate(clock, lambda: 10.0))
+
+
+def add(queue: RequestQueue, query_id: str, each: QueuedQuery, **options) -> None:
+    queue.offer(queue.submit(query_id, each, 0.0, **options))
+
+
+def order(queue: RequestQueue) -> list[str]:
+    return [request.query_id for request in queue.in_order()]
+
+
+def start_all(queue: RequestQueue) -> list[str]:
+    started = []
+    while len(queue):
+        request = next(queue.in_order())
+        queue.record_start(request)
+        started.append(request.query_id)
+    return started
+
+
+def test_requests_in_time_start_first_by_priority(clock):
+    """Guards against late or less urgent requests ahead of urgent ones in time."""
+    queue = make_queue(clock)
+    add(queue, "late", queued(target=-0.1))
+    add(queue, "lower", queued(priority=2))
+    add(queue, "urgent", queued())
+    add(queue, "sent", queued(priority=2, sent_before=True, target=-1.0))
+    assert order(queue) == ["sent", "urgent", "lower", "late"]
+
+
+def test_tenants_of_a_priority_take_turns(clock):
+    """Guards against a flooding tenant that delays the requests of others."""
+    queue = make_queue(clock)
+    for number in range(5):
+        add(queue, f"flood{number}", queued("flood"))
+    add(queue, "b0", queued("b"))
+    add(queue, "b1", queued("b"))
+    assert order(queue)[:4] == ["flood0", "b0", "flood1", "b1"]
+
+
+def test_rejected_and_withdrawn_requests_cost_their_tenant_nothing(clock):
+    """Guards against a tenant that falls behind because its requests were not served."""
+    queue = make_queue(clock)
+    for number in range(5):
+        add(queue, f"a{number}", queued("a"))
+    for number in range(5):
+        queue.remove(f"a{number}")
+    add(queue, "b", queued("b", target=1.1))
+    add(queue, "a", queued("a", target=1.0))
+    assert order(queue) == ["a", "b"]
+
+
+def test_requests_of_a_failed_dispatcher_keep_their_order(clock):
+    """Guards against an order by the arrival of renewals at the next dispatcher."""
+    queue = make_queue(clock)
+    for waited in (0.1, 0.3, 0.2):
+        each = queued(target=1.0 - waited, waited_seconds=waited)
+        add(queue, f"waited {waited}", each)
+    assert order(queue) == ["waited 0.3", "waited 0.2", "waited 0.1"]
+
+
+def test_returned_caller_starts_before_newcomers_of_its_priority(clock):
+    queue = make_queue(clock)
+    add(queue, "new", queued())
+    add(queue, "lower returned", queued(priority=1), has_reservation=True)
+    add(queue, "returned", queued(), has_reservation=True)
+    assert order(queue) == ["returned", "new", "lower returned"]
+
+
+def test_lower_priority_gets_one_start_in_eight(clock):
+    """Guards against starvation of lower priorities, and of urgent requests by them."""
+    queue = make_queue(clock)
+    for number in range(40):
+        add(queue, f"u{number}", queued())
+    for number in range(10):
+        add(queue, f"l{number}", queued(priority=2))
+    started = start_all(queue)[:32]
+    lower = [position for position, name in enumerate(started) if name.startswith("l")]
+    assert lower == [LOWER_PRIORITY_INTERVAL * turn - 1 for turn in (1, 2, 3, 4)]
+
+
+def test_unrenewed_requests_are_dropped(clock):
+    """Guards against grants for the requests of a node that has failed."""
+    queue = make_queue(clock)
+    add(queue, "kept", queued(target=5.0))
+    add(queue, "lost", queued(target=5.0))
+    clock.now += RENEWAL_SECONDS - 0.1
+    assert queue.renew("kept")
+    clock.now += 0.2
+    assert queue.sweep() == []
+    assert order(queue) == ["kept"]
+
+
+def test_full_queue_rejects_the_last_in_order(clock):
+    """Guards against unbounded memory, and against urgent requests rejected for lower ones."""
+    queue = make_queue(clock)
+    for number in range(MAX_WAITING):
+        add(queue, number, queued(priority=1, target=1.0 + number))
+    urgent = queue.submit("urgent", queued(), 0.0)
+    assert [request.query_id for request in queue.offer(urgent)] == [MAX_WAITING - 1]
+    last = queue.submit("last", queued(priority=2), 0.0)
+    assert queue.offer(last) == [last]
+    assert len(queue) == MAX_WAITING
+
+
+def busy_queue(clock, rate: float, priority: int = 0) -> RequestQueue:
+    """Return an empty queue that has measured a rate of starts."""
+    queue = make_queue(clock)
+    for _ in range(int(5 * rate)):
+        add(queue, "first", queued(priority=priority))
+        clock.now += 1.0 / rate
+        queue.record_start(queue.get("first"))
+    return queue
+
+
+def test_request_that_cannot_start_in_time_is_rejected_at_arrival(clock):
+    """Guards against requests held until their deadline: 20 starts/s, target 0.5 s."""
+    queue = busy_queue(clock, 20.0)
+    rejected = [queue.offer(queue.submit(n, queued(target=0.5), 0.0)) for n in range(30)]
+    accepted = sum(not each for each in rejected)
+    assert 5 <= accepted <= 10
+    assert not queue.sweep()
+
+
+def test_overtaken_requests_are_rejected_at_once(clock):
+    """Guards against lower-priority requests that wait behind a burst of urgent ones."""
+    queue = busy_queue(clock, 20.0, priority=2)
+    for number in range(5):
+        add(queue, f"l{number}", queued(priority=2, target=0.45))
+    assert queue.sweep() == []
+    clock.now += 0.01
+    for number in range(20):
+        add(queue, f"u{number}", queued(target=1.5))
+    rejected = queue.sweep()
+    # The first is in time by the share of lower priorities.
+    assert [request.query_id for request in rejected] == ["l1", "l2", "l3", "l4"]
+    assert all(queue.was_overtaken(request) for request in rejected)
+    assert len(queue) == 21
+
+
+class View(SimpleNamespace):
+    """Workers of a service ``s``; those in ``away`` do not accept requests."""
+
+    def __init__(self, engine=None, models=("",), capacity=2):
+        infos = [
+            WorkerInfo(f"w{n}", "s", f"w{n}", "", WorkerState.READY, capacity)
+            for n in range(len(models))
+        ]
+        workers = {
+            info.id: Worker(info, {model: 1}) for info, model in zip(infos, models, strict=True)
+        }
+        configuration = SimpleNamespace(services={"s": Service("s", 10, engine)}, cache_stores=())
+        super().__init__(workers=workers, configuration=configuration, away=set(), asked=0)
+
+    def workers_of(self, service):
+        self.asked += 1
+        return [worker for key, worker in self.workers.items() if key not in self.away]
+
+    def loading_workers(self):
+        return frozenset()
+
+    def start_deadline(self, model, version):
+        return float("inf") if version else 0.0
+
+
+def make_dispatcher(clock, view: View, enabled=True, limits=None) -> Dispatcher:
+    authority = SingleNodeAuthority(clock)
+    tenant_limits = limits or {}
+    return Dispatcher(
+        FleetPlacement(view, clock, random.Random(1)),
+        TenantLimits(lambda: tenant_limits, authority, clock),
+        WorkerAllowance(WorkerRateLimits(clock), authority),
+        clock,
+        lambda: enabled,
+    )
+
+
+def ask(dispatcher: Dispatcher, number: int, **changes) -> Placement | None:
+    """Enqueue a request as a node does after its query was refused."""
+    each = queued(**changes)
+    try:
+        return dispatcher.grant(QueryId("n", number), each.query)
+    except Overloaded:
+        return dispatcher.enqueue(QueryId("n", number), each)
+
+
+def end(dispatcher: Dispatcher, number: int, progress=Progress.ENDED) -> None:
+    dispatcher.record_progress(QueryId("n", number), progress)
+
+
+def decided(dispatcher: Dispatcher) -> dict[int, object]:
+    return {query_id.number: decision for query_id, decision in dispatcher.advance_queues()}
+
+
+def test_request_waits_until_a_slot_is_free(clock):
+    """Guards against requests that queue at a worker instead of the dispatcher."""
+    dispatcher = make_dispatcher(clock, View())
+    assert ask(dispatcher, 1) and ask(dispatcher, 2)
+    assert ask(dispatcher, 3) is None
+    assert ask(dispatcher, 3) is None
+    assert dispatcher.queue_depth() == dispatcher.queued == 1
+    assert dispatcher.advance_queues() == []
+    end(dispatcher, 1)
+    assert isinstance(decided(dispatcher)[3], Placement)
+    assert ask(dispatcher, 3).worker.info.id == "w0"
+    assert dispatcher.queue_depth() == 0
+
+
+def test_new_request_is_refused_while_an_earlier_one_waits(clock):
+    """Guards against newcomers that take the slot of a waiting request."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in (1, 2, 3):
+        ask(dispatcher, number)
+    end(dispatcher, 1)
+    with pytest.raises(Overloaded):
+        dispatcher.grant(QueryId("n", 4), queued(priority=1).query)
+    assert dispatcher.queue_depth() == 1
+    assert list(decided(dispatcher)) == [3]
+
+
+def test_advancing_a_full_service_tries_no_request(clock):
+    """Guards against a choice of workers for each waiting request in each pass."""
+    view = View()
+    dispatcher = make_dispatcher(clock, view)
+    for number in range(100):
+        ask(dispatcher, number, target=50.0)
+    view.asked = 0
+    assert dispatcher.advance_queues() == []
+    assert view.asked <= 3
+
+
+def test_disabled_queue_grants_without_bound(clock):
+    dispatcher = make_dispatcher(clock, View(), enabled=False)
+    assert all(dispatcher.enqueue(QueryId("n", n), queued()) for n in range(10))
+    assert dispatcher.queue_depth() == 0
+
+
+def test_withdrawn_request_is_not_granted(clock):
+    """Guards against slots that are held for callers that have left."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in (1, 2, 3):
+        ask(dispatcher, number)
+    dispatcher.withdraw(QueryId("n", 3))
+    dispatcher.withdraw(QueryId("n", 1))
+    assert dispatcher.advance_queues() == []
+    assert dispatcher.active_grants == 1
+
+
+def test_request_without_any_worker_is_not_queued(clock):
+    view = View()
+    view.away.add("w0")
+    dispatcher = make_dispatcher(clock, view)
+    with pytest.raises(NoWorker):
+        dispatcher.enqueue(QueryId("n", 1), queued())
+
+
+def test_loss_of_all_workers_rejects_waiting_requests(clock):
+    """Guards against requests that wait for workers that have left.
+
+    A renewal that crosses the rejection gets it again, as the node no longer holds the request.
+    """
+    view = View()
+    dispatcher = make_dispatcher(clock, view)
+    for number in (1, 2, 3):
+        ask(dispatcher, number, content="c")
+    view.away.add("w0")
+    rejection = decided(dispatcher)[3]
+    assert isinstance(rejection, QueueRejected)
+    with pytest.raises(QueueRejected) as repeated:
+        dispatcher.enqueue(QueryId("n", 3), queued())
+    assert repeated.value is rejection
+
+
+def test_request_with_excluded_workers_does_not_block_others(clock):
+    """Guards against a queue held up by a request that only one busy worker may take."""
+    dispatcher = make_dispatcher(clock, View(models=("", "")))
+    for number in range(1, 5):
+        ask(dispatcher, number)
+    ask(dispatcher, 5, excluded=frozenset({"w0"}))
+    ask(dispatcher, 6, target=1.5)
+    at_w0 = next(
+        query_id.number
+        for query_id, grant in dispatcher._grants.items()
+        if grant.placement.worker.info.id == "w0"
+    )
+    end(dispatcher, at_w0)
+    assert list(decided(dispatcher)) == [6]
+
+
+def test_requests_of_another_model_do_not_block(clock):
+    """Guards against a queue held up by a model whose engines are all busy."""
+    view = View(ENGINE, ("m", "m"))
+    dispatcher = make_dispatcher(clock, view)
+    tokens = {"prompt_tokens": 2500, "output_tokens": 1}
+    for number in range(1, 4):
+        ask(dispatcher, number, model="m", **tokens)
+    assert dispatcher.queue_depth() == 1
+    ask(dispatcher, 4, model="other", excluded=frozenset({"w0"}), target=1.5, **tokens)
+    end(dispatcher, 2, Progress.FIRST_TOKEN)
+    assert dispatcher.advance_queues()
+
+
+def test_retried_request_is_placed_first_and_never_rejected(clock):
+    """Guards against losing a request whose worker failed."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in (1, 2, 3):
+        ask(dispatcher, number)
+    assert ask(dispatcher, 4, priority=9, target=-5.0, sent_before=True) is None
+    end(dispatcher, 1)
+    assert list(decided(dispatcher)) == [4]
+
+
+def test_only_started_requests_are_charged_to_their_tenant(clock):
+    """Guards against limits spent on requests that never run, and exceeded by waiting ones."""
+    limits = {"t": TenantLimit(10.0, 10.0)}
+    dispatcher = make_dispatcher(clock, View(), limits=limits)
+    charged = {"tenant": "t", "limit_units": 1.0, "target": 5.0}
+    with pytest.raises(TenantLimited):
+        ask(dispatcher, 0, **charged)
+    clock.now += 1.0
+    for number in (1, 2, 3):
+        ask(dispatcher, number, **charged)
+    assert dispatcher.queue_depth() == 1
+    for number in range(10, 18):
+        dispatcher.charge(QueryId("n", number), queued(**charged).query)
+    with pytest.raises(TenantLimited):
+        dispatcher.charge(QueryId("n", 18), queued(**charged).query)
+    with pytest.raises(TenantLimited):
+        dispatcher.enqueue(QueryId("n", 4), queued(**charged))
+    end(dispatcher, 1)
+    assert isinstance(decided(dispatcher)[3], TenantLimited)
+    assert dispatcher.queue_depth() == 0
+
+
+def test_worker_that_rejects_is_given_less_until_it_serves(clock):
+    """Guards against a faulty worker that always has a free slot and rejects every request."""
+    dispatcher = make_dispatcher(clock, View(capacity=4))
+    for number in range(1, 5):
+        ask(dispatcher, number)
+        end(dispatcher, number, Progress.NOT_RUN)
+    assert ask(dispatcher, 10) is None
+    clock.now += PAUSE_SECONDS + 0.01
+    assert isinstance(decided(dispatcher)[10], Placement)
+    assert ask(dispatcher, 11, target=5.0) is None
+    end(dispatcher, 10)
+    assert list(decided(dispatcher)) == [11]
+
+
+def test_caller_that_returns_when_told_is_served_before_newcomers(clock):
+    """Guards against callers that honour a retry time and find newcomers in their place."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in range(1, 30):
+        ask(dispatcher, number, target=5.0)
+        clock.now += 0.1
+        end(dispatcher, number)
+    for number in (40, 41, 42):
+        ask(dispatcher, number)
+    with pytest.raises(QueueRejected) as rejected:
+        ask(dispatcher, 50, target=0.0, content="c", waited_seconds=1.6)
+    assert rejected.value.has_reservation
+    clock.now += rejected.value.retry_seconds
+    dispatcher.withdraw(QueryId("n", 42))
+    for ended, started in ((40, 43), (41, 44)):
+        end(dispatcher, ended)
+        assert ask(dispatcher, started)
+    ask(dispatcher, 60)
+    ask(dispatcher, 61, content="c")
+    end(dispatcher, 43)
+    assert list(decided(dispatcher))[0] == 61
