--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -20,9 +20,9 @@
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.request_queue import Group, QueuedQuery, WaitingRequest
 from wheelslip.routing.service_queue import MIN_RETRY_SECONDS, ServiceQueue
 from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimited, TenantLimits
+from wheelslip.routing.waiting_request import Group, QueuedQuery, WaitingRequest
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
 
 UNLISTED_GRACE_SECONDS = 1.0
--- a/src/wheelslip/routing/request_queue.py
+++ b/src/wheelslip/routing/request_queue.py
@@ -3,23 +3,14 @@
 The module does no I/O; the clock is injected. Requests that can still meet their target come
 first, by priority; within a priority by start-time fair queueing over tenants, ties by start
 deadline. Requests that can only be served late follow in the same order.
-
-Each tenant has a flow per order class. Only a start advances the tag of a flow, so requests that
-are rejected or leave cost their tenant nothing. Within a flow the earliest start deadline comes
-first, so requests that move to another dispatcher keep their order whichever is enqueued first.
 """
 
-import heapq
 import itertools
-import math
-from bisect import bisect_left, insort
 from collections.abc import Callable, Hashable, Iterator
-from dataclasses import dataclass, field
-from enum import IntEnum
-from typing import NamedTuple
 
-from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.fair_class import FairClass
 from wheelslip.routing.start_rate import MIN_LOWER_SHARE, StartRate
+from wheelslip.routing.waiting_request import Group, OrderClass, QueuedQuery, WaitingRequest
 
 MAX_WAITING = 4096
 """Maximum number of waiting requests of a service."""
@@ -30,13 +21,6 @@
 LOWER_PRIORITY_INTERVAL = 8
 """One start in this many goes to a lower priority while one waits."""
 
-MAX_LATE_SECONDS = 1.5
-"""Latest start after arrival of a request that misses its target: callers of streams give up
-after 2 s without an event."""
-
-LATE_DEADLINE_SHARE = 0.5
-"""The same limit as a share of the time between arrival and deadline."""
-
 MIN_LATE_SHARE = 0.01
 """Share of the starts that late requests are assumed to receive at least. Under lasting overload
 requests in time leave them none, so they are rejected at once."""
@@ -52,198 +36,6 @@
 a request that has waited should only be rejected when it was overtaken."""
 
 
-class QueuedQuery(NamedTuple):
-    """A placement query that may wait, as its node submits it.
-
-    All durations are relative, because the clocks of nodes are not comparable.
-
-    :ivar query: ``target_seconds`` is the time left at the moment of receipt. ``tenant`` is also
-        the flow of fair queueing: requests with an empty tenant share one flow, so nodes should
-        name the tenant even if it has no limit (``limit_units`` is then 0).
-    :ivar waited_seconds: time since the request arrived at its node.
-    :ivar deadline_seconds: time left until the deadline at the moment of receipt.
-    :ivar content: fingerprint of method, target, tenant and body; recognizes a returning caller.
-    """
-
-    query: PlacementQuery
-    waited_seconds: float = 0.0
-    deadline_seconds: float = 10.0
-    content: str = ""
-
-
-class Group(IntEnum):
-    """Groups of requests in the order in which they start.
-
-    ``RESENT`` requests were sent to a worker before and are never rejected before their deadline.
-    """
-
-    RESENT = 0
-    IN_TIME = 1
-    LATE = 2
-
-
-class OrderClass(NamedTuple):
-    """Requests between which only fair queueing decides. Smaller classes start first.
-
-    :ivar is_new: the caller has no reservation.
-    """
-
-    group: Group
-    priority: int
-    is_new: bool
-
-
-@dataclass(eq=False)
-class WaitingRequest:
-    """A request that waits or is about to start.
-
-    :ivar arrived_at: arrival at its node, by this node's clock.
-    :ivar start_by: latest start that meets the target.
-    :ivar has_reservation: its caller has returned at the reserved time.
-    """
-
-    query_id: Hashable
-    queued: QueuedQuery
-    arrived_at: float
-    start_by: float
-    deadline_at: float
-    has_reservation: bool = False
-    enqueued_at: float = 0.0
-    renewed_at: float = 0.0
-    group: Group = Group.IN_TIME
-    sequence: int = 0
-
-    @property
-    def query(self) -> PlacementQuery:
-        """The placement query."""
-        return self.queued.query
-
-    @property
-    def order_class(self) -> OrderClass:
-        """The class of the request in its present group."""
-        return self.class_in(self.group)
-
-    def remaining_query(self, now: float) -> PlacementQuery:
-        """Return the placement query with the time that is left until the target now."""
-        remaining = self.query.target_seconds - (now - self.enqueued_at)
-        return self.query._replace(target_seconds=remaining)
-
-    def class_in(self, group: Group) -> OrderClass:
-        """Return the class that the request has in a group."""
-        return OrderClass(group, self.query.priority, not self.has_reservation)
-
-    @property
-    def work(self) -> float:
-        """Work by which fair queueing charges the tenant: tokens, or 1 without a model."""
-        return float(max(1, self.query.prompt_tokens + self.query.output_tokens))
-
-    @property
-    def late_start_by(self) -> float:
-        """Latest start of the request when it misses its target."""
-        allowed = LATE_DEADLINE_SHARE * (self.deadline_at - self.arrived_at)
-        return self.arrived_at + min(MAX_LATE_SECONDS, allowed)
-
-    @property
-    def flow_order(self) -> tuple[float, int]:
-        """Position among the requests of the same tenant and class."""
-        return self.start_by, self.sequence
-
-
-@dataclass
-class _Flow:
-    """The requests of one tenant in one class, by start deadline.
-
-    :ivar tag: virtual start time of the first request.
-    """
-
-    tag: float = 0.0
-    work: float = 1.0
-    requests: list[WaitingRequest] = field(default_factory=list)
-
-    def position(self, request: WaitingRequest) -> int:
-        return bisect_left(self.requests, request.flow_order, key=lambda each: each.flow_order)
-
-
-class _FairClass:
-    """Start-time fair queueing over the flows of one order class."""
-
-    def __init__(self):
-        self._flows: dict[str, _Flow] = {}
-        self._virtual_time = 0.0
-        self.size = 0
-
-    def _flow(self, tenant: str) -> _Flow:
-        flow = self._flows.setdefault(tenant, _Flow())
-        if not flow.requests:
-            flow.tag = max(flow.tag, self._virtual_time)
-        return flow
-
-    def add(self, request: WaitingRequest) -> None:
-        flow = self._flow(request.query.tenant)
-        flow.work = request.work
-        insort(flow.requests, request, key=lambda each: each.flow_order)
-        self.size += 1
-
-    def remove(self, request: WaitingRequest) -> None:
-        flow = self._flows[request.query.tenant]
-        del flow.requests[flow.position(request)]
-        self.size -= 1
-
-    def record_start(self, request: WaitingRequest) -> None:
-        """Advance the virtual time by a request that is not, or no longer, in its flow."""
-        flow = self._flow(request.query.tenant)
-        self._virtual_time = max(self._virtual_time, flow.tag)
-        flow.tag += request.work
-
-    def forget_idle(self) -> None:
-        """Delete flows without requests that have no service ahead of the others."""
-        self._flows = {
-            tenant: flow
-            for tenant, flow in self._flows.items()
-            if flow.requests or flow.tag > self._virtual_time
-        }
-
-    def ahead(self, request: WaitingRequest) -> int:
-        """Return how many requests start before one that waits or would wait."""
-        own = self._flow(request.query.tenant)
-        position = own.position(request)
-        tag = own.tag + position * own.work
-        count = position
-        for flow in self._flows.values():
-            if flow is not own and flow.requests and flow.tag <= tag:
-                earlier = math.ceil((tag - flow.tag) / flow.work)
-                tied = earlier == 0 and flow.requests[0].flow_order < request.flow_order
-                count += min(len(flow.requests), earlier + tied)
-        return count
-
-    def heads(self) -> Iterator[WaitingRequest]:
-        """Yield the first request of each tenant."""
-        return (flow.requests[0] for flow in self._flows.values() if flow.requests)
-
-    def last(self) -> WaitingRequest:
-        """Return the last request in order."""
-        flows = [flow for flow in self._flows.values() if flow.requests]
-        longest = max(flows, key=lambda flow: flow.tag + flow.work * len(flow.requests))
-        return longest.requests[-1]
-
-    def in_order(self) -> Iterator[WaitingRequest]:
-        """Yield the requests in the order in which they start."""
-        flows = [flow.requests for flow in self._flows.values() if flow.requests]
-        tags = [flow.tag for flow in self._flows.values() if flow.requests]
-        heap = [(tags[n], flows[n][0].flow_order, n, 0) for n in range(len(flows))]
-        heapq.heapify(heap)
-        while heap:
-            tag, _, number, position = heap[0]
-            request = flows[number][position]
-            yield request
-            position += 1
-            if position == len(flows[number]):
-                heapq.heappop(heap)
-                continue
-            following = flows[number][position].flow_order
-            heapq.heapreplace(heap, (tag + request.work, following, number, position))
-
-
 class RequestQueue:
     """The waiting requests of one service.
 
@@ -262,7 +54,7 @@
         self._rate = rate
         self._due_before = due_before
         self._by_id: dict[Hashable, WaitingRequest] = {}
-        self._classes: dict[OrderClass, _FairClass] = {}
+        self._classes: dict[OrderClass, FairClass] = {}
         self._last_arrival: dict[OrderClass, float] = {}
         self._starts_since_lower = 0
         self._sequence = itertools.count()
@@ -486,9 +278,9 @@
         turn_seconds = LOWER_PRIORITY_INTERVAL * (lower_ahead + 1) / self._rate.rate()
         return min(seconds, turn_seconds)
 
-    def _class(self, key: OrderClass) -> _FairClass:
+    def _class(self, key: OrderClass) -> FairClass:
         if key not in self._classes:
-            self._classes[key] = _FairClass()
+            self._classes[key] = FairClass()
         return self._classes[key]
 
     def _occupied(self, group: Group | None = None) -> list[OrderClass]:
