--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -295,8 +295,13 @@
         return queue
 
     def _may_start(self, queue: ServiceQueue, request: WaitingRequest) -> bool:
-        """Return whether a new request may start before all waiting ones."""
-        return request.group is Group.RESENT or queue.requests.is_next(request)
+        """Return whether a new request is to be placed before all waiting ones."""
+        if request.group is Group.RESENT:
+            return True
+        service = request.query.service
+        if not self.placement.may_start_soon(service) and self.placement.has_worker(service):
+            return False
+        return queue.requests.is_next(request)
 
     def _grant_if_next(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         queue = self._queue(query.service)
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -124,15 +124,22 @@
 
     def may_start_soon(self, service: str) -> bool:
         """Return whether any worker of a service has a free slot and a short backlog."""
-        engine = self._engine(service)
-        workers = self._prefer_reachable(self._registry.workers_of(service))
+        engine, now = self._engine(service), self._clock()
+        workers = self._registry.workers_of(service)
         if engine is None:
-            return any(self._has_free_slot(worker) for worker in workers)
+            free = [worker for worker in workers if self._has_free_slot(worker)]
+        else:
+            free = [worker for worker in workers if self._may_start_at(worker, engine)]
+        if any(not self.load(worker.info.id).is_avoided(now) for worker in free):
+            return True
+        # Unreachable workers are used if there are no others.
+        return bool(free) and self._prefer_reachable(workers) == workers
+
+    def _may_start_at(self, worker: Worker, engine: EngineProfile) -> bool:
+        """Return whether an engine has a free slot and a short backlog."""
+        load = self.load(worker.info.id)
         most_tokens = MAX_WORKER_WAIT_SECONDS * PREFILL_TOKENS_PER_SECOND
-        loads = [self.load(worker.info.id) for worker in workers]
-        return any(
-            load.running < engine.capacity and load.prefill_tokens <= most_tokens for load in loads
-        )
+        return load.running < engine.capacity and load.prefill_tokens <= most_tokens
 
     def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
         """Return whether a service has a worker that is not excluded."""
@@ -210,11 +217,14 @@
             by_version[worker.weights.get(query.model)].append(worker)
         limits = self._admission.setdefault(query.service, AdmissionLimits())
         is_limited = self.limits_admission() and not query.sent_before
+        must_start_soon = is_limited and query.must_start_soon
         best, best_state, lowest_cost, least_excess = None, None, float("inf"), float("inf")
         for version, workers in by_version.items():
             state = self._cache_state(query, version, workers, engine, store)
             outdated = self._is_outdated(query.model, version)
             for worker in workers:
+                if must_start_soon and not self._may_start_at(worker, engine):
+                    continue
                 other_length = worker.info.id not in preferred_ids
                 cost = self._extra_cost(query, worker, other_length, outdated)
                 if worker is home:
