--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -20,9 +20,9 @@
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.request_queue import Group, QueuedQuery, WaitingRequest
 from wheelslip.routing.service_queue import MIN_RETRY_SECONDS, ServiceQueue
 from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimited, TenantLimits
+from wheelslip.routing.waiting_request import Group, QueuedQuery, WaitingRequest
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
 
 UNLISTED_GRACE_SECONDS = 1.0
@@ -263,7 +263,10 @@
         for service, queue in self._queues.items():
             if queue.is_idle():
                 continue
-            for request in queue.sweep():
+            rejected = queue.sweep()
+            if not self.placement.has_worker(service):
+                rejected += list(queue.requests.in_order())
+            for request in rejected:
                 decisions.append((request.query_id, self._reject(queue, request)))
             decisions += self._start_waiting(service, queue)
         return decisions
@@ -292,8 +295,13 @@
         return queue
 
     def _may_start(self, queue: ServiceQueue, request: WaitingRequest) -> bool:
-        """Return whether a new request may start before all waiting ones."""
-        return request.group is Group.RESENT or queue.requests.is_next(request)
+        """Return whether a new request is to be placed before all waiting ones."""
+        if request.group is Group.RESENT:
+            return True
+        service = request.query.service
+        if not self.placement.may_start_soon(service) and self.placement.has_worker(service):
+            return False
+        return queue.requests.is_next(request)
 
     def _grant_if_next(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         queue = self._queue(query.service)
@@ -356,7 +364,9 @@
             return exc
         except (Overloaded, NoAuthority):
             return None
-        if placement is None and not self.placement.has_worker(request.query):
+        if placement is None and not self.placement.has_worker(
+            request.query.service, request.query.excluded
+        ):
             return self._reject(queue, request)
         return placement
 
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -4,9 +4,10 @@
 
 from wheelslip.routing.overload import MAX_RETRY_SECONDS, Overloaded
 from wheelslip.routing.placement import PlacementQuery
-from wheelslip.routing.request_queue import QueuedQuery, RequestQueue, WaitingRequest
+from wheelslip.routing.request_queue import RequestQueue
 from wheelslip.routing.return_reservations import ReturnReservations
 from wheelslip.routing.start_rate import StartRate
+from wheelslip.routing.waiting_request import QueuedQuery, WaitingRequest
 
 SWEEP_SECONDS = 0.05
 """Interval of the search for requests that can no longer be served. A search passes all waiting
@@ -27,7 +28,7 @@
 RETURN_MARGIN_SECONDS = 0.02
 """Time that the rejection needs to reach the caller."""
 
-RESERVED_SHARE = 0.1
+RESERVED_SHARE = 0.05
 """Share of the rate left to a priority that is promised to callers who return. A request served
 at its first attempt is worth more than one that returns late."""
 
