--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -123,6 +123,15 @@
             own.held_tokens + others.held_tokens,
         )
 
+    def occupancy(self, service: str) -> dict[Incarnation, bool]:
+        """Return for each worker that accepts requests whether its capacity is used up."""
+        engine = self._engine(service)
+        return {
+            worker.info.id: self.total_load(worker.info.id).running
+            >= (engine.capacity if engine else worker.info.capacity)
+            for worker in self._registry.workers_of(service)
+        }
+
     def choose(self, query: PlacementQuery) -> Placement | None:
         """Return the best worker now, or ``None`` when no worker may take the request."""
         candidates = [
