Nodes without a dispatcher pass over workers at their capacity

A node that chose workers by itself sent every request on, so that up to all requests of a burst queued at the workers and missed their targets. With [routing] queue, a worker is passed over once the requests known to be there reach its capacity (slots and KV cache for engines), and the request is rejected with a retry time if all are full. Room is checked before the tenant is charged. Off by default; without it nothing changes.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -40,6 +40,8 @@
         self._failed = False
         self._not_run = False
         self._silent = False
+        if grant is None:
+            records.room.add_unsent(placement)
 
     @property
     def granted(self) -> bool:
@@ -53,6 +55,7 @@
 
     def begin(self) -> None:
         """Record that the request is about to be sent."""
+        self._remove_unsent()
         self._started_at = self._records.begin(self.placement)
 
     def record_first_token(self) -> None:
@@ -88,7 +91,12 @@
         """Record that the request will not be sent to the worker."""
         self._finish_unsent(Progress.UNUSED)
 
+    def _remove_unsent(self) -> None:
+        if self._grant is None:
+            self._records.room.remove_unsent(self.placement)
+
     def _finish_unsent(self, progress: Progress) -> None:
+        self._remove_unsent()
         if self._grant is None and self.placement.rate_limit_charged:
             self._allowance.refund(self.placement.worker.info.id)
         self._report(progress)
@@ -96,7 +104,10 @@
     def end(self, had_first_token: bool) -> None:
         """Record that the attempt at the worker has ended."""
         self._records.end(self.placement, self._started_at, had_first_token)
-        self._report(self._final_progress())
+        progress = self._final_progress()
+        if progress is Progress.ENDED:
+            self._records.record_served(self.placement, self._started_at)
+        self._report(progress)
 
     def _final_progress(self) -> Progress:
         if self._not_run:
@@ -172,9 +183,12 @@
         """Charge a request to the quota of its tenant, unless that was done before.
 
         Requests granted by a dispatcher are charged there instead.
+
+        :raises Overloaded: if no worker has room, in which case nothing is charged.
         """
         if not query.limit_units:
             return
+        self._records.require_room(query)
         if self._link is None:
             self._limits.charge(query)
         else:
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -87,7 +87,13 @@
         section = self.settings.node
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
-        self._placement = WorkerPlacement(self._registry, clock, random_source, table)
+        self._placement = WorkerPlacement(
+            self._registry,
+            clock,
+            random_source,
+            table,
+            lambda: self.settings.routing.queue,
+        )
         self._fleet = FleetPlacement(
             self._registry,
             clock,
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -104,10 +104,12 @@
 
     :ivar dispatch: whether one node of the fleet chooses the workers of a service for all nodes.
     :ivar limit_admission: whether the dispatcher rejects requests that no worker can start in time.
+    :ivar queue: whether requests that no worker can start soon wait at the dispatcher.
     """
 
     dispatch: bool = True
     limit_admission: bool = True
+    queue: bool = False
 
 
 class ForwardingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -19,9 +19,11 @@
 from wheelslip.routing import rendezvous
 from wheelslip.routing.holdings import Chain
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.separation import PromptSeparation
 from wheelslip.routing.worker_records import WorkerRecords
+from wheelslip.routing.worker_room import WorkerRoom
 
 PREFILL_TOKENS_PER_SECOND = 30_000.0
 """Assumed prefill rate of a worker."""
@@ -91,6 +93,8 @@
     """Selects workers from this node's own records and the loads that other nodes report.
 
     :param table: loads reported by other nodes, and prompts saved to cache stores.
+    :param limits_load: returns whether workers that are at their capacity are passed over.
+    :ivar room: decides which workers are at their capacity.
     """
 
     def __init__(
@@ -99,8 +103,11 @@
         clock: Callable[[], float],
         random_source: random.Random,
         table: LoadTable | None = None,
+        limits_load: Callable[[], bool] = lambda: False,
     ):
         super().__init__(clock, self._is_registered)
+        self.room = WorkerRoom()
+        self._limits_load = limits_load
         self._table = table or LoadTable()
         self._registry = registry
         self._random = random_source
@@ -121,20 +128,66 @@
         )
 
     def choose(self, query: PlacementQuery) -> Placement | None:
-        """Return the best worker now, or ``None`` when no worker may take the request."""
-        candidates = [
-            worker
-            for worker in self._registry.workers_of(query.service)
-            if worker.info.id not in query.excluded
-        ]
+        """Return the best worker now, or ``None`` when no worker may take the request.
+
+        :raises Overloaded: if all workers are at their capacity.
+        """
+        candidates = self._usable_workers(query)
         engine = self._engine(query.service)
         if engine is None:
             return self._choose_without_engine(query, candidates)
         candidates = self._eligible(query, candidates)
         if not candidates:
             return None
+        candidates = self._with_room(query, candidates, engine)
         return self._choose_engine(query, candidates, engine)
 
+    def require_room(self, query: PlacementQuery) -> None:
+        """Check that some worker is below its capacity, before the request is charged to a tenant.
+
+        :raises Overloaded: if all workers are at their capacity.
+        """
+        if not self._limits_load():
+            return
+        candidates = self._usable_workers(query)
+        engine = self._engine(query.service)
+        if engine is None:
+            candidates = self._prefer_reachable(candidates)
+        else:
+            candidates = self._eligible(query, candidates)
+        if candidates:
+            self._with_room(query, candidates, engine)
+
+    def _usable_workers(self, query: PlacementQuery) -> list[Worker]:
+        return [
+            worker
+            for worker in self._registry.workers_of(query.service)
+            if worker.info.id not in query.excluded
+        ]
+
+    def _with_room(
+        self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile | None
+    ) -> list[Worker]:
+        """Leave out workers at their capacity; requests that were sent before go to any worker.
+
+        :raises Overloaded: if all workers are at their capacity.
+        """
+        if query.sent_before or not self._limits_load():
+            return candidates
+        with_room = [
+            worker
+            for worker in candidates
+            if self.room.has_room(worker, self.total_load(worker.info.id), query, engine)
+        ]
+        if with_room:
+            return with_room
+        own_running = {worker.info.id: self.load(worker.info.id).running for worker in candidates}
+        raise Overloaded(self.room.retry_seconds(query.service, own_running, self._clock()))
+
+    def record_served(self, placement: Placement, began_at: float) -> None:
+        """Record that a worker has served a request."""
+        self.room.record_duration(placement.worker.info.service, self._clock() - began_at)
+
     def _engine(self, service: str) -> EngineProfile | None:
         """Return the profile of a service's model engines, ``None`` for other services."""
         cfg = self._registry.configuration
@@ -164,6 +217,7 @@
         candidates = self._prefer_reachable(candidates)
         if not candidates:
             return None
+        candidates = self._with_room(query, candidates, None)
         return Placement(min(candidates, key=lambda worker: self._load_cost(query, worker)))
 
     def _load_cost(self, query: PlacementQuery, worker: Worker) -> tuple[float, float]:
