Soak: bursts above the capacity with CRESTS=1

The randomised run never overloaded the workers, so nothing checked that rejected requests do not run and that waiting ones are answered by their deadline while the dispatcher is killed, stopped, paused or cut off from the store. Datagrams between nodes pass no proxy and are not cut.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 NODES ?= 0
 forwarding-soak: setup
 	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
-		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly) $(if $(LIMITS),--limits)
+		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly) $(if $(LIMITS),--limits) \
+		$(if $(CRESTS),--crests)
 
 replay: setup
 	$(RUN) -m bench.replay
--- a/bench/forwarding_callers.py
+++ b/bench/forwarding_callers.py
@@ -145,6 +145,7 @@
             _signing_worker(answer, request_id, "server-leaving"),
             _signing_worker(answer, request_id, "server-limit"),
             answer.headers.get("server-limit", ""),
+            answer.headers.get("retry-after", ""),
         )
         world.record.calls.append(call)
         self._checker.check_response(call)
--- a/bench/forwarding_judge.py
+++ b/bench/forwarding_judge.py
@@ -94,14 +94,14 @@
     def check_unanswered_calls(self) -> None:
         """Check that calls are unanswered only during outages of their node."""
         for call in self._record.calls:
-            if call.status == 0 and not self._had_outage(call):
+            if call.status == 0 and not self.had_outage(call):
                 self._add_violation(
                     f"{call.request_id} ended in silence at {call.node}, sent at "
                     f"{self._record.seconds(call.sent_at):.3f} s, after "
                     f"{call.ended_at - call.sent_at:.3f} s: {call.error}"
                 )
 
-    def _had_outage(self, call: Call) -> bool:
+    def had_outage(self, call: Call) -> bool:
         """Whether an outage of its node overlaps a call."""
         return any(
             outage.node == call.node
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -22,6 +22,7 @@
         that the worker is leaving; empty otherwise.
     :ivar limited_worker: the same, if the header announces a rate limit.
     :ivar limit: the announced rate limit, as it is written in the header.
+    :ivar retry_after: value of the ``Retry-After`` header; empty without it.
     """
 
     node: str
@@ -38,6 +39,7 @@
     leaving_worker: str = ""
     limited_worker: str = ""
     limit: str = ""
+    retry_after: str = ""
 
 
 class Revocation(NamedTuple):
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -21,6 +21,7 @@
 
 from bench.forwarding_builds import RollingUpgrade, check_out, remove_checkout
 from bench.forwarding_callers import Callers
+from bench.forwarding_crests import CrestCallers, CrestChecker
 from bench.forwarding_deadly import CrashingCaller, check_crashes
 from bench.forwarding_faults import FaultInjector
 from bench.forwarding_judge import RunChecker
@@ -37,6 +38,9 @@
 """Minimum number of callers of a run."""
 
 MAX_CALLERS = 24
+CALLERS_BESIDE_CRESTS = 4
+"""Number of callers that send steadily in runs with bursts, which must leave some capacity."""
+
 SETTLE_SECONDS = 30.0
 """Time for nodes to serve and for weights to be loaded once all faults have ended, plus a share for
 each node."""
@@ -61,6 +65,7 @@
     :param notices: whether workers announce in responses that they leave or need a backoff.
     :param older_checkout: path of a checkout of an older build that all nodes run at first.
     :param limits: whether workers announce rate limits in responses.
+    :param crests: whether callers send bursts above the capacity of the workers.
     :ivar longest_lag: longest delay of this process's event loop, in seconds.
     :ivar longest_lag_at: when it was observed, in seconds since the start of the run.
     """
@@ -75,15 +80,19 @@
         notices: bool = False,
         older_checkout: pathlib.Path | None = None,
         limits: bool = False,
+        crests: bool = False,
     ):
+        if crests and older_checkout is not None:
+            raise ValueError("older builds refuse the setting for the queue")
         rng = random.Random(seed)
         drawn_count, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
         self.record = Record()
-        self.world = World(folder, self.record, nodes or drawn_count, zones)
+        self.world = World(folder, self.record, nodes or drawn_count, zones, crests)
         self.checker = RunChecker(self.record)
         restart_rng = random.Random(f"{seed} restarts") if restarts else None
         self.faults = FaultInjector(self.world, rng, restart_rng)
         callers = min(MAX_CALLERS, max(MIN_CALLERS, len(self.world.nodes)))
+        callers = CALLERS_BESIDE_CRESTS if crests else callers
         persistent_count = callers // 2
         # Separate from the source of the faults, whose order must not depend on callers.
         caller_rng = random.Random(~seed)
@@ -102,6 +111,8 @@
         self.upgrade = (
             RollingUpgrade(self.world, older_checkout, upgrade_rng) if older_checkout else None
         )
+        crest_rng = random.Random(f"{seed} crests")
+        self.crests = CrestCallers(self.world, self.callers, crest_rng) if crests else None
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -121,6 +132,8 @@
             activities.append(self.notices.run(ends_at))
         if self.limits is not None:
             activities.append(self.limits.run(ends_at))
+        if self.crests is not None:
+            activities.append(self.crests.run(ends_at))
         if self.upgrade is not None:
             activities.append(self.upgrade.run(ends_at))
         await asyncio.gather(*activities)
@@ -133,6 +146,10 @@
         limit_checker = LimitChecker(self.record)
         limit_checker.check()
         self.checker.checked += notice_checker.checked + limit_checker.checked
+        if self.crests is not None:
+            crest_checker = CrestChecker(self.record, self.checker)
+            crest_checker.check()
+            self.checker.checked += crest_checker.checked
 
     async def _measure_lag(self) -> None:
         """Measure the lag of the event loop, which store, workers and callers share."""
@@ -218,6 +235,7 @@
     notices: bool = False,
     older: str = "",
     limits: bool = False,
+    crests: bool = False,
 ) -> Soak:
     """Perform one run and check it.
 
@@ -226,7 +244,7 @@
     """
     checkout = check_out(older, folder) if older else None
     try:
-        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout, limits)
+        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout, limits, crests)
         try:
             await soak.run(seconds)
         finally:
@@ -247,6 +265,7 @@
     notices: bool = False,
     older: str = "",
     limits: bool = False,
+    crests: bool = False,
 ) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
@@ -260,13 +279,14 @@
     :param older: commit of this repository that all nodes run at first; they are upgraded during
         the run, and some are rolled back in between.
     :param limits: whether workers announce rate limits in responses.
+    :param crests: whether callers send bursts above the capacity of the workers.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
     older = str(older)
     soak = asyncio.run(
-        run_seed(seed, seconds, logs, nodes, restarts, deadly, notices, older, limits)
+        run_seed(seed, seconds, logs, nodes, restarts, deadly, notices, older, limits, crests)
     )
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
@@ -279,6 +299,9 @@
         print("notices:", dict(soak.notices.counts))
     if soak.limits is not None:
         print("limits:", dict(soak.limits.counts))
+    if soak.crests is not None:
+        print("crests:", dict(soak.crests.counts))
+        print("served:", soak.crests.summary())
     print("history:", *soak.history(), sep="\n  ")
     if soak.crashing_caller is not None:
         print("crashes:", dict(soak.crashing_caller.crashes))
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -33,9 +33,18 @@
     Revocation,
 )
 from standins.fault_proxy import FaultProxy
-from standins.platform_site import Caller, Site, configuration
+from standins.platform_site import (
+    ENGINES,
+    PLAIN,
+    RESUMED,
+    SAFE,
+    STREAM,
+    Caller,
+    Site,
+    configuration,
+)
 from standins.platform_store import PlatformStoreServer
-from standins.platform_worker import PlatformWorker
+from standins.platform_worker import PlatformWorker, WorkerFaults
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SERVICES = {"p0": "plain", "p1": "plain", "e0": "engines", "e1": "engines", "e2": "engines"}
@@ -50,6 +59,29 @@
 FIRST_PORT = 20_000
 """First port to assign, below the range of ephemeral ports."""
 
+DEFAULT_CAPACITY = 8
+"""Concurrent requests of a worker."""
+
+CREST_CAPACITY = 2
+"""The same in runs with bursts above the capacity, which one process must be able to send."""
+
+CREST_PLAIN_SECONDS = 0.1
+"""Duration of a plain request in these runs."""
+
+CREST_CONFIGURATION = {
+    "routes": [
+        PLAIN | {"priority": 0},
+        SAFE | {"priority": 2},
+        STREAM | {"priority": 0},
+        RESUMED | {"priority": 2},
+    ],
+    "services": [
+        {"name": "plain"},
+        ENGINES | {"backend_engine": ENGINES["backend_engine"] | {"capacity": CREST_CAPACITY}},
+    ],
+}
+"""Configuration of these runs: each kind of worker has routes of two priorities."""
+
 EVENT_SECONDS = 0.04
 REVOCATION_MS = 5000
 STARTUP_SECONDS = 10.0
@@ -89,6 +121,7 @@
     :param folder: directory for settings and logs of nodes.
     :param nodes: number of nodes.
     :param zones: number of zones over which nodes are distributed.
+    :param crests: whether workers have little capacity and nodes queue requests.
     :ivar weights: desired weights version.
     :ivar checkout_of: the checkout from which each node's process is started.
     :ivar crashing_body: new workers crash when they start a request with this in its body; empty
@@ -104,6 +137,7 @@
         record: Record,
         nodes: int = 3,
         zones: int = 1,
+        crests: bool = False,
     ):
         if not 1 <= nodes <= MAX_NODES:
             raise ValueError(f"{nodes} nodes; 1 to {MAX_NODES} are allowed")
@@ -119,6 +153,8 @@
         self.checkout_of = dict.fromkeys(self.nodes, ROOT)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._zones = zones
+        self._crests = crests
+        self._capacity = CREST_CAPACITY if crests else DEFAULT_CAPACITY
         self._folder = folder
         self._environment: dict[str, dict[str, str]] = {}
         self._node_by_peer_address: dict[str, str] = {}
@@ -185,7 +221,8 @@
         """
         self._configuration_version += increment
         self.keys = keys or self.keys
-        self.site.configure(configuration(self._configuration_version, keys=self.keys))
+        changes = CREST_CONFIGURATION if self._crests else {}
+        self.site.configure(configuration(self._configuration_version, keys=self.keys, **changes))
 
     def revoke_key(self) -> None:
         """Replace the current API key with a new one."""
@@ -211,6 +248,9 @@
         """
         model = MODEL if service == "engines" else ""
         worker = PlatformWorker(name, model=model, events=STREAM_EVENTS, seconds=EVENT_SECONDS)
+        if self._crests and not model:
+            worker.seconds = CREST_PLAIN_SECONDS
+            worker.faults = WorkerFaults(max_running=CREST_CAPACITY)
         worker.born = round(time.time() * 1000)
         worker.version = weights
         worker.accepted_versions = set(LOADABLE_VERSIONS)
@@ -252,7 +292,8 @@
 
     def write_stale_entry(self, name: str, previous: PreviousIncarnation) -> None:
         """Overwrite a worker's entry with that of a previous incarnation."""
-        entry = json.loads(previous.worker.entry(self.service_of[name], "z1"))
+        service = self.service_of[name]
+        entry = json.loads(previous.worker.entry(service, "z1", capacity=self._capacity))
         entry["address"] = previous.proxy.address
         self.site.model.put(f"servers/{name}", json.dumps(entry).encode())
 
@@ -280,7 +321,7 @@
         :param state: ``ready`` or ``draining``.
         """
         worker = self.site.workers[name]
-        entry = json.loads(worker.entry(self.service_of[name], "z1", state))
+        entry = json.loads(worker.entry(self.service_of[name], "z1", state, self._capacity))
         entry["address"] = self.worker_proxies[name].address
         if state == "ready":
             # Before the write, because requests may arrive as soon as the entry is visible.
@@ -300,13 +341,25 @@
         """Return the lines that the processes of a node have logged."""
         return (self._folder / f"{node}.log").read_text(errors="replace").splitlines()
 
-    def relay_node(self) -> str | None:
-        """Return the node that holds the oldest relay lease, or ``None`` if there is none."""
-        relay_leases = [
+    def relay_nodes(self) -> list[str]:
+        """Return the nodes that hold a relay lease, oldest first."""
+        leases = [
             item for key, item in self.site.model.items.items() if key.startswith(RELAY_PREFIX)
         ]
-        oldest = min(relay_leases, key=lambda lease: lease.created_revision, default=None)
-        return self._node_by_peer_address.get(oldest.value.decode()) if oldest else None
+        leases.sort(key=lambda lease: lease.created_revision)
+        return [self._node_by_peer_address[lease.value.decode()] for lease in leases]
+
+    def relay_node(self) -> str | None:
+        """Return the node that holds the oldest relay lease, or ``None`` if there is none."""
+        return next(iter(self.relay_nodes()), None)
+
+    def dispatcher_node(self, service: str) -> str | None:
+        """Return the dispatcher of a service, or ``None`` if there is no relay.
+
+        Services are distributed over the relays in order of tenure, that of model engines first.
+        """
+        relays = self.relay_nodes()
+        return relays[(service != "engines") % len(relays)] if relays else None
 
     async def _write_settings(
         self, name: str, peer_address: str, seed_address: str, zone: str
@@ -331,7 +384,8 @@
             worker_drain_ms=round(DRAIN_SECONDS * 1000),
             weights_deadline_ms=round(WEIGHTS_DEADLINE_SECONDS * 1000),
         )
-        path.write_text(path.read_text().replace(site.store.server.address, proxy.address))
+        settings = path.read_text().replace(site.store.server.address, proxy.address)
+        path.write_text(settings + ("\n[routing]\nqueue = true\n" if self._crests else ""))
         self._environment[name] = os.environ | {"WHEELSLIP_NODE_FILE": str(path)}
 
     async def start_node(self, name: str, planned: bool = False) -> None:
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -55,3 +55,12 @@
     assert soak.record.violations == [], soak.failure_report()
     assert soak.checker.checked["limits passed on"] > 0
     assert soak.checker.checked["windows of limits"] > 0
+
+
+def test_bursts_above_the_capacity_break_no_guarantee(tmp_path):
+    """Guards against rejected requests that run and against requests held beyond their deadline."""
+    soak = asyncio.run(run_seed(1401, SECONDS, tmp_path, crests=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.checker.checked["rejected calls"] > 0
+    assert soak.checker.checked["calls with a deadline"] > 0
+    assert soak.crests.counts["bursts"] > 0
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from bench.forwarding_crests import CrestChecker
 from bench.forwarding_judge import (
     CONTACT_SECONDS,
     DRAIN_SECONDS,
+    ROUTE_TIMEOUT_SECONDS,
     STREAM_EVENTS,
     WEIGHTS_DEADLINE_SECONDS,
     RunChecker,
@@ -514,3 +516,19 @@
     failure_report = soak.failure_report()
     assert "a line of n11" in failure_report and "builds older" in failure_report
     assert "a line of n1\n" not in failure_report
+
+
+@pytest.mark.parametrize(("seconds", "is_late"), [(0.9, False), (1.1, True)])
+def test_answer_over_a_second_after_its_deadline_is_reported(record, checker, seconds, is_late):
+    """A queued request must not be held beyond its deadline."""
+    call = Call("n0", "r1", "/plain/x", "key-1", 10.0, 0.0, 503, b"", True)
+    record.calls.append(call._replace(ended_at=10.0 + ROUTE_TIMEOUT_SECONDS + seconds))
+    CrestChecker(record, checker).check()
+    assert [violation.startswith("LATE r1") for violation in record.violations] == [True] * is_late
+
+
+def test_late_answer_of_a_node_that_was_down_is_not_reported(record, checker):
+    record.calls.append(Call("n0", "r1", "/plain/x", "key-1", 10.0, 18.0, 0, b"", False))
+    record.node_outages.append(NodeOutage("n0", 11.0, 13.0))
+    CrestChecker(record, checker).check()
+    assert record.violations == []
