--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -104,7 +104,7 @@
 
     :ivar dispatch: whether one node of the fleet chooses the workers of a service for all nodes.
     :ivar limit_admission: whether the dispatcher rejects requests that no worker can start in time.
-    :ivar queue: whether requests wait at the dispatcher while all workers are occupied.
+    :ivar queue: whether requests that no worker can start soon wait at the dispatcher.
     """
 
     dispatch: bool = True
