Learn the speeds of workers from first tokens and durations

With routing.learn_speeds (default off) the rate, the overhead of a first token and the duration of requests are fitted for each worker and used in placement, backlog, admission, separation, retry times and the backlog check of rollouts. Off, the constants are used.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -95,8 +95,10 @@
 
     def end(self, had_first_token: bool) -> None:
         """Record that the attempt at the worker has ended."""
-        self._records.end(self.placement, self._started_at, had_first_token)
-        self._report(self._final_progress())
+        progress = self._final_progress()
+        completed = progress is Progress.ENDED
+        self._records.end(self.placement, self._started_at, had_first_token, completed)
+        self._report(progress)
 
     def _final_progress(self) -> Progress:
         if self._not_run:
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -37,6 +37,7 @@
 )
 from wheelslip.forwarding.settings import BoundsSection, ForwardingSettings, parse_address
 from wheelslip.forwarding.settings_file import SettingsFile
+from wheelslip.forwarding.speed_notices import log_speed_change
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_link import DispatchLink
@@ -47,6 +48,7 @@
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 LAME_DUCK_SECONDS = 2.6
 """Time between failing readiness and closing idle connections: two readiness probes a second apart
@@ -87,13 +89,19 @@
         section = self.settings.node
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
-        self._placement = WorkerPlacement(self._registry, clock, random_source, table)
+        own_speeds = SpeedEstimates(clock)
+        self._speeds = SpeedEstimates(clock, own_speeds, log_speed_change)
+        self._placement = WorkerPlacement(
+            self._registry, clock, random_source, table, own_speeds, self._learns_speeds
+        )
         self._fleet = FleetPlacement(
             self._registry,
             clock,
             random_source,
             table,
             lambda: self.settings.routing.limit_admission,
+            self._speeds,
+            self._learns_speeds,
         )
         own_loads = self._placement.own_loads
         self._registry.view.on_removed = self._forget_worker
@@ -277,6 +285,12 @@
         has_configuration = self._registry.configuration is not None
         return has_configuration and self._registry.age() < max_age and not self._callers.stopping
 
+    def _learns_speeds(self) -> bool:
+        return self.settings.routing.learn_speeds
+
+    def _learned_rate(self) -> float:
+        return self._speeds.mean_rate() if self._learns_speeds() else 0.0
+
     def _min_lease_seconds(self) -> float:
         return self.settings.store.min_lease_ms / 1000
 
@@ -335,6 +349,7 @@
             "engine_rests_begun": lambda: float(self._registry.notices.backoffs_begun),
             "engines_resting": lambda: float(self._registry.notices.backing_off_count),
             "engines_limited": lambda: float(self._registry.notices.limits.count()),
+            "learned_prefill_rate": self._learned_rate,
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -31,7 +31,7 @@
 from wheelslip.forwarding.rollout_record import RolloutRecord, RolloutView
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.keyvalue.model import KeyValueError, KeyValueUnavailable, Put, Transaction
-from wheelslip.routing.worker_choice import PREFILL_TOKENS_PER_SECOND, WorkerPlacement
+from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.weights.schedule import INITIAL_LOAD_SECONDS, WorkerWeights, next_loads
 
 RECONCILE_INTERVAL_SECONDS = 0.1
@@ -237,7 +237,9 @@
         prefill_tokens = sum(
             self._placement.total_load(worker.info.id).prefill_tokens for worker in workers
         )
-        return prefill_tokens > MAX_BACKLOG_SECONDS * PREFILL_TOKENS_PER_SECOND * len(workers)
+        return prefill_tokens > sum(
+            MAX_BACKLOG_SECONDS * self._placement.prefill_rate(worker) for worker in workers
+        )
 
     def _orderable_workers(self, model: str) -> list[Worker]:
         return [
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -100,14 +100,17 @@
 
 
 class RoutingSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Switches that disable parts of the routing, for experiments.
+    """Switches of parts of the routing.
 
     :ivar dispatch: whether one node of the fleet chooses the workers of a service for all nodes.
     :ivar limit_admission: whether the dispatcher rejects requests that no worker can start in time.
+    :ivar learn_speeds: whether the speeds of workers are learned from their requests, rather than
+        assumed to be the same.
     """
 
     dispatch: bool = True
     limit_admission: bool = True
+    learn_speeds: bool = False
 
 
 class ForwardingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -250,6 +250,7 @@
             held_tokens=query.prompt_tokens + query.output_tokens,
             cache=cache,
             rate_limit_charged=reply.charged,
+            priority=query.priority,
         )
         return self._record_grant(query_id, address, query.service, placement)
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -159,7 +159,7 @@
                 if grant.had_first_token or not grant.placement.chain:
                     self.placement.record_outcome(worker_id, failed=False)
                     self.placement.record_contact(worker_id, query_id.node)
-                self._end(query_id)
+                self._end(query_id, completed=True)
             case Progress.FAILED:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end(query_id)
@@ -191,9 +191,9 @@
             grant.had_first_token = True
             self.placement.first_token(grant.placement, grant.began_at)
 
-    def _end(self, query_id: QueryId) -> None:
+    def _end(self, query_id: QueryId, completed: bool = False) -> None:
         grant = self._grants.pop(query_id)
-        self.placement.end(grant.placement, grant.began_at, grant.had_first_token)
+        self.placement.end(grant.placement, grant.began_at, grant.had_first_token, completed)
 
     def reconcile_running(
         self, node: str, numbers: list[int], requests: list[RunningRequest]
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -29,11 +29,12 @@
     MIN_TRANSFER_TOKENS,
     OTHER_ZONE_SECONDS,
     PREFILL_INTERFERENCE,
-    PREFILL_TOKENS_PER_SECOND,
     RUNNING_REQUEST_SECONDS,
     DeploymentView,
     WorkerPlacement,
 )
+from wheelslip.routing.worker_records import PREFILL_TOKENS_PER_SECOND
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 ARRIVAL_MEMORY_SECONDS = 2.0
 """Time constant of the arrival rate estimate."""
@@ -70,6 +71,8 @@
 
     :param table: table of this node, of which only the saved prompts are used and updated.
     :param limits_admission: returns whether requests that no worker can start in time are refused.
+    :param speeds: learned speeds; ``None`` to use constants.
+    :param learn_speeds: returns whether speeds are learned and used.
     """
 
     def __init__(
@@ -79,8 +82,10 @@
         random_source: random.Random,
         table: LoadTable | None = None,
         limits_admission: Callable[[], bool] = lambda: True,
+        speeds: SpeedEstimates | None = None,
+        learn_speeds: Callable[[], bool] = lambda: True,
     ):
-        super().__init__(registry, clock, random_source, table)
+        super().__init__(registry, clock, random_source, table, speeds, learn_speeds)
         self._limits_admission = limits_admission
         self._admission: dict[str, AdmissionLimits] = {}
         self._retry_schedule = RetrySchedule()
@@ -95,6 +100,9 @@
         load = self.load(worker_id)
         return LoadAtWorker(worker_id, load.running, load.prefill_tokens, load.held_tokens)
 
+    def _unseen_tokens(self, worker_id: Incarnation) -> int:
+        return 0
+
     def forget(self, worker_id: Incarnation) -> None:
         """Delete the records of a departed worker."""
         super().forget(worker_id)
@@ -131,8 +139,9 @@
                 if cost >= lowest_cost:
                     continue
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
+                target_seconds = query.target_seconds - self._first_token_overhead(worker)
                 longest = limits.longest_wait(
-                    query.priority, query.target_seconds, estimate.prefill_seconds
+                    query.priority, target_seconds, estimate.prefill_seconds
                 )
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
@@ -146,8 +155,8 @@
         self, query: PlacementQuery, engine: EngineProfile, workers: int, wait_seconds: float
     ) -> float:
         """Return after how long a refused request should be retried."""
-        work_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        work_seconds += self._request_seconds / max(1, engine.capacity)
+        work_seconds = query.prompt_tokens / self._service_rate(query.service)
+        work_seconds += self._mean_request_seconds(query.service) / max(1, engine.capacity)
         return self._retry_schedule.retry_seconds(
             self._clock(), wait_seconds, work_seconds / workers
         )
@@ -203,16 +212,18 @@
         cached = state.cached_tokens[worker.info.id]
         fetched, fetch_seconds = self._fetch_estimate(worker, state, cached, engine, now)
         prefill = max(0, query.prompt_tokens - cached - fetched)
-        prefill_seconds = prefill / PREFILL_TOKENS_PER_SECOND
-        backlog_seconds = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        rate = self.prefill_rate(worker)
+        prefill_seconds = prefill / rate
+        backlog_seconds = load.prefill_tokens / rate
         cost = backlog_seconds + prefill_seconds * (1.0 + delayed_requests)
+        cost += self._first_token_overhead(worker)
         cost += RECOMPUTE_SECONDS_PER_TOKEN * state.recomputed_tokens(cached + fetched)
         cost += (
             load.running * (RUNNING_REQUEST_SECONDS + PREFILL_INTERFERENCE * prefill_seconds)
             + fetch_seconds
         )
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
-        slot_wait_seconds = self._slot_wait_seconds(load.running, held, engine)
+        slot_wait_seconds = self._slot_wait_seconds(worker, load.running, held, engine)
         return WorkerEstimate(
             cost + slot_wait_seconds,
             worker,
@@ -264,6 +275,7 @@
             CachePlan(query.salt(version), fetch_from, save_to) if state.chain else None,
             estimate.fetched_tokens,
             uncached_keys,
+            priority=query.priority,
         )
 
     def _fetch_from(
@@ -285,7 +297,12 @@
         so recomputing a part costs more the longer the backlogs are.
         """
         self._record_arrival(now)
-        pending = sum(self.load(worker.info.id).prefill_tokens for worker in candidates)
+        # In tokens at the assumed rate, so that the sum is exact while speeds are not learned.
+        pending = sum(
+            self.load(worker.info.id).prefill_tokens
+            * (PREFILL_TOKENS_PER_SECOND / self.prefill_rate(worker))
+            for worker in candidates
+        )
         count = max(1, len(candidates))
         backlog_seconds = pending / PREFILL_TOKENS_PER_SECOND / count
         rate = self._arrivals / ARRIVAL_MEMORY_SECONDS / count
@@ -347,9 +364,15 @@
             source = worker_endpoint(placement.worker, engine)
             self._transfers.add(source, store_endpoint(store), size, self._clock())
 
-    def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
+    def end(
+        self,
+        placement: Placement,
+        began_at: float,
+        had_first_token: bool,
+        completed: bool = False,
+    ) -> None:
         """Record that a request has left its worker; a prompt without a token is not cached."""
-        super().end(placement, began_at, had_first_token)
+        super().end(placement, began_at, had_first_token, completed)
         is_registered = self._is_registered(placement.worker.info.id)
         if not had_first_token and placement.chain and is_registered:
             self._cache_index.abandon(placement)
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -70,6 +70,8 @@
     :ivar fetched_tokens: tokens that are transferred to the worker before the prefill.
     :ivar uncached_keys: keys of the parts that the worker does not have cached yet.
     :ivar rate_limit_charged: the request was charged to the rate limit that the worker announces.
+    :ivar priority: priority of the request, ``None`` for a request that was sent before this node
+        knew of it, from which no speed is learned.
     """
 
     worker: Worker
@@ -82,6 +84,7 @@
     fetched_tokens: int = 0
     uncached_keys: tuple[int, ...] = ()
     rate_limit_charged: bool = False
+    priority: int | None = None
 
     @property
     def shared_tokens(self) -> int:
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -22,9 +22,7 @@
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.separation import PromptSeparation
 from wheelslip.routing.worker_records import WorkerRecords
-
-PREFILL_TOKENS_PER_SECOND = 30_000.0
-"""Assumed prefill rate of a worker."""
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 LONG_PROMPT_PAUSE_SHARE = 0.125
 """A prompt is long when its prefill exceeds this share of the longest pause that the route
@@ -91,6 +89,8 @@
     """Selects workers from this node's own records and the loads that other nodes report.
 
     :param table: loads reported by other nodes, and prompts saved to cache stores.
+    :param speeds: learned speeds; ``None`` to use constants.
+    :param learn_speeds: returns whether speeds are learned and used.
     """
 
     def __init__(
@@ -99,8 +99,10 @@
         clock: Callable[[], float],
         random_source: random.Random,
         table: LoadTable | None = None,
+        speeds: SpeedEstimates | None = None,
+        learn_speeds: Callable[[], bool] = lambda: True,
     ):
-        super().__init__(clock, self._is_registered)
+        super().__init__(clock, self._is_registered, speeds, learn_speeds)
         self._table = table or LoadTable()
         self._registry = registry
         self._random = random_source
@@ -120,6 +122,10 @@
             own.held_tokens + others.held_tokens,
         )
 
+    def _unseen_tokens(self, worker_id: Incarnation) -> int:
+        """Return the prompt tokens that a worker computes for the requests of other nodes."""
+        return self._table.at_worker(worker_id, self._clock()).prefill_tokens
+
     def choose(self, query: PlacementQuery) -> Placement | None:
         """Return the best worker now, or ``None`` when no worker may take the request."""
         candidates = [
@@ -164,16 +170,18 @@
         candidates = self._prefer_reachable(candidates)
         if not candidates:
             return None
-        return Placement(min(candidates, key=lambda worker: self._load_cost(query, worker)))
+        best = min(candidates, key=lambda worker: self._load_cost(query, worker))
+        return Placement(best, priority=query.priority)
 
     def _load_cost(self, query: PlacementQuery, worker: Worker) -> tuple[float, float]:
         """Return the cost of a worker without a model engine, as a share of its capacity.
 
+        The share counts in proportion to the mean duration of requests at the worker.
         The second element breaks ties at random.
         """
         load = self.load(worker.info.id)
         running = self.total_load(worker.info.id).running
-        share = (running + 1) / max(1, worker.info.capacity)
+        share = (running + 1) / max(1, worker.info.capacity) * self._duration_factor(worker)
         other_zone = worker.info.zone != query.zone
         cost = share + 2 * load.recent_failure_rate(self._clock()) + 0.05 * other_zone
         cost += CONNECT_CAPACITY_SHARE * (worker.info.id not in query.connected)
@@ -252,7 +260,7 @@
     def _preferred(self, query: PlacementQuery, candidates: list[Worker]) -> list[Worker]:
         """Return the workers that are set aside for requests of this length."""
         separation = self._separation.setdefault(query.stream_group, PromptSeparation())
-        prefill_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        prefill_seconds = query.prompt_tokens / self._service_rate(query.service)
         is_long = prefill_seconds > LONG_PROMPT_PAUSE_SHARE * query.pause_seconds
         separation.record(prefill_seconds, is_long, self._clock())
         # Streams of short requests last longest and delay the loading of new weights at their
@@ -311,7 +319,7 @@
             cached = max(cached, int(HOME_CACHED_SHARE * shared_tokens))
         prefill = max(0, query.prompt_tokens - max(cached, shared_tokens))
         held = query.prompt_tokens + query.output_tokens
-        return Placement(worker, version, chain, prefill, cached, held)
+        return Placement(worker, version, chain, prefill, cached, held, priority=query.priority)
 
     def _has_shared_parts(self, worker: Worker, engine: EngineProfile, chain: Chain) -> bool:
         """Return whether this node has recorded all shared parts of a prompt at a worker."""
@@ -328,17 +336,20 @@
         worker = placement.worker
         transferred = max(0, placement.shared_tokens - placement.cached_tokens)
         load = self.total_load(worker.info.id)
-        prefill_seconds = placement.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-        cost = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND + prefill_seconds
+        rate = self.prefill_rate(worker)
+        prefill_seconds = placement.prefill_tokens / rate
+        cost = load.prefill_tokens / rate + prefill_seconds + self._first_token_overhead(worker)
         cost += load.running * (RUNNING_REQUEST_SECONDS + PREFILL_INTERFERENCE * prefill_seconds)
         held = load.held_tokens + placement.held_tokens
-        cost += self._slot_wait_seconds(load.running, held, engine)
+        cost += self._slot_wait_seconds(worker, load.running, held, engine)
         cost += 2 * transferred * engine.token_bytes / max(1.0, engine.link_bytes_per_second)
         if worker is home:
             cost -= OTHER_ZONE_SECONDS
         return cost
 
-    def _slot_wait_seconds(self, running: int, held_tokens: int, engine: EngineProfile) -> float:
+    def _slot_wait_seconds(
+        self, worker: Worker, running: int, held_tokens: int, engine: EngineProfile
+    ) -> float:
         """Return how long a request waits for a slot and for memory at a full worker.
 
         Assumes that all running requests end within the mean duration of a request, so the wait
@@ -348,7 +359,9 @@
         """
         slots, memory = max(1, engine.capacity), max(1, engine.cache_tokens)
         excess = max((running + 1 - slots) / slots, (held_tokens - memory) / memory)
-        return excess * self._request_seconds if excess > 0.0 else 0.0
+        if excess <= 0.0:
+            return 0.0
+        return excess * self._mean_request_seconds(worker.info.service, worker)
 
     def _cache_plan(
         self,
--- a/src/wheelslip/routing/worker_load.py
+++ b/src/wheelslip/routing/worker_load.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass, field
 
+from wheelslip.routing.prefill_window import PrefillWindow
+
 WAIT_MEMORY_SECONDS = 4.0
 """Time constant with which the longest wait at a worker decays."""
 
@@ -21,6 +23,7 @@
     :ivar needs_probe: the worker was unreachable and has not responded since; one request at a
         time probes it.
     :ivar waiting: send times of the requests without a first token.
+    :ivar window: measures the prefill work.
     """
 
     running: int = 0
@@ -33,6 +36,7 @@
     longest_wait: float = 0.0
     longest_wait_at: float = 0.0
     waiting: set[float] = field(default_factory=set)
+    window: PrefillWindow = field(default_factory=PrefillWindow)
 
     def is_avoided(self, now: float) -> bool:
         """Return whether requests should go elsewhere because the worker was unreachable."""
