--- a/src/wheelslip/routing/prefill_fit.py
+++ b/src/wheelslip/routing/prefill_fit.py
@@ -1,7 +1,7 @@
 """Robust fit of overhead and seconds per token of one worker to recent prefill samples. No I/O."""
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import NamedTuple
 
 MIN_SECONDS_PER_TOKEN = 1.0 / 500_000.0
@@ -22,39 +22,43 @@
 SAMPLE_DECAY = 0.93
 """Decay of a fit with each sample; its memory is about 14 samples."""
 
-RECENT_DECAY = 0.6
-"""Decay of the sums that detect a change; their memory is about 2.5 samples."""
+RUN_FACTOR = 1.5
+"""Deviation from the expected time of a sample that is part of a run."""
 
-RECENT_CHANGE_FACTOR = 1.8
-"""When the recent samples differ from the fit by this factor, they replace it."""
+RUN_SAMPLES = 3
+"""After so many samples in a row that deviate in the same direction, the fit starts again from
+them. Two in a row happen with wrong guesses of cached parts."""
 
 RELAXATION_SECONDS = 10.0
 """Time constant with which a worker's samples lose their weight against the service's speed. After
 half a minute without samples both count about the same."""
 
-PRIOR_SAMPLES = 0.5
-"""Number of samples that the service's rate counts for. Above one, the estimate of a worker five
-times as fast as the others is still 20% off after 20 requests spread over 20 s."""
+PRIOR_SAMPLES = 0.7
+"""Number of samples for which the service's rate counts as much as the worker's own. Its weight
+falls with the square of the number: with a weight of half a sample, the estimate of a worker five
+times as fast as the others was still 15% too low after 20 requests."""
 
-PRIOR_OVERHEAD_SAMPLES = 2.0
+PRIOR_OVERHEAD_SAMPLES = 1.0
 """Number of samples that the service's overhead counts for."""
 
 CACHE_SECONDS = 0.1
 """Time for which a fitted speed is used again. A dispatcher compares all workers for each request,
 and the relaxation since the last sample changes slowly."""
 
-OUTLIER_FACTOR = 4.0
-"""A sample that differs from the estimate by this factor counts only when a second one confirms
-it: a frozen worker, a lost report and a wrong guess of what is cached affect one sample."""
+OUTLIER_FACTOR = 2.5
+"""A sample that differs from the estimate by this factor counts only when the next one deviates in
+the same direction: a frozen worker, a lost report and a wrong guess of what is cached affect one
+sample."""
 
-OUTLIER_SLACK_SECONDS = 0.05
-"""Extra time before a sample is an outlier."""
+MAX_SAMPLE_FACTOR = 4.0
+"""Samples are clipped to this multiple of the expected time."""
 
-CONFIRMING_FACTOR = 1.5
-"""Deviation in the same direction with which the next sample confirms an outlier."""
+RUN_TTL_SECONDS = 3.0
+"""Longest time between two samples of a run."""
 
-OUTLIER_TTL_SECONDS = 3.0
-"""Time within which an outlier must be confirmed."""
+
+MIN_SAMPLES = 0.01
+"""Below so many samples, decayed by age, the service's speed is used alone."""
 
 
 class Speed(NamedTuple):
@@ -74,12 +78,6 @@
     has_overhead: bool
 
 
-class _Outlier(NamedTuple):
-    sample: _Sample
-    is_slow: bool
-    at: float
-
-
 @dataclass
 class _Sums:
     """Decayed weighted sums of products; ``a`` is 1 for samples with overhead, else 0.
@@ -119,19 +117,18 @@
         self.a_s *= factor
         self.ns *= factor
 
-    def slope(self, overhead_seconds: float) -> float | None:
-        """Return the seconds per token for a known overhead; ``None`` without tokens."""
-        return (self.ns - overhead_seconds * self.an) / self.nn if self.nn else None
-
 
 class PrefillFit:
     """Fit of one worker."""
 
     def __init__(self):
         self._sums = _Sums()
-        self._recent = _Sums()
         self._updated_at = 0.0
-        self._outlier: _Outlier | None = None
+        self._overhead: float | None = None
+        self._held: _Sample | None = None
+        self._run: list[_Sample] = []
+        self._run_direction = 0
+        self._run_updated_at = 0.0
         self._cached: tuple[float, Speed] | None = None
 
     def recent_samples(self, now: float) -> float:
@@ -153,65 +150,68 @@
     def add(
         self, tokens: int, seconds: float, has_overhead: bool, prior: Speed, now: float
     ) -> None:
-        """Add a sample unless it is an outlier that no other sample confirms."""
+        """Add a sample; hold it back while it is an outlier that no other one confirms."""
         if seconds < 0.0 or tokens < 0:
             return
         sample = _Sample(tokens, seconds, has_overhead)
         speed = self.speed(prior, now)
-        expected = speed.seconds(tokens, has_overhead)
-        is_slow = seconds > OUTLIER_FACTOR * expected + OUTLIER_SLACK_SECONDS
-        is_fast = OUTLIER_FACTOR * seconds + OUTLIER_SLACK_SECONDS < expected
-        held = self._confirmed_outlier(sample, expected, now)
-        if held is not None:
-            self._add_sample(held, speed, now)
-        elif is_slow or is_fast:
-            self._outlier = _Outlier(sample, is_slow, now)
+        if not self._is_informative(sample, speed):
+            self._add_sample(sample, speed, now)
             return
-        self._add_sample(sample, speed, now)
-
-    def _confirmed_outlier(self, sample: _Sample, expected: float, now: float) -> _Sample | None:
-        """Return the held outlier if a sample confirms it, and drop it if one contradicts it.
-
-        Samples whose prefill is shorter than the noise decide nothing.
+        self._extend_run(sample, speed, now)
+        if len(self._run) >= RUN_SAMPLES:
+            self._restart(speed, now)
+        elif self._held is not None and len(self._run) > 1:
+            self._add_sample(self._held, speed, now)
+            self._add_sample(sample, speed, now)
+            self._held = None
+        elif _is_outlier(sample, speed):
+            self._held = sample
+        else:
+            self._held = None
+            self._add_sample(sample, speed, now)
+
+    def _is_informative(self, sample: _Sample, speed: Speed) -> bool:
+        """Return whether the prefill of a sample is longer than the noise of its overhead."""
+        computed = sample.seconds - (speed.overhead_seconds if sample.has_overhead else 0.0)
+        return max(computed, sample.tokens * speed.seconds_per_token) > TIME_NOISE_SECONDS
+
+    def _extend_run(self, sample: _Sample, speed: Speed, now: float) -> None:
+        """Add a sample to the run of deviations in one direction, or end the run."""
+        expected = max(speed.seconds(sample.tokens, sample.has_overhead), 1e-6)
+        direction = _direction(sample.seconds / expected)
+        expired = now - self._run_updated_at > RUN_TTL_SECONDS
+        if not direction or direction != self._run_direction or expired:
+            self._run = []
+            self._held = None
+        self._run_direction = direction
+        self._run_updated_at = now
+        if direction:
+            self._run = [*self._run, sample][-RUN_SAMPLES:]
+
+    def _restart(self, speed: Speed, now: float) -> None:
+        """Fit the samples of the run only.
+
+        The overhead is kept: a change of the rate does not change it, and the samples of a run
+        are often of equal length, so that they do not tell overhead and rate apart.
         """
-        outlier = self._outlier
-        if outlier is None:
-            return None
-        if now - outlier.at > OUTLIER_TTL_SECONDS:
-            self._outlier = None
-            return None
-        deviation = sample.seconds / max(expected, 1e-6)
-        confirms = (
-            deviation > CONFIRMING_FACTOR if outlier.is_slow else deviation < 1 / CONFIRMING_FACTOR
-        )
-        if max(expected, sample.seconds) < TIME_NOISE_SECONDS:
-            return None
-        self._outlier = None
-        return outlier.sample if confirms else None
+        self._overhead = speed.overhead_seconds
+        self._sums = _Sums()
+        self._held = None
+        for sample in self._run:
+            self._sums.add(sample, _weight(sample, speed), 1.0)
+        self._run = []
+        self._updated_at = now
+        self._cached = None
 
     def _add_sample(self, sample: _Sample, speed: Speed, now: float) -> None:
         expected = speed.seconds(sample.tokens, sample.has_overhead)
-        longest = OUTLIER_FACTOR * expected + OUTLIER_SLACK_SECONDS
+        longest = MAX_SAMPLE_FACTOR * expected + TIME_NOISE_SECONDS
         sample = sample._replace(seconds=min(sample.seconds, longest))
-        weight = 1.0 / (TIME_NOISE_SECONDS + sample.tokens * speed.seconds_per_token)
         self._sums.scale(self._relaxation(now))
         self._updated_at = now
-        self._sums.add(sample, weight, SAMPLE_DECAY)
-        self._recent.add(sample, weight, RECENT_DECAY)
+        self._sums.add(sample, _weight(sample, speed), SAMPLE_DECAY)
         self._cached = None
-        if self._has_changed(speed):
-            self._sums = replace(self._recent)
-
-    def _has_changed(self, speed: Speed) -> bool:
-        """Return whether the recent samples differ from the fit by more than noise."""
-        recent = self._recent.slope(speed.overhead_seconds)
-        fitted = self._sums.slope(speed.overhead_seconds)
-        if recent is None or fitted is None or self._recent.count < 1.5:
-            return False
-        low, high = sorted((max(recent, 0.0), max(fitted, 0.0)))
-        typical_tokens = math.sqrt(self._recent.nn / self._recent.w)
-        is_noise = (high - low) * typical_tokens < TIME_NOISE_SECONDS
-        return high > RECENT_CHANGE_FACTOR * low and not is_noise
 
     def _relaxation(self, now: float) -> float:
         return math.exp(min(0.0, self._updated_at - now) / RELAXATION_SECONDS)
@@ -219,16 +219,36 @@
     def _fit(self, prior: Speed, relaxation: float) -> Speed:
         """Solve the least squares problem with the prior as additional samples."""
         sums = self._sums
-        if not sums.nn or not relaxation:
+        samples = sums.count * relaxation
+        if not sums.nn or samples < MIN_SAMPLES:
             return prior
-        prior_share = 1.0 / (sums.count * relaxation)
-        nn = sums.nn * (1.0 + PRIOR_SAMPLES * prior_share)
-        ns = sums.ns + PRIOR_SAMPLES * prior_share * sums.nn * prior.seconds_per_token
-        overhead = prior.overhead_seconds
+        prior_nn = sums.nn * (PRIOR_SAMPLES / samples) ** 2
+        nn = sums.nn + prior_nn
+        ns = sums.ns + prior_nn * prior.seconds_per_token
+        overhead = prior.overhead_seconds if self._overhead is None else self._overhead
         if sums.aa:
-            aa = sums.aa * (1.0 + PRIOR_OVERHEAD_SAMPLES * prior_share)
-            a_s = sums.a_s + PRIOR_OVERHEAD_SAMPLES * prior_share * sums.aa * overhead
+            prior_aa = sums.aa * PRIOR_OVERHEAD_SAMPLES / samples
+            aa = sums.aa + prior_aa
+            a_s = sums.a_s + prior_aa * overhead
             overhead = (a_s * nn - sums.an * ns) / (aa * nn - sums.an * sums.an)
             overhead = min(max(overhead, 0.0), MAX_OVERHEAD_SECONDS)
         slope = (ns - overhead * sums.an) / nn
         return Speed(min(max(slope, MIN_SECONDS_PER_TOKEN), MAX_SECONDS_PER_TOKEN), overhead)
+
+
+def _weight(sample: _Sample, speed: Speed) -> float:
+    """Return the inverse of a sample's expected variance, which grows with the work."""
+    return 1.0 / (TIME_NOISE_SECONDS + sample.tokens * speed.seconds_per_token)
+
+
+def _direction(deviation: float) -> int:
+    """Return 1 for a sample that is too slow, -1 for one that is too fast, else 0."""
+    if deviation > RUN_FACTOR:
+        return 1
+    return -1 if deviation < 1 / RUN_FACTOR else 0
+
+
+def _is_outlier(sample: _Sample, speed: Speed) -> bool:
+    expected = speed.seconds(sample.tokens, sample.has_overhead)
+    low, high = sorted((sample.seconds, expected))
+    return high > OUTLIER_FACTOR * low + TIME_NOISE_SECONDS
--- a/src/wheelslip/routing/prefill_window.py
+++ b/src/wheelslip/routing/prefill_window.py
@@ -44,9 +44,20 @@
         if self._waiting == 1:
             self._start(now, is_idle_start=True, unseen_tokens=unseen_tokens)
 
-    def first_token(self, tokens: int, now: float, is_measured: bool) -> PrefillSample | None:
+    def first_token(
+        self,
+        tokens: int,
+        sent_at: float,
+        now: float,
+        overhead_seconds: float,
+        is_measured: bool,
+    ) -> PrefillSample | None:
         """Record a first token; return the work of the window that ends.
 
+        A request that was sent within the overhead of the previous first token met a worker that
+        had computed all prompts, so its time counts from when it was sent.
+
+        :param overhead_seconds: expected overhead of a first token.
         :param is_measured: whether the tokens are the work that the worker did for the request
             since it was sent.
         :return: ``None`` when the work of the window is unknown.
@@ -55,6 +66,8 @@
             return None
         sample = None
         if self._is_measurable and is_measured:
+            if sent_at > self._began_at - overhead_seconds:
+                self._began_at, self._is_idle_start = sent_at, True
             seconds = now - self._began_at
             sample = PrefillSample(tokens + self._unseen_tokens, seconds, self._is_idle_start)
         self._waiting -= 1
--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -143,12 +143,12 @@
         load.waiting.discard(began_at)
         load.needs_probe = False
         load.record_wait(began_at, self._clock())
-        self._learn_prefill(placement, load)
+        self._learn_prefill(placement, began_at, load)
         parts = self._cached_parts.get(placement.worker.info.id)
         if parts is not None and placement.chain:
             parts.record(placement.chain)
 
-    def _learn_prefill(self, placement: Placement, load: WorkerLoad) -> None:
+    def _learn_prefill(self, placement: Placement, began_at: float, load: WorkerLoad) -> None:
         """Learn the speed of a worker from a first token.
 
         Transfers of KV cache are no prefill, so requests with one are not measured.
@@ -156,7 +156,10 @@
         now = self._clock()
         info = placement.worker.info
         is_measured = placement.priority is not None and not placement.fetched_tokens
-        sample = load.window.first_token(placement.prefill_tokens, now, is_measured)
+        overhead_seconds = self._first_token_overhead(placement.worker)
+        sample = load.window.first_token(
+            placement.prefill_tokens, began_at, now, overhead_seconds, is_measured
+        )
         speeds = self.speeds
         if sample is None or speeds is None or not self._worker_is_registered(info.id):
             return
