--- a/tests/unit/forwarding/test_speed_replay.py
+++ b/tests/unit/forwarding/test_speed_replay.py
@@ -2,20 +2,23 @@
 
 import json
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import pytest
 
 from standins.platform_worker import worker_entry
-from tests.unit.forwarding.speed_model import ModelWorker, World
+from tests.unit.forwarding.speed_model import ModelWorker, VirtualClock, World
 from wheelslip.deployment import PromptPart
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.platform.registry import PlatformRegistry
-from wheelslip.routing.fleet_choice import FleetPlacement
+from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.overload import Overloaded
-from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.worker_choice import WorkerPlacement
+from wheelslip.routing.worker_records import PREFILL_TOKENS_PER_SECOND
 from wheelslip.routing.worker_speed import SpeedEstimates
 
 BASE_RATE = 60_000.0
@@ -214,3 +217,56 @@
     # 9,190 tokens take 19 ms, less than an eighth of a pause of 0.3 s.
     separation = replay.placement._separation["long"]
     assert separation._long_seconds == 0.0 and separation._short_seconds > 0.0
+
+
+def test_slow_worker_of_a_service_without_engines_gets_a_smaller_share():
+    """Guards against an equal share for a worker on which requests take three times as long."""
+    clock = VirtualClock()
+    registry = Registry(PlatformRegistry(), BoundsSection, clock)
+    document = {"version": 1, "services": [{"name": "s"}]}
+    registry.apply("op/config", json.dumps(document).encode(), 1)
+    for number in range(2):
+        entry = worker_entry(address=f"127.0.0.1:{1 + number}", model="m")
+        registry.apply(f"servers/w{number}", entry, 2 + number)
+    placement = WorkerPlacement(registry, clock, random.Random(1), speeds=SpeedEstimates(clock))
+    for _ in range(30):
+        for worker_id, seconds in (("w0", 0.3), ("w1", 0.1)):
+            chosen = Placement(placement.worker(worker_id), priority=2)
+            began_at = placement.begin(chosen)
+            clock.now += seconds
+            placement.end(chosen, began_at, had_first_token=False, completed=True)
+    counts = Counter()
+    for _ in range(8):
+        chosen = placement.choose(PlacementQuery("s", connected=frozenset({"w0", "w1"})))
+        placement.begin(chosen)
+        counts[chosen.worker.info.id] += 1
+    assert counts == {"w0": 2, "w1": 6}
+
+
+def test_request_sent_before_a_takeover_teaches_nothing():
+    """Guards against rates from requests whose send time the new dispatcher does not know."""
+    replay = Replay(1, learns=True)
+    running = RunningRequest(1, "w0", None, (), 9_190, 9_200)
+    placement = replay.placement.rebuild_placement(running)
+    before = replay.placement.prefill_rate(placement.worker)
+    for _ in range(5):
+        began_at = replay.placement.begin(placement)
+        replay.placement.first_token(placement, began_at)
+        replay.placement.end(placement, began_at, had_first_token=True, completed=True)
+    assert replay.placement.prefill_rate(placement.worker) == before
+    assert replay.speeds.request_seconds("w0", "s") == 1.0
+
+
+def test_switched_off_speeds_are_the_constants():
+    """Guards against a switch that leaves learned values in use."""
+    switch = [True]
+    replay = Replay(1, learns=True)
+    replay.placement._learn_speeds = lambda: switch[0]
+    replay.offer(0.5)
+    replay.world.run(3.0)
+    worker = replay.placement.worker("w3")
+    assert replay.placement.prefill_rate(worker) > 2 * PREFILL_TOKENS_PER_SECOND
+    switch[0] = False
+    assert replay.placement.prefill_rate(worker) == PREFILL_TOKENS_PER_SECOND
+    assert replay.placement._first_token_overhead(worker) == 0.0
+    assert replay.placement._duration_factor(worker) == 1.0
