--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -110,9 +110,10 @@
 
     def end(self, had_first_token: bool) -> None:
         """Record that the attempt at the worker has ended."""
-        self._records.end(self.placement, self._started_at, had_first_token)
         progress = self._final_progress()
-        if progress is Progress.ENDED:
+        completed = progress is Progress.ENDED
+        self._records.end(self.placement, self._started_at, had_first_token, completed)
+        if completed:
             self._records.record_served(self.placement, self._started_at)
         self._report(progress)
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -420,7 +420,7 @@
                     self.placement.record_outcome(worker_id, failed=False)
                     self.placement.record_contact(worker_id, query_id.node)
                     self._record_served(grant)
-                self._end(query_id)
+                self._end(query_id, completed=True)
             case Progress.FAILED:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end(query_id)
@@ -471,9 +471,9 @@
         if not grant.had_first_token:
             queue.record_response(grant.priority, seconds)
 
-    def _end(self, query_id: QueryId) -> None:
+    def _end(self, query_id: QueryId, completed: bool = False) -> None:
         grant = self._grants.pop(query_id)
-        self.placement.end(grant.placement, grant.began_at, grant.had_first_token)
+        self.placement.end(grant.placement, grant.began_at, grant.had_first_token, completed)
 
     def reconcile_running(
         self, node: str, numbers: list[int], requests: list[RunningRequest]
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -29,13 +29,13 @@
     MIN_TRANSFER_TOKENS,
     OTHER_ZONE_SECONDS,
     PREFILL_INTERFERENCE,
-    PREFILL_TOKENS_PER_SECOND,
     RUNNING_REQUEST_SECONDS,
     DeploymentView,
     WorkerPlacement,
 )
-from wheelslip.routing.worker_records import REQUEST_SMOOTHING
+from wheelslip.routing.worker_records import PREFILL_TOKENS_PER_SECOND, REQUEST_SMOOTHING
 from wheelslip.routing.worker_slots import WorkerSlots
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 ARRIVAL_MEMORY_SECONDS = 2.0
 """Time constant of the arrival rate estimate."""
@@ -76,6 +76,8 @@
 
     :param table: table of this node, of which only the saved prompts are used and updated.
     :param limits_admission: returns whether requests that no worker can start in time are refused.
+    :param speeds: learned speeds; ``None`` to use constants.
+    :param learn_speeds: returns whether speeds are learned and used.
     """
 
     def __init__(
@@ -85,8 +87,10 @@
         random_source: random.Random,
         table: LoadTable | None = None,
         limits_admission: Callable[[], bool] = lambda: True,
+        speeds: SpeedEstimates | None = None,
+        learn_speeds: Callable[[], bool] = lambda: True,
     ):
-        super().__init__(registry, clock, random_source, table)
+        super().__init__(registry, clock, random_source, table, speeds, learn_speeds)
         self.limits_admission = limits_admission
         self._slots = WorkerSlots(clock)
         self._mean_durations: dict[str, float] = {}
@@ -103,6 +107,9 @@
         load = self.load(worker_id)
         return LoadAtWorker(worker_id, load.running, load.prefill_tokens, load.held_tokens)
 
+    def _unseen_tokens(self, worker_id: Incarnation) -> int:
+        return 0
+
     def forget(self, worker_id: Incarnation) -> None:
         """Delete the records of a departed worker."""
         super().forget(worker_id)
@@ -138,7 +145,7 @@
     def _may_start_at(self, worker: Worker, engine: EngineProfile) -> bool:
         """Return whether an engine has a free slot and a short backlog."""
         load = self.load(worker.info.id)
-        most_tokens = MAX_WORKER_WAIT_SECONDS * PREFILL_TOKENS_PER_SECOND
+        most_tokens = MAX_WORKER_WAIT_SECONDS * self.prefill_rate(worker)
         return load.running < engine.capacity and load.prefill_tokens <= most_tokens
 
     def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
@@ -183,19 +190,21 @@
     def _longest_wait(
         self,
         query: PlacementQuery,
+        target_seconds: float,
         estimate: WorkerEstimate,
         engine: EngineProfile,
         limits: AdmissionLimits,
     ) -> float:
-        """Return the longest acceptable wait of a request at a worker; negative without a slot."""
-        longest = limits.longest_wait(
-            query.priority, query.target_seconds, estimate.prefill_seconds
-        )
+        """Return the longest acceptable wait of a request at a worker; negative without a slot.
+
+        :param target_seconds: time left until the target, less the overhead of a first token.
+        """
+        longest = limits.longest_wait(query.priority, target_seconds, estimate.prefill_seconds)
         if not query.must_start_soon:
             return longest
         load = self.load(estimate.worker.info.id)
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
-        if self._slot_wait_seconds(load.running, held, engine) and load.running:
+        if self._slot_wait_seconds(estimate.worker, load.running, held, engine) and load.running:
             return -1.0
         return min(longest, MAX_WORKER_WAIT_SECONDS)
 
@@ -232,7 +241,8 @@
                 if cost >= lowest_cost:
                     continue
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
-                longest = self._longest_wait(query, estimate, engine, limits)
+                target_seconds = query.target_seconds - self._first_token_overhead(worker)
+                longest = self._longest_wait(query, target_seconds, estimate, engine, limits)
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
                 if not is_late and estimate.cost + cost < lowest_cost:
@@ -248,8 +258,8 @@
         if query.must_start_soon:
             # The queue sets the retry times of its requests and tries them repeatedly.
             return max(0.0, wait_seconds)
-        work_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        work_seconds += self._request_seconds / max(1, engine.capacity)
+        work_seconds = query.prompt_tokens / self._service_rate(query.service)
+        work_seconds += self._mean_request_seconds(query.service) / max(1, engine.capacity)
         return self._retry_schedule.retry_seconds(
             self._clock(), wait_seconds, work_seconds / workers
         )
@@ -305,16 +315,18 @@
         cached = state.cached_tokens[worker.info.id]
         fetched, fetch_seconds = self._fetch_estimate(worker, state, cached, engine, now)
         prefill = max(0, query.prompt_tokens - cached - fetched)
-        prefill_seconds = prefill / PREFILL_TOKENS_PER_SECOND
-        backlog_seconds = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        rate = self.prefill_rate(worker)
+        prefill_seconds = prefill / rate
+        backlog_seconds = load.prefill_tokens / rate
         cost = backlog_seconds + prefill_seconds * (1.0 + delayed_requests)
+        cost += self._first_token_overhead(worker)
         cost += RECOMPUTE_SECONDS_PER_TOKEN * state.recomputed_tokens(cached + fetched)
         cost += (
             load.running * (RUNNING_REQUEST_SECONDS + PREFILL_INTERFERENCE * prefill_seconds)
             + fetch_seconds
         )
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
-        slot_wait_seconds = self._slot_wait_seconds(load.running, held, engine)
+        slot_wait_seconds = self._slot_wait_seconds(worker, load.running, held, engine)
         return WorkerEstimate(
             cost + slot_wait_seconds,
             worker,
@@ -366,6 +378,7 @@
             CachePlan(query.salt(version), fetch_from, save_to) if state.chain else None,
             estimate.fetched_tokens,
             uncached_keys,
+            priority=query.priority,
         )
 
     def _fetch_from(
@@ -387,7 +400,12 @@
         so recomputing a part costs more the longer the backlogs are.
         """
         self._record_arrival(now)
-        pending = sum(self.load(worker.info.id).prefill_tokens for worker in candidates)
+        # In tokens at the assumed rate, so that the sum is exact while speeds are not learned.
+        pending = sum(
+            self.load(worker.info.id).prefill_tokens
+            * (PREFILL_TOKENS_PER_SECOND / self.prefill_rate(worker))
+            for worker in candidates
+        )
         count = max(1, len(candidates))
         backlog_seconds = pending / PREFILL_TOKENS_PER_SECOND / count
         rate = self._arrivals / ARRIVAL_MEMORY_SECONDS / count
@@ -449,9 +467,15 @@
             source = worker_endpoint(placement.worker, engine)
             self._transfers.add(source, store_endpoint(store), size, self._clock())
 
-    def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
+    def end(
+        self,
+        placement: Placement,
+        began_at: float,
+        had_first_token: bool,
+        completed: bool = False,
+    ) -> None:
         """Record that a request has left its worker; a prompt without a token is not cached."""
-        super().end(placement, began_at, had_first_token)
+        super().end(placement, began_at, had_first_token, completed)
         is_registered = self._is_registered(placement.worker.info.id)
         if not had_first_token and placement.chain and is_registered:
             self._cache_index.abandon(placement)
--- a/tests/unit/forwarding/test_worker_room.py
+++ b/tests/unit/forwarding/test_worker_room.py
@@ -32,7 +32,7 @@
 
 
 def placement_of(registry, clock, table=None, limits=True) -> WorkerPlacement:
-    return WorkerPlacement(registry, clock, random.Random(1), table, lambda: limits)
+    return WorkerPlacement(registry, clock, random.Random(1), table, limits_load=lambda: limits)
 
 
 def send(records: WorkerPlacement, query: PlacementQuery) -> tuple:
