Join: one limit of requests that a node places by itself

The one that also counts requests whose connection is being opened, and that checks room before the tenant is charged, stays; its tests cover each case of the other.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -9,7 +9,6 @@
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
 from wheelslip.peers.queue_link import QueueTerms
 from wheelslip.routing.dispatcher import Progress
-from wheelslip.routing.local_admission import LocalAdmission
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimits
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
@@ -140,7 +139,6 @@
     :param allowance: this node's share of the rate limits of workers.
     :param uses_dispatcher: returns whether the dispatcher chooses workers.
     :param uses_queue: returns whether requests wait in the queue of the dispatcher.
-    :ivar local_admission: limits the requests whose workers this node chooses itself.
     """
 
     def __init__(
@@ -164,7 +162,6 @@
         self._limits = limits
         self._allowance = allowance
         self._local_choice = RateLimitedChoice(records, allowance)
-        self.local_admission = LocalAdmission(records, clock)
         self._uses_dispatcher = uses_dispatcher
         self._uses_queue = uses_queue
         self._clock = clock
@@ -188,9 +185,6 @@
 
     async def _assign_locally(self, job: Job, service: str) -> Assignment | None:
         query = self._query(job, service)
-        if self._uses_queue():
-            # Before the charge: a rejected request must not use its tenant's quota.
-            query = self.local_admission.limit(query)
         await self._charge_quota(job, query)
         placement = self._local_choice.choose(query, self._clock())
         return placement and self._assignment(placement, None)
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -202,7 +202,7 @@
             table,
             own_loads,
         )
-        self._assigner = WorkerAssigner(
+        assigner = WorkerAssigner(
             section.zone,
             self._registry,
             self._placement,
@@ -217,7 +217,7 @@
         self._forwarder = Forwarder(
             requests,
             self._registry,
-            self._assigner,
+            assigner,
             self._pool,
             self._crash_guard,
             self.bounds,
@@ -387,7 +387,7 @@
             "queue_rejected": lambda: float(self._dispatcher.rejected),
             "queue_reserved": lambda: float(self._dispatcher.reserved),
             "queue_returned": lambda: float(self._dispatcher.returned),
-            "queue_rejected_alone": lambda: float(self._assigner.local_admission.rejected),
+            "queue_rejected_alone": lambda: float(self._placement.room.rejected),
             **self._meter.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_fingerprints()),
             "engines_said_leaving": lambda: float(self._registry.notices.leaving_notices),
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -132,15 +132,6 @@
             own.held_tokens + others.held_tokens,
         )
 
-    def occupancy(self, service: str) -> dict[Incarnation, bool]:
-        """Return for each worker that accepts requests whether its capacity is used up."""
-        engine = self._engine(service)
-        return {
-            worker.info.id: self.total_load(worker.info.id).running
-            >= (engine.capacity if engine else worker.info.capacity)
-            for worker in self._registry.workers_of(service)
-        }
-
     def _unseen_tokens(self, worker_id: Incarnation) -> int:
         """Return the prompt tokens that a worker computes for the requests of other nodes."""
         return self._table.at_worker(worker_id, self._clock()).prefill_tokens
--- a/src/wheelslip/routing/worker_room.py
+++ b/src/wheelslip/routing/worker_room.py
@@ -23,6 +23,8 @@
 
     Requests whose worker is chosen but to which no connection is open yet are counted too:
     otherwise all requests that arrive while connections are opened go to the same free slots.
+
+    :ivar rejected: number of requests rejected since the start.
     """
 
     def __init__(self):
@@ -30,6 +32,7 @@
         self._unsent_tokens: Counter[Incarnation] = Counter()
         self._retry_schedules: defaultdict[str, RetrySchedule] = defaultdict(RetrySchedule)
         self._mean_seconds: dict[str, float] = {}
+        self.rejected = 0
 
     def record_duration(self, service: str, seconds: float) -> None:
         """Record how long a served request was at its worker."""
@@ -74,13 +77,14 @@
     def retry_seconds(
         self, service: str, own_running: Mapping[Incarnation, int], now: float
     ) -> float:
-        """Return after how long a rejected caller should retry.
+        """Count a rejection and return after how long its caller should retry.
 
         Callers of this node return at the rate at which its own requests end. Other nodes do the
         same, so together they use the capacity that becomes free, without knowing their number.
 
         :param own_running: number of sent requests of this node by worker of the service.
         """
+        self.rejected += 1
         mean = self._mean_seconds.get(service, INITIAL_REQUEST_SECONDS)
         unsent = sum(self._unsent[worker_id] for worker_id in own_running)
         spacing = mean / max(1, sum(own_running.values()) + unsent)
--- a/tests/unit/forwarding/test_newer_weights_in_grant.py
+++ b/tests/unit/forwarding/test_newer_weights_in_grant.py
@@ -56,6 +56,7 @@
     incarnation = next(iter(registry.workers))
     source = random.Random(1)
     return DispatchLink(
+        "n",
         "127.0.0.1:9",
         GrantingSocket(incarnation, version),
         None,
@@ -65,8 +66,8 @@
         list,
         registry.notices.limits,
         lambda address: None,
+        None,
         clock,
-        source,
     )
 
 
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -147,6 +147,9 @@
     def accepts(self, worker, query):
         return True
 
+    def adopt_weights(self, worker, model, version):
+        pass
+
 
 class FakeLimits:
     def rate(self, worker_id):
--- a/tests/unit/forwarding/test_worker_room.py
+++ b/tests/unit/forwarding/test_worker_room.py
@@ -189,7 +189,16 @@
     for _ in range(CAPACITY):
         send(records, PLAIN)
     assigner = WorkerAssigner(
-        "z", registry, records, WorkerPool(clock), None, limits, None, lambda: False, clock
+        "z",
+        registry,
+        records,
+        WorkerPool(clock),
+        None,
+        limits,
+        None,
+        lambda: False,
+        lambda: True,
+        clock,
     )
     with pytest.raises(Overloaded):
         asyncio.run(assigner._charge_quota(None, PLAIN._replace(tenant="t", limit_units=1.0)))
