--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -678,11 +678,10 @@
     _single_edit(
         "occupied workers not passed over by local choice",
         FORWARDING,
-        "routing/local_admission.py",
-        "return query._replace(excluded=query.excluded | occupied)",
-        "return query",
-        "../unit/forwarding/test_local_admission.py"
-        "::test_occupied_worker_is_passed_over_although_the_other_one_failed_recently",
+        "routing/worker_choice.py",
+        "if query.sent_before or not self._limits_load():",
+        "if True:",
+        "../unit/forwarding/test_worker_room.py::test_workers_get_no_more_than_their_capacity",
     ),
 )
 
--- a/tests/unit/forwarding/test_newer_weights_in_grant.py
+++ b/tests/unit/forwarding/test_newer_weights_in_grant.py
@@ -11,6 +11,7 @@
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_messages import QUERY, WorkerGrant
 from wheelslip.peers.dispatcher_health import DispatcherHealth
+from wheelslip.peers.queue_link import QueueLink
 from wheelslip.platform.registry import PlatformRegistry
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
@@ -55,18 +56,22 @@
 def make_link(registry: Registry, clock: Clock, version: int) -> DispatchLink:
     incarnation = next(iter(registry.workers))
     source = random.Random(1)
+    socket, health = GrantingSocket(incarnation, version), DispatcherHealth(clock, source)
+    queue = QueueLink(
+        "127.0.0.1:9", socket, None, lambda service: [], health, lambda *wait: None, clock
+    )
     return DispatchLink(
         "n",
         "127.0.0.1:9",
-        GrantingSocket(incarnation, version),
+        socket,
         None,
         WorkerPlacement(registry, clock, source),
         lambda service: [DISPATCHER],
-        DispatcherHealth(clock, source),
+        health,
         list,
         registry.notices.limits,
         lambda address: None,
-        None,
+        queue,
         clock,
     )
 
