--- a/tests/unit/forwarding/test_newer_weights_in_grant.py
+++ b/tests/unit/forwarding/test_newer_weights_in_grant.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from unittest.mock import Mock
 
 from standins.platform_worker import worker_entry
 from wheelslip.deployment import PromptPart
@@ -58,7 +59,7 @@
     source = random.Random(1)
     socket, health = GrantingSocket(incarnation, version), DispatcherHealth(clock, source)
     queue = QueueLink(
-        "127.0.0.1:9", socket, None, lambda service: [], health, lambda *wait: None, clock
+        "127.0.0.1:9", socket, Mock(), lambda service: [], health, lambda *wait: None, clock
     )
     return DispatchLink(
         "n",
