--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -242,6 +242,7 @@
             self._placement,
             self._lease,
             self.bounds,
+            self._queue_link.has_waited,
             clock,
         )
         self._callers = CallerServer(
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -89,6 +89,8 @@
     """The task that orders workers to load weights while this node holds the lease.
 
     :param view: the rollout records of all holders as seen by this node.
+    :param requests_wait: returns whether requests of this node to a service have had to wait for a
+        worker recently. Each node sees a sample of all requests.
     """
 
     def __init__(
@@ -100,8 +102,10 @@
         placement: WorkerPlacement,
         lease: HolderLease,
         bounds: Callable[[], BoundsSection],
+        requests_wait: Callable[[str], bool],
         clock: Callable[[], float],
     ):
+        self._requests_wait = requests_wait
         self._store = store
         self._control = control
         self._registry = registry
@@ -233,7 +237,12 @@
         self._backoffs[incarnation] = _Backoff(self._clock() + seconds, seconds)
 
     def _has_backlog(self, workers: list[Worker]) -> bool:
-        """Return whether the prefill backlog is too large to take a worker out of service."""
+        """Return whether too much work waits to take a worker out of service.
+
+        While requests wait at the dispatcher, the backlog at the workers stays short.
+        """
+        if any(self._requests_wait(service) for service in {w.info.service for w in workers}):
+            return True
         prefill_tokens = sum(
             self._placement.total_load(worker.info.id).prefill_tokens for worker in workers
         )
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -66,6 +66,11 @@
     content: Callable[[], str]
 
 
+PRESSURE_SECONDS = 1.0
+"""Time after a request was enqueued for which its service counts as short of workers. A node of a
+large fleet sends only a few requests per second."""
+
+
 class QueueUnavailable(Exception):
     """Raised when a dispatcher no longer decides on a request.
 
@@ -138,6 +143,7 @@
         self._waiters: dict[int, _Waiter] = {}
         self._replied_at: dict[str, float] = {}
         self._without_queue: dict[str, float] = {}
+        self._enqueued_at: dict[str, float] = {}
         self.follow: Callable[[str, str, str], None] = lambda service, address, incarnation: None
         server.deliver_local = self._deliver
         socket.register(QUEUED, QueuedNotice, self._handle_queued)
@@ -147,6 +153,11 @@
         """Number of requests of this node that wait."""
         return len(self._waiters)
 
+    def has_waited(self, service: str) -> bool:
+        """Return whether a request of this node to a service was enqueued recently."""
+        enqueued_at = self._enqueued_at.get(service)
+        return enqueued_at is not None and self._clock() - enqueued_at < PRESSURE_SECONDS
+
     def has_queue(self, address: str) -> bool:
         """Return whether a dispatcher is expected to have a queue."""
         return self._without_queue.get(address, 0.0) <= self._clock()
@@ -171,7 +182,7 @@
         query = terms.query()
         waiter = _Waiter(address, query_id, terms, query, new_future(), new_future())
         self._waiters[query_id.number] = waiter
-        began_at = self._clock()
+        began_at = self._enqueued_at[query.service] = self._clock()
         try:
             await self._enqueue(waiter)
             if not waiter.outcome.done():
--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -88,11 +88,13 @@
         return PREFILL_TOKENS_PER_SECOND if speeds is None else speeds.service_rate(service)
 
     def _first_token_overhead(self, worker: Worker) -> float:
-        """Return the part of the time to a first token that does not depend on the prompt."""
+        """Return the part of the time to a first token that does not depend on the prompt.
+
+        The median of the service: a worker's own estimate includes what its streams cost at the
+        time, and placement by it undoes the separation of long and short prompts.
+        """
         speeds = self.speeds
-        if speeds is None:
-            return 0.0
-        return speeds.first_token_overhead(worker.info.service, worker.info.id)
+        return 0.0 if speeds is None else speeds.first_token_overhead(worker.info.service)
 
     def _mean_request_seconds(self, service: str, worker: Worker | None = None) -> float:
         """Return the mean duration of a request of a service, or of one at a worker."""
@@ -156,11 +158,11 @@
         now = self._clock()
         info = placement.worker.info
         is_measured = placement.priority is not None and not placement.fetched_tokens
-        overhead_seconds = self._first_token_overhead(placement.worker)
+        speeds = self.speeds
+        overhead_seconds = speeds.first_token_overhead(info.service, info.id) if speeds else 0.0
         sample = load.window.first_token(
             placement.prefill_tokens, began_at, now, overhead_seconds, is_measured
         )
-        speeds = self.speeds
         if sample is None or speeds is None or not self._worker_is_registered(info.id):
             return
         speeds.record_first_token(
