Memory account of a node for all bytes held for callers

Cause: only request bodies were summed; unread responses of workers, buffered responses and data that callers had not taken had no common limit, so a node could exceed its memory and be killed. Change: one account per node (memory_account.py, pure) and its application to connections (node_memory.py). A worker's response is read on as far as the account allows; without room reading is paused and resumed, and connections of callers that take nothing are reset, resumable streams first. A body that does not fit is rejected with 503 memory_full instead of 429. Rejected connections receive and drop the rest of the request for 1 s, so that the response is not destroyed by a reset.

--- a/src/wheelslip/errors.py
+++ b/src/wheelslip/errors.py
@@ -32,6 +32,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     TENANT_LIMIT_EXCEEDED = "tenant_limit_exceeded"
     QUEUE_FULL = "queue_full"
+    MEMORY_FULL = "memory_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     POLICY_REFUSED = "policy_refused"
     NOT_READY = "not_ready"
@@ -107,6 +108,9 @@
         429, _NOT_RUN, True, 1, "The tenant is over a declared limit."
     ),
     ErrorKind.QUEUE_FULL: ErrorDefinition(429, _NOT_RUN, True, 1, "The waiting queue is full."),
+    ErrorKind.MEMORY_FULL: ErrorDefinition(
+        503, _NOT_RUN, True, 1, "The node has no memory for the request body."
+    ),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorDefinition(
         429, _NOT_RUN, True, 1, "No engine can give the first token before the deadline."
     ),
--- a/src/wheelslip/events.py
+++ b/src/wheelslip/events.py
@@ -37,6 +37,7 @@
     PROMPT_COMPUTED = 207
     CONTENT_REFUSED = 208
     CONTENT_CLEARED = 209
+    CONNECTION_CLOSED_FOR_MEMORY = 220
     ENGINE_UP = 300
     ENGINE_DOWN = 301
     ENGINE_REPLACED = 302
@@ -85,6 +86,7 @@
         LogEvent.TASK_FAILED,
         LogEvent.REQUEST_FAULT,
         LogEvent.CONTENT_REFUSED,
+        LogEvent.CONNECTION_CLOSED_FOR_MEMORY,
         LogEvent.ENGINE_ENDED_UNDER,
         LogEvent.ENGINE_DOWN,
         LogEvent.MACHINE_LIST_UNAVAILABLE,
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -12,6 +12,7 @@
     ResponseMetadata,
     RouteKind,
 )
+from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding.answer_notices import ResponseSource
 from wheelslip.forwarding.assignment import Assignment
 from wheelslip.forwarding.caller_connection import CallerConnection
@@ -71,6 +72,7 @@
 def write_buffered_response(buffered: BufferedResponse, caller: CallerConnection) -> None:
     """Write a buffered response of a worker to the caller."""
     headers = end_to_end_headers(buffered.response)
+    caller.memory.set_buffered(0)
     if buffered.response.status_code not in (204, 304):
         headers.append((b"Content-Length", b"%d" % len(buffered.body)))
     caller.write_head(buffered.response.status_code, headers)
@@ -132,6 +134,7 @@
         """Stop the deadline timer, and close the connection unless it was returned to the pool."""
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
+        self._connection.leave_memory()
         if not self.released:
             self._connection.close()
 
@@ -154,8 +157,12 @@
         )
 
     async def run(self) -> AttemptOutcome:
-        """Send the request and relay the response."""
+        """Send the request and relay the response.
+
+        :raises WheelslipError: if the request was not sent, as the node has no memory for it.
+        """
         job = self._job
+        self._reserve_memory()
         job.attempts_sent += 1
         job.may_have_run += 1
         self._check_start_deadline()
@@ -176,6 +183,25 @@
                 self._assignment.record_silent()
             return AttemptOutcome.LOST
 
+    def _reserve_memory(self) -> None:
+        """Register the attempt at the memory account of the node.
+
+        The transport copies what the worker does not take at once, so all of the body is counted
+        again until the request was written.
+
+        :raises WheelslipError: if the body does not fit.
+        """
+        job, memory = self._job, self._caller.memory
+        route = job.route
+        is_stream = route.kind is RouteKind.STREAM
+        memory.describe_request(job.request.metadata.request_id, is_stream, route.resumable)
+        if not memory.add_unsent(len(job.request.body)):
+            self._assignment.record_not_run(failed=False)
+            memory.count_rejection()
+            kind = ErrorKind.ENGINE_LOST if job.may_have_run else ErrorKind.MEMORY_FULL
+            raise WheelslipError(kind, "no memory to send the request body")
+        self._connection.use_memory(memory)
+
     def _send(self) -> None:
         request = self._job.request
         headers = self._services.dialect.worker_headers(request, self._dispatch())
@@ -246,14 +272,23 @@
         self._release_connection(metadata)
         return AttemptOutcome.NOT_RUN
 
+    def _kept_bytes(self) -> int:
+        """Return the size of the failed response of an earlier attempt, which is kept."""
+        failed = self._job.failed_response
+        return len(failed.body) if failed is not None else 0
+
     async def _read_body(self) -> bytes:
         body = bytearray()
+        memory = self._caller.memory
+        memory.set_buffered(self._kept_bytes())
+        limit = memory.response_limit(MAX_BUFFERED_BYTES)
         while True:
             event = await self._connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
+            memory.buffer(len(event.data))
             body += event.data
-            if len(body) > MAX_BUFFERED_BYTES:
+            if len(body) > limit:
                 raise PeerLost("response larger than the buffer limit")
 
     def _release_connection(self, metadata: ResponseMetadata) -> None:
@@ -290,8 +325,10 @@
             event = await self._connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
-            self._forward_events(response, splitter.feed(bytes(event.data)))
-            await self._caller.drain()
+            events = splitter.feed(bytes(event.data))
+            self._caller.memory.process(len(event.data))
+            self._caller.memory.set_buffered(self._kept_bytes() + splitter.buffered_bytes)
+            self._forward_events(response, events)
         if splitter.incomplete:
             raise PeerLost("stream ended inside an event")
         self._release_connection(metadata)
--- a/src/wheelslip/forwarding/caller_connection.py
+++ b/src/wheelslip/forwarding/caller_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -12,9 +14,21 @@
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.answers import error_response, reason_phrase
+from wheelslip.forwarding.memory_account import MemoryUse
+from wheelslip.forwarding.node_memory import ConnectionMemory
 
 DEFAULT_LIMITS = CallerLimits()
 
+MAX_PIPELINED_BYTES = 64 * 1024
+"""Bytes received during a request above which reading from the caller is paused."""
+
+REJECTED_CLOSE_SECONDS = 1.0
+"""Time for which the rest of a rejected request is received and dropped. Closing a socket with
+unread data resets the connection, which may destroy the response before the caller has read it."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a closed socket is reset."""
+
 
 @dataclass(frozen=True)
 class ReceivedRequest:
@@ -42,11 +56,8 @@
     def stopping(self) -> bool:
         """Whether responses ask the caller to close the connection."""
 
-    def reserve_bytes(self, count: int) -> bool:
-        """Reserve memory for request bodies; a negative count releases it.
-
-        :return: ``False`` if the memory limit would be exceeded.
-        """
+    def open_memory(self, connection: "CallerConnection") -> ConnectionMemory:
+        """Return the memory holder of a new connection."""
 
     def connection_opened(self, connection: "CallerConnection") -> None:
         """Register a connection."""
@@ -62,6 +73,8 @@
     """Reads requests and writes responses, one at a time.
 
     The task that handles a request is cancelled when the caller disconnects.
+
+    :ivar memory: bytes held for this connection.
     """
 
     def __init__(self, owner: ConnectionOwner):
@@ -72,17 +85,19 @@
         self._head: h11.Request | None = None
         self._head_received_at = 0.0
         self._body = bytearray()
+        self._body_length = 0
         self._task: asyncio.Task | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._closed = False
-        self._reserved_bytes = 0
+        self._pipelined_bytes = 0
+        self.memory = owner.open_memory(self)
         self._waiting_since = owner.clock()
         self._receiving = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection with the server."""
         self._transport = transport
+        # resume_writing() is called only when the caller has taken everything.
+        transport.set_write_buffer_limits(high=0)
         self._owner.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -98,6 +113,28 @@
                 self._receiving = True
                 self._waiting_since = self._owner.clock()
             self._process_events()
+            return
+        self._receive_pipelined(len(data))
+
+    def _receive_pipelined(self, count: int) -> None:
+        """Count data received during a request, which the parser keeps until it has ended."""
+        self._pipelined_bytes += count
+        if not self.memory.add_body(count, 0):
+            self._disconnect()
+            self._transport.abort()
+        elif self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            self._transport.pause_reading()
+
+    def _continue_pipelined(self) -> None:
+        """Process the data received during the last request."""
+        self._pipelined_bytes = 0
+        self._process_events()
+        if self._closed:
+            return
+        if self._task is not None:
+            self._receive_pipelined(len(self._parser.trailing_data[0]))
+        if self._pipelined_bytes <= MAX_PIPELINED_BYTES:
+            self._transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnect."""
@@ -107,20 +144,41 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request and unregister the connection."""
         self._disconnect()
-        self._release_bytes()
+        self.memory.connection_ended()
         self._owner.connection_closed(self)
 
-    def pause_writing(self) -> None:
-        """Suspend the response while the caller reads slower than it is written."""
-        self._writable.clear()
-
     def resume_writing(self) -> None:
-        """Resume the response."""
-        self._writable.set()
+        """Record that the caller has taken all data."""
+        self.memory.set_untaken(self._transport.get_write_buffer_size(), 0)
+
+    def untaken_bytes(self) -> int:
+        """Return the written bytes that the caller has not taken."""
+        return self._transport.get_write_buffer_size()
+
+    def peer_address(self) -> str:
+        """Return the address of the caller."""
+        host, port, *_ = self._transport.get_extra_info("peername") or ("", 0)
+        return f"{host}:{port}"
+
+    def close_for_memory(self) -> None:
+        """Close the connection and drop its data.
+
+        A request that was not completely received is rejected. Otherwise the connection is reset,
+        which no caller takes for the end of a response, also where a response ends with its
+        connection.
+        """
+        receiving = self._task is None and self._receiving and not self._closed
+        if receiving and not self.untaken_bytes():
+            self._reject(ErrorKind.MEMORY_FULL, "request body sent too slowly; memory is needed")
+            return
+        connection = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._disconnect()
+        self._transport.abort()
 
     def _disconnect(self) -> None:
         self._closed = True
-        self._writable.set()
         if self._task is not None:
             self._task.cancel()
 
@@ -149,7 +207,7 @@
 
     def _process_head(self, head: h11.Request) -> bool:
         self._head = head
-        self._head_received_at = self._owner.clock()
+        self._head_received_at = self.memory.receiving_since = self._owner.clock()
         names = [name for name, _ in head.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             self._reject(
@@ -157,24 +215,34 @@
                 "content-length: not allowed together with transfer-encoding",
             )
             return False
+        self._body_length = 0
         for name, value in head.headers:
-            too_long = name == b"content-length" and int(value) > self._max_body()
-            if too_long:
+            if name != b"content-length":
+                continue
+            self._body_length = int(value)
+            if self._body_length > self._max_body():
                 self._reject(ErrorKind.BODY_TOO_LARGE, f"body: longer than {self._max_body()}")
                 return False
+            if not self.memory.may_receive(self._body_length):
+                self._reject_body()
+                return False
         return True
 
     def _process_body(self, data: bytes) -> bool:
-        if not self._owner.reserve_bytes(len(data)):
-            self._reject(ErrorKind.QUEUE_FULL, "memory limit of buffered request bodies exceeded")
+        known_length = max(self._body_length, len(self._body) + len(data))
+        if not self.memory.add_body(len(data), known_length):
+            self._reject_body()
             return False
-        self._reserved_bytes += len(data)
         self._body += data
         if len(self._body) > self._max_body():
             self._reject(ErrorKind.BODY_TOO_LARGE, f"body: longer than {self._max_body()}")
             return False
         return True
 
+    def _reject_body(self) -> None:
+        self.memory.count_rejection()
+        self._reject(ErrorKind.MEMORY_FULL, "memory limit of the node exceeded")
+
     def _max_body(self) -> int:
         return self._owner.limits().max_body_bytes
 
@@ -193,7 +261,15 @@
             self.write_head(status, headers)
             self.write_body(body)
             self.write_end()
-        self.close_gracefully()
+        self._body = bytearray()
+        self.memory.request_ended()
+        self._close_after_rejection()
+
+    def _close_after_rejection(self) -> None:
+        """Close after the rest of the rejected request was received, or after a time limit."""
+        self._closed = True
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(REJECTED_CLOSE_SECONDS, self._transport.close)
 
     def _start_request(self) -> None:
         head = self._head
@@ -207,6 +283,7 @@
         self._body = bytearray()
         self._head = None
         self._receiving = False
+        self.memory.receiving_since = None
         self._task = asyncio.get_running_loop().create_task(self._run(request))
 
     async def _run(self, request: ReceivedRequest) -> None:
@@ -220,13 +297,9 @@
             self.abort()
         finally:
             self._task = None
-            self._release_bytes()
+            self.memory.request_ended()
             self._finish_request()
 
-    def _release_bytes(self) -> None:
-        self._owner.reserve_bytes(-self._reserved_bytes)
-        self._reserved_bytes = 0
-
     def _finish_request(self) -> None:
         if self._closed:
             self._transport.abort()
@@ -234,7 +307,10 @@
         if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
             self._waiting_since = self._owner.clock()
-            self._process_events()
+            if self._pipelined_bytes:
+                self._continue_pipelined()
+            else:
+                self._process_events()
         elif self._parser.our_state is h11.MUST_CLOSE:
             self.close_gracefully()
         elif self._parser.our_state is not h11.CLOSED:
@@ -257,10 +333,6 @@
         """Write the end of the response."""
         self._write(self._parser.send(h11.EndOfMessage()))
 
-    async def drain(self) -> None:
-        """Wait until the write buffer is below its high-water mark."""
-        await self._writable.wait()
-
     @property
     def response_started(self) -> bool:
         """Whether the response head has been written."""
@@ -274,6 +346,9 @@
     def _write(self, data: bytes | None) -> None:
         if data and not self._closed:
             self._transport.write(data)
+            untaken = self._transport.get_write_buffer_size()
+            if untaken or self.memory.by_use[MemoryUse.UNTAKEN_RESPONSE]:
+                self.memory.set_untaken(untaken, len(data))
 
     def abort(self) -> None:
         """Abort the connection, so that a partial response is recognizably incomplete."""
--- a/src/wheelslip/forwarding/event_stream.py
+++ b/src/wheelslip/forwarding/event_stream.py
@@ -30,6 +30,11 @@
         """Whether part of an event is buffered."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of incomplete events."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events completed by them."""
         self._buffer += data
--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/forwarding/http_client.py
@@ -7,6 +7,7 @@
 import h11
 
 from wheelslip.deployment import Headers
+from wheelslip.forwarding.node_memory import ConnectionMemory
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 """Shorter than the first retransmission of a lost SYN packet, which takes 1 s."""
@@ -21,6 +22,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Unread bytes of a response above which reading from the socket is paused."""
 
+SEPARATE_BODY_BYTES = 64 * 1024
+"""Size from which a body is written separately: joining it to the head would copy it."""
+
 
 class PeerUnreachable(Exception):
     """Raised when a connection cannot be established; nothing was sent."""
@@ -69,6 +73,8 @@
 
     A connection is not reused after data that belongs to no request: data received while no request
     is in flight, or after a complete response.
+
+    :ivar memory: account of the request in flight; ``None`` if its data is not counted.
     """
 
     def __init__(self):
@@ -80,6 +86,9 @@
         self._busy = False
         self._has_unsolicited_data = False
         self._buffered = 0
+        self._buffer_full = False
+        self._memory_full = False
+        self.memory: ConnectionMemory | None = None
         self._request: h11.Request | None = None
 
     # Callbacks of asyncio.Protocol
@@ -87,6 +96,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and set the liveness options of the socket."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
         set_liveness_options(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
@@ -97,9 +107,31 @@
             return
         self._buffered += len(data)
         if self._buffered > MAX_BUFFERED_BYTES:
-            self._transport.pause_reading()
+            self._buffer_full = True
+            self._apply_pauses()
+        if self.memory is not None:
+            self.memory.add_unread(self, len(data))
         self._feed(data)
 
+    def set_memory_pause(self, paused: bool) -> None:
+        """Pause or resume reading because of the node's memory."""
+        self._memory_full = paused
+        self._apply_pauses()
+
+    def _apply_pauses(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        # Both calls do nothing if reading is paused or not paused already.
+        if self._buffer_full or self._memory_full:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def resume_writing(self) -> None:
+        """Record that the peer has taken the request."""
+        if self.memory is not None:
+            self.memory.set_unsent(self._transport.get_write_buffer_size())
+
     def eof_received(self) -> bool:
         """Process the end of the peer's data."""
         self._closed = True
@@ -145,6 +177,17 @@
         self._parser.start_next_cycle()
         self._busy = False
 
+    def use_memory(self, memory: ConnectionMemory) -> None:
+        """Count the data of the next request and its response, until :meth:`leave_memory`."""
+        self.memory = memory
+        memory.attach(self)
+
+    def leave_memory(self) -> None:
+        """Stop counting after the end of a request."""
+        if self.memory is not None:
+            self.memory.detach(self)
+            self.memory = None
+
     @property
     def open(self) -> bool:
         """Whether an idle connection can still be used."""
@@ -159,7 +202,14 @@
             raise PeerLost("connection already closed")
         self._busy = True
         self._request = h11.Request(method=method, target=target, headers=headers)
-        self._transport.write(self._parser.send(self._request) + self._body_bytes(body))
+        head = self._parser.send(self._request)
+        if len(body) > SEPARATE_BODY_BYTES:
+            self._transport.write(head)
+            self._transport.write(self._body_bytes(body))
+        else:
+            self._transport.write(head + self._body_bytes(body))
+        if self.memory is not None:
+            self.memory.set_unsent(self._transport.get_write_buffer_size())
 
     def _body_bytes(self, body: bytes) -> bytes:
         data = self._parser.send(h11.Data(data=body)) if body else b""
@@ -193,9 +243,12 @@
             raise self._error from error
 
     async def _wait_for_data(self) -> None:
-        if self._buffered > MAX_BUFFERED_BYTES and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self._buffer_full:
+            self._buffer_full = False
+            self._apply_pauses()
         self._buffered = 0
+        if self.memory is not None:
+            self.memory.clear_unread()
         self._data_waiter = asyncio.get_running_loop().create_future()
         try:
             await self._data_waiter
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -22,7 +22,9 @@
 )
 from wheelslip.forwarding.limit_meter import LimitMeter
 from wheelslip.forwarding.long_tasks import BackgroundTasks
+from wheelslip.forwarding.memory_account import MemoryUse, account_bytes
 from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.relay import RelayLease
@@ -163,6 +165,9 @@
             table,
             own_loads,
         )
+        self._memory = NodeMemory(
+            lambda: account_bytes(self.settings.limits.memory_megabytes), clock
+        )
         self._metrics = self._make_metrics()
         assigner = WorkerAssigner(
             section.zone,
@@ -209,7 +214,7 @@
             self._forwarder,
             self._registry,
             clock,
-            lambda: self.settings.limits.memory_megabytes,
+            self._memory,
         )
         self._readiness = ReadinessServer(self.is_ready, clock)
         self._metrics_server = MetricsServer(self._metrics, clock)
@@ -249,7 +254,7 @@
 
     def hold_bytes(self, count: int) -> None:
         """Reserve memory as if for request bodies; for tests."""
-        self._callers.reserve_bytes(count)
+        self._memory.hold_without_connection(MemoryUse.REQUEST_BODY, count)
 
     def receive_datagram(self, data: bytes) -> None:
         """Handle a datagram as if the socket had received it."""
@@ -330,6 +335,7 @@
             "requests_held_back": lambda: float(self._dispatcher.overload_refusals),
             "granted_requests": lambda: float(self._dispatcher.active_grants),
             **self._meter.gauges(),
+            **self._memory.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_fingerprints()),
             "engines_said_leaving": lambda: float(self._registry.notices.leaving_notices),
             "engine_rests_begun": lambda: float(self._registry.notices.backoffs_begun),
--- /dev/null
+++ b/src/wheelslip/forwarding/node_memory.py
@@ -0,0 +1,439 @@
+"""Applies the memory account of a node to its connections.
+
+Reading from workers is paused while the account has no room, and connections of slow callers are
+closed to make room.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from wheelslip.events import LogBudget, LogEvent
+from wheelslip.forwarding.memory_account import (
+    BODY_USES,
+    LIGHT_HOLDER_BYTES,
+    MemoryAccount,
+    MemoryHolder,
+    MemoryUse,
+    choose_closures,
+)
+
+READ_BYTES = 256 * 1024
+"""Maximum size of one read of an asyncio transport. A worker connection is read only while the
+account has room for this, as the data is in memory before its size is known."""
+
+STALLED_SECONDS = 0.25
+"""A caller that takes nothing for this time may be closed when others need room. A lost packet is
+sent again after 0.2 s; the first events of others must not wait much longer."""
+
+DEADLOCK_SECONDS = 1.0
+"""Time without a resumed read after which active callers are closed too. Incomplete responses
+that fill the account would otherwise wait for each other; workers cut off responses that are not
+read for some seconds."""
+
+TICK_SECONDS = 0.02
+"""Interval of the checks while reading from workers is paused."""
+
+IDLE_TICK_SECONDS = 0.25
+"""Interval of the checks while callers have data to take."""
+
+CLOSURE_LOG_LINES_PER_SECOND = 3.0
+
+
+class CallerHandle(Protocol):
+    """Connection of a caller, as seen by the account."""
+
+    def untaken_bytes(self) -> int:
+        """Return the written bytes that the caller has not taken."""
+
+    def close_for_memory(self) -> None:
+        """Close the connection and drop its data."""
+
+    def peer_address(self) -> str:
+        """Return the address of the caller."""
+
+
+class WorkerReader(Protocol):
+    """Connection to a worker whose reading can be paused."""
+
+    def set_memory_pause(self, paused: bool) -> None:
+        """Pause or resume reading."""
+
+
+class ConnectionMemory(MemoryHolder):
+    """Bytes held for one connection of a caller, and their changes.
+
+    :ivar handle: the connection.
+    :ivar request_id: of the request in progress, for the log.
+    :ivar closed: the connection was closed; nothing more is held for it.
+    """
+
+    __slots__ = ("handle", "request_id", "closed", "_node")
+
+    def __init__(self, node: "NodeMemory", handle: CallerHandle):
+        super().__init__()
+        self.handle = handle
+        self.request_id: str | None = None
+        self.closed = False
+        self._node = node
+
+    def describe_request(self, request_id: str | None, is_stream: bool, resumable: bool) -> None:
+        """Record which request is in progress."""
+        self.request_id = request_id
+        self.is_stream = is_stream
+        self.resumable = resumable
+
+    def may_receive(self, body_bytes: int) -> bool:
+        """Return whether a body of this size may be received; nothing is added."""
+        return self._node.make_body_room(self, body_bytes, body_bytes)
+
+    def add_body(self, count: int, body_bytes: int) -> bool:
+        """Add received bytes of a request body; return ``False`` if they do not fit.
+
+        :param body_bytes: size of the complete body as far as it is known.
+        """
+        return self._node.make_body_room(self, count, body_bytes) and self._node.add(
+            self, MemoryUse.REQUEST_BODY, count
+        )
+
+    def count_rejection(self) -> None:
+        """Count a request that was rejected because its body did not fit."""
+        self._node.requests_rejected += 1
+
+    def add_unsent(self, count: int) -> bool:
+        """Add bytes of a request that is about to be sent; return ``False`` if they do not fit."""
+        return self._node.make_body_room(self, count, count) and self._node.add(
+            self, MemoryUse.UNSENT_REQUEST, count
+        )
+
+    def set_unsent(self, count: int) -> None:
+        """Reduce the bytes of the sent request that the worker has not taken."""
+        excess = self.by_use[MemoryUse.UNSENT_REQUEST] - count
+        if excess > 0:
+            self._node.account.remove(self, MemoryUse.UNSENT_REQUEST, excess)
+
+    def add_unread(self, reader: WorkerReader, count: int) -> None:
+        """Add data received from a worker, and pause reading if no further read fits."""
+        if self._node.add_or_close(self, MemoryUse.UNREAD_RESPONSE, count):
+            self._node.pause_if_full(self, reader)
+
+    def process(self, count: int) -> None:
+        """Remove data of a worker that was processed."""
+        self._node.account.remove(self, MemoryUse.UNREAD_RESPONSE, count)
+
+    def buffer(self, count: int) -> None:
+        """Move data of a worker that was processed to the buffered response."""
+        self._node.account.move(self, MemoryUse.UNREAD_RESPONSE, MemoryUse.BUFFERED_RESPONSE, count)
+
+    def clear_unread(self) -> None:
+        """Remove all data of workers that was not yet processed."""
+        self._remove_all(MemoryUse.UNREAD_RESPONSE)
+
+    def set_buffered(self, count: int) -> None:
+        """Set the bytes of the buffered response."""
+        held = self.by_use[MemoryUse.BUFFERED_RESPONSE]
+        if count > held:
+            self._node.add_or_close(self, MemoryUse.BUFFERED_RESPONSE, count - held)
+        elif count < held:
+            self._node.account.remove(self, MemoryUse.BUFFERED_RESPONSE, held - count)
+
+    def set_untaken(self, count: int, written: int) -> None:
+        """Set the bytes that the caller has not taken.
+
+        :param written: bytes written since the last call.
+        """
+        if self.closed:
+            return
+        held = self.by_use[MemoryUse.UNTAKEN_RESPONSE]
+        if held + written > count:
+            self.taken_at = self._node.clock()
+        if count > held:
+            if self._node.add_or_close(self, MemoryUse.UNTAKEN_RESPONSE, count - held):
+                self._node.watch(self)
+        else:
+            self._node.account.remove(self, MemoryUse.UNTAKEN_RESPONSE, held - count)
+
+    def request_ended(self) -> None:
+        """Remove everything except the data that the caller has still to take."""
+        for use in MemoryUse:
+            if use is not MemoryUse.UNTAKEN_RESPONSE and self.by_use[use]:
+                self._remove_all(use)
+
+    def connection_ended(self) -> None:
+        """Remove everything."""
+        self._node.forget(self)
+
+    def attach(self, reader: WorkerReader) -> None:
+        """Register the worker connection that the request uses."""
+        self._node.attach(self, reader)
+
+    def detach(self, reader: WorkerReader) -> None:
+        """Unregister the worker connection, whose data is no longer held."""
+        self._node.detach(reader)
+        self._remove_all(MemoryUse.UNREAD_RESPONSE)
+        self._remove_all(MemoryUse.UNSENT_REQUEST)
+
+    def response_limit(self, maximum: int) -> int:
+        """Return the maximum size of a buffered response."""
+        return min(maximum, self._node.account.size // 2)
+
+    def _remove_all(self, use: MemoryUse) -> None:
+        self._node.account.remove(self, use, self.by_use[use])
+
+
+class NodeMemory:
+    """Account of a node with the connections that it concerns.
+
+    :param size: returns the size of the account in bytes.
+    :ivar slow_readers_closed: connections closed for their memory.
+    :ivar requests_rejected: requests rejected because their body did not fit.
+    """
+
+    def __init__(self, size: Callable[[], int], clock: Callable[[], float]):
+        self._size = size
+        self.clock = clock
+        self.account = MemoryAccount(size())
+        self._tight_room = READ_BYTES + self.account.tight_room
+        self._is_tight = False
+        self.slow_readers_closed = 0
+        self.requests_rejected = 0
+        self._holders: set[ConnectionMemory] = set()
+        self._untaken: set[ConnectionMemory] = set()
+        self._reading: dict[WorkerReader, ConnectionMemory] = {}
+        self._paused: dict[WorkerReader, ConnectionMemory] = {}
+        self._unattributed = MemoryHolder()
+        self._progressed_at = clock()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = 0.0
+        self._log = LogBudget(CLOSURE_LOG_LINES_PER_SECOND, clock)
+
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Return the gauges by name."""
+        by_use = self.account.by_use
+        return {
+            "memory_account_bytes": lambda: float(self.account.size),
+            "memory_held_bytes": lambda: float(self.account.held),
+            **{
+                f"memory_{use.name.lower()}_bytes": lambda use=use: float(by_use[use])
+                for use in MemoryUse
+            },
+            "memory_paused_workers": lambda: float(len(self._paused)),
+            "slow_readers_closed": lambda: float(self.slow_readers_closed),
+            "requests_over_memory": lambda: float(self.requests_rejected),
+        }
+
+    def open(self, handle: CallerHandle) -> ConnectionMemory:
+        """Return the holder of a new connection."""
+        holder = ConnectionMemory(self, handle)
+        self._holders.add(holder)
+        return holder
+
+    def hold_without_connection(self, use: MemoryUse, count: int) -> None:
+        """Add bytes as far as they fit, or remove them if the count is negative; for tests."""
+        if count >= 0:
+            self.account.add(self._unattributed, use, min(count, self.account.room))
+        else:
+            self.account.remove(self._unattributed, use, -count)
+
+    def forget(self, holder: ConnectionMemory) -> None:
+        """Remove a closed connection."""
+        holder.closed = True
+        self.account.clear(holder)
+        self._holders.discard(holder)
+        self._untaken.discard(holder)
+
+    def refresh_size(self) -> None:
+        """Apply a changed setting of the size."""
+        self.account.size = self._size()
+        self._tight_room = READ_BYTES + self.account.tight_room
+
+    # Additions
+
+    def add(self, holder: ConnectionMemory, use: MemoryUse, count: int) -> bool:
+        """Add bytes; return ``False`` if they do not fit or the connection is closed."""
+        if holder.closed or not self.account.add(holder, use, count):
+            return False
+        if self.account.room < self._tight_room:
+            self._pause_unfit()
+        else:
+            self._is_tight = False
+        return True
+
+    def add_or_close(self, holder: ConnectionMemory, use: MemoryUse, count: int) -> bool:
+        """Add bytes that are already in memory; close the connection if they do not fit.
+
+        :return: ``False`` if the connection is closed.
+        """
+        if self.add(holder, use, count):
+            return True
+        if holder.closed:
+            return False
+        shortfall = count - self.account.room
+        if self._close_slow(shortfall, keep=holder):
+            return self.add(holder, use, count)
+        self._close(holder)
+        return False
+
+    def make_body_room(self, holder: ConnectionMemory, count: int, body_bytes: int) -> bool:
+        """Make room for bytes of a request body; return ``False`` if that is not possible."""
+        if holder.closed:
+            return False
+        needed = count + self.account.body_reserve(body_bytes)
+        if needed > self.account.room:
+            self._close_slow(needed - self.account.room, keep=holder)
+        if needed > self.account.body_room:
+            shortfall = needed - self.account.body_room
+            self._close_slow(shortfall, keep=holder, freed=_body_bytes)
+        return self.account.body_fits(count, body_bytes)
+
+    # Reading from workers
+
+    def attach(self, holder: ConnectionMemory, reader: WorkerReader) -> None:
+        """Register a worker connection on which a request is about to be sent."""
+        self._reading[reader] = holder
+        if self.account.room < READ_BYTES:
+            self._pause_reading([reader])
+
+    def detach(self, reader: WorkerReader) -> None:
+        """Unregister a worker connection."""
+        self._reading.pop(reader, None)
+        if self._paused.pop(reader, None) is not None:
+            reader.set_memory_pause(False)
+
+    def pause_if_full(self, holder: ConnectionMemory, reader: WorkerReader) -> None:
+        """Pause a worker connection if the holder may read no further."""
+        if reader in self._reading and not self.account.may_read(holder, READ_BYTES):
+            self._pause_reading([reader])
+
+    def _pause_unfit(self) -> None:
+        """Pause the worker connections for which a further read might not fit."""
+        if not self._reading:
+            return
+        if self.account.room < READ_BYTES:
+            self._pause_reading(list(self._reading))
+        elif not self._is_tight:
+            # Holders that become heavy later are paused after their own reads.
+            self._is_tight = True
+            self._pause_reading(
+                [
+                    reader
+                    for reader, holder in self._reading.items()
+                    if not self.account.may_read(holder, READ_BYTES)
+                ]
+            )
+
+    def _pause_reading(self, readers: list[WorkerReader]) -> None:
+        if not readers:
+            return
+        if not self._paused:
+            self._progressed_at = self.clock()
+        for reader in readers:
+            self._paused[reader] = self._reading.pop(reader)
+            reader.set_memory_pause(True)
+        self._schedule(TICK_SECONDS)
+
+    def _resume_readers(self, now: float) -> None:
+        """Resume paused worker connections in the order of their pauses, as far as reads fit."""
+        reserved = READ_BYTES
+        for reader, holder in list(self._paused.items()):
+            if not self.account.may_read(holder, reserved):
+                if self.account.room < reserved:
+                    return
+                continue
+            reserved += READ_BYTES
+            self._progressed_at = now
+            self._reading[reader] = self._paused.pop(reader)
+            reader.set_memory_pause(False)
+
+    # Periodic checks
+
+    def watch(self, holder: ConnectionMemory) -> None:
+        """Check periodically how much of its data the caller has taken."""
+        self._untaken.add(holder)
+        if self._timer is None:
+            self._schedule(IDLE_TICK_SECONDS)
+
+    def _schedule(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        if self._timer is not None:
+            if self._timer_due <= due:
+                return
+            self._timer.cancel()
+        self._timer_due = due
+        self._timer = loop.call_at(due, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = self.clock()
+        self._measure_untaken()
+        if self._paused:
+            self._relieve(now)
+            self._resume_readers(now)
+        if self._paused:
+            self._schedule(TICK_SECONDS)
+        elif self._untaken:
+            self._schedule(IDLE_TICK_SECONDS)
+
+    def _measure_untaken(self) -> None:
+        """Count what callers have taken since the last check."""
+        for holder in list(self._untaken):
+            holder.set_untaken(holder.handle.untaken_bytes(), 0)
+            if not holder.by_use[MemoryUse.UNTAKEN_RESPONSE]:
+                self._untaken.discard(holder)
+
+    def _relieve(self, now: float) -> None:
+        """Close slow callers if paused worker connections need their memory."""
+        # Callers with data to take are not served by closing others: they are read for again when
+        # they have taken most of it.
+        waiting = [
+            holder
+            for holder in self._paused.values()
+            if holder.by_use[MemoryUse.UNTAKEN_RESPONSE] <= LIGHT_HOLDER_BYTES
+            and not self.account.at_untaken_limit(holder)
+        ]
+        if not waiting:
+            self._progressed_at = now
+            return
+        shortfall = READ_BYTES - self.account.room
+        if shortfall > 0 and any(holder.is_light for holder in waiting):
+            self._close_slow(shortfall)
+        if now - self._progressed_at >= DEADLOCK_SECONDS:
+            self._progressed_at = now
+            self._close_slow(READ_BYTES, include_active=True)
+
+    # Closing
+
+    def _close_slow(
+        self,
+        needed: int,
+        keep: ConnectionMemory | None = None,
+        include_active: bool = False,
+        freed: Callable[[MemoryHolder], int] = lambda holder: holder.held,
+    ) -> bool:
+        """Close connections to free memory; return whether enough was freed."""
+        self._measure_untaken()
+        now = self.clock()
+        candidates = [holder for holder in self._holders if holder is not keep]
+        chosen = choose_closures(candidates, needed, now, STALLED_SECONDS, include_active, freed)
+        for holder in chosen:
+            self._close(holder)
+        return bool(chosen)
+
+    def _close(self, holder: ConnectionMemory) -> None:
+        self.slow_readers_closed += 1
+        slow_seconds = holder.slow_seconds(self.clock())
+        self._log.log(
+            LogEvent.CONNECTION_CLOSED_FOR_MEMORY,
+            request=holder.request_id,
+            caller=holder.handle.peer_address(),
+            held=holder.held,
+            untaken_seconds=None if slow_seconds is None else round(slow_seconds, 3),
+            resumable=holder.resumable,
+        )
+        self.forget(holder)
+        holder.handle.close_for_memory()
+
+
+def _body_bytes(holder: MemoryHolder) -> int:
+    return sum(holder.by_use[use] for use in BODY_USES)
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -8,13 +8,14 @@
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.node_memory import ConnectionMemory, NodeMemory
 from wheelslip.forwarding.registry import Registry
 
 BACKLOG = 512
 SWEEP_SECONDS = 1.0
-BODY_MEMORY_SHARE = 0.25
-"""Share of the memory limit available to request bodies, which are buffered for retries until the
-request ends."""
+INTERNAL_MEMORY_BYTES = 8_000_000
+"""Size of the account of each server for requests that are not forwarded. Their callers belong to
+the operators; the longest response, the metrics, has a few KB."""
 
 READY_AGE_SHARE = 0.55
 """Maximum age of the registry view of a ready node, as a share of the key revocation bound."""
@@ -23,7 +24,7 @@
 class CallerServer:
     """Accepts callers' connections and passes their requests to the forwarder.
 
-    :param memory_megabytes: returns the memory limit of the node.
+    :ivar memory: account of the bytes held for callers.
     :ivar stopping: responses ask callers to close the connection.
     :ivar refuses_new: new requests are rejected.
     """
@@ -33,10 +34,9 @@
         forwarder: Forwarder,
         registry: Registry,
         clock: Callable[[], float],
-        memory_megabytes: Callable[[], int],
+        memory: NodeMemory,
     ):
-        self._memory_megabytes = memory_megabytes
-        self._reserved_bytes = 0
+        self.memory = memory
         self.clock = clock
         self.stopping = False
         self.refuses_new = False
@@ -50,16 +50,9 @@
         configuration = self._registry.configuration
         return configuration.limits if configuration else CallerLimits()
 
-    def reserve_bytes(self, count: int) -> bool:
-        """Reserve memory for request bodies; a negative count releases it.
-
-        :return: ``False`` if the memory limit would be exceeded.
-        """
-        capacity = BODY_MEMORY_SHARE * self._memory_megabytes() * 1_000_000
-        if count > 0 and self._reserved_bytes + count > capacity:
-            return False
-        self._reserved_bytes += count
-        return True
+    def open_memory(self, connection: CallerConnection) -> ConnectionMemory:
+        """Return the memory holder of a new connection."""
+        return self.memory.open(connection)
 
     def connection_opened(self, connection: CallerConnection) -> None:
         """Register a connection."""
@@ -93,6 +86,7 @@
         """Close connections that exceed their idle or header timeout; runs until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
+            self.memory.refresh_size()
             now = self.clock()
             for connection in list(self._connections):
                 connection.check_timeouts(now)
@@ -115,15 +109,16 @@
     def __init__(self, clock: Callable[[], float]):
         self.clock = clock
         self.stopping = False
+        self._memory = NodeMemory(lambda: INTERNAL_MEMORY_BYTES, clock)
         self._server: asyncio.Server | None = None
 
     def limits(self) -> CallerLimits:
         """Return the default limits."""
         return CallerLimits()
 
-    def reserve_bytes(self, count: int) -> bool:
-        """Accept any body; memory is not accounted for on this server."""
-        return True
+    def open_memory(self, connection: CallerConnection) -> ConnectionMemory:
+        """Return the memory holder of a new connection."""
+        return self._memory.open(connection)
 
     def connection_opened(self, connection: CallerConnection) -> None:
         """Do nothing; connections are not tracked on this server."""
