Reads from workers of at most 64 KB; processed data is not kept while waiting

Change: worker connections are read into one buffer of 64 KB per thread (asyncio.BufferedProtocol; the parser copies the data as before). The relay drops processed data before it waits. At most 1/16 of the account is read ahead for one caller.

--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -288,6 +288,8 @@
                 return bytes(body)
             memory.buffer(len(event.data))
             body += event.data
+            # Not kept while the next event is awaited: it is not counted.
+            del event
             if len(body) > limit:
                 raise PeerLost("response larger than the buffer limit")
 
@@ -325,10 +327,9 @@
             event = await self._connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
-            events = splitter.feed(bytes(event.data))
-            self._caller.memory.process(len(event.data))
-            self._caller.memory.set_buffered(self._kept_bytes() + splitter.buffered_bytes)
-            self._forward_events(response, events)
+            self._process_stream_data(response, splitter, bytes(event.data))
+            # Not kept while the next event is awaited: it is not counted.
+            del event
         if splitter.incomplete:
             raise PeerLost("stream ended inside an event")
         self._release_connection(metadata)
@@ -337,6 +338,14 @@
         self._caller.write_end()
         return AttemptOutcome.ANSWERED
 
+    def _process_stream_data(
+        self, response: h11.Response, splitter: EventSplitter, data: bytes
+    ) -> None:
+        events = splitter.feed(data)
+        self._caller.memory.process(len(data))
+        self._caller.memory.set_buffered(self._kept_bytes() + splitter.buffered_bytes)
+        self._forward_events(response, events)
+
     def _start_stream(self, response: h11.Response) -> None:
         if not self._caller.response_started:
             headers = [*end_to_end_headers(response), (b"Transfer-Encoding", b"chunked")]
--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/forwarding/http_client.py
@@ -3,11 +3,12 @@
 import asyncio
 import contextlib
 import socket
+import threading
 
 import h11
 
 from wheelslip.deployment import Headers
-from wheelslip.forwarding.node_memory import ConnectionMemory
+from wheelslip.forwarding.node_memory import READ_BYTES, ConnectionMemory
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 """Shorter than the first retransmission of a lost SYN packet, which takes 1 s."""
@@ -68,7 +69,19 @@
             connection.setsockopt(level, option, value)
 
 
-class HttpConnection(asyncio.Protocol):
+_read_buffers = threading.local()
+"""Receive buffer of each thread. The parser copies the data before the next read."""
+
+
+def _read_buffer() -> memoryview:
+    try:
+        return _read_buffers.view
+    except AttributeError:
+        _read_buffers.view = memoryview(bytearray(READ_BYTES))
+        return _read_buffers.view
+
+
+class HttpConnection(asyncio.BufferedProtocol):
     """Connection that carries one request at a time.
 
     A connection is not reused after data that belongs to no request: data received while no request
@@ -91,7 +104,7 @@
         self.memory: ConnectionMemory | None = None
         self._request: h11.Request | None = None
 
-    # Callbacks of asyncio.Protocol
+    # Callbacks of asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and set the liveness options of the socket."""
@@ -99,19 +112,23 @@
         transport.set_write_buffer_limits(high=0)
         set_liveness_options(transport.get_extra_info("socket"))
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which limits its size."""
+        return _read_buffer()
+
+    def buffer_updated(self, count: int) -> None:
         """Process data of a response; close the connection if no request is in flight."""
         if not self._busy:
             self._has_unsolicited_data = True
             self.close()
             return
-        self._buffered += len(data)
+        self._buffered += count
         if self._buffered > MAX_BUFFERED_BYTES:
             self._buffer_full = True
             self._apply_pauses()
         if self.memory is not None:
-            self.memory.add_unread(self, len(data))
-        self._feed(data)
+            self.memory.add_unread(self, count)
+        self._feed(_read_buffer()[:count])
 
     def set_memory_pause(self, paused: bool) -> None:
         """Pause or resume reading because of the node's memory."""
@@ -146,7 +163,7 @@
         self._closed = True
         self._notify_waiter()
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes | memoryview) -> None:
         try:
             self._parser.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as error:
@@ -311,3 +328,4 @@
         if isinstance(event, h11.EndOfMessage):
             return response, bytes(body)
         body += event.data
+        del event
--- a/src/wheelslip/forwarding/memory_account.py
+++ b/src/wheelslip/forwarding/memory_account.py
@@ -35,7 +35,7 @@
 LIGHT_HOLDER_BYTES = 64 * 1024
 """Bytes of responses up to which a holder is light."""
 
-UNTAKEN_SHARE = 0.125
+UNTAKEN_SHARE = 0.0625
 """Maximum share of the account that is read ahead for one caller that does not take it."""
 
 RECEIVE_SECONDS = 2.0
--- a/src/wheelslip/forwarding/node_memory.py
+++ b/src/wheelslip/forwarding/node_memory.py
@@ -18,9 +18,9 @@
     choose_closures,
 )
 
-READ_BYTES = 256 * 1024
-"""Maximum size of one read of an asyncio transport. A worker connection is read only while the
-account has room for this, as the data is in memory before its size is known."""
+READ_BYTES = 64 * 1024
+"""Maximum size of one read from a worker. A worker connection is read only while the account has
+room for this, as the data is in memory before its size is known."""
 
 STALLED_SECONDS = 0.25
 """A caller that takes nothing for this time may be closed when others need room. A lost packet is
@@ -32,10 +32,10 @@
 read for some seconds."""
 
 TICK_SECONDS = 0.02
-"""Interval of the checks while reading from workers is paused."""
+"""Interval of the checks while reading for callers that take their data is paused."""
 
 IDLE_TICK_SECONDS = 0.25
-"""Interval of the checks while callers have data to take."""
+"""Interval of the checks while callers have only data to take."""
 
 CLOSURE_LOG_LINES_PER_SECOND = 3.0
 
@@ -152,6 +152,8 @@
                 self._node.watch(self)
         else:
             self._node.account.remove(self, MemoryUse.UNTAKEN_RESPONSE, held - count)
+            if not count:
+                self._node.resume_soon()
 
     def request_ended(self) -> None:
         """Remove everything except the data that the caller has still to take."""
@@ -335,7 +337,11 @@
     def _resume_readers(self, now: float) -> None:
         """Resume paused worker connections in the order of their pauses, as far as reads fit."""
         reserved = READ_BYTES
-        for reader, holder in list(self._paused.items()):
+        # Callers that have nothing to take wait for data; the others have data left.
+        paused = sorted(
+            self._paused.items(), key=lambda item: item[1].by_use[MemoryUse.UNTAKEN_RESPONSE] > 0
+        )
+        for reader, holder in paused:
             if not self.account.may_read(holder, reserved):
                 if self.account.room < reserved:
                     return
@@ -353,6 +359,11 @@
         if self._timer is None:
             self._schedule(IDLE_TICK_SECONDS)
 
+    def resume_soon(self) -> None:
+        """Check paused worker connections soon, as a caller has taken all its data."""
+        if self._paused:
+            self._schedule(TICK_SECONDS)
+
     def _schedule(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         due = loop.time() + seconds
@@ -367,13 +378,10 @@
         self._timer = None
         now = self.clock()
         self._measure_untaken()
-        if self._paused:
-            self._relieve(now)
-            self._resume_readers(now)
-        if self._paused:
-            self._schedule(TICK_SECONDS)
-        elif self._untaken:
-            self._schedule(IDLE_TICK_SECONDS)
+        is_waiting = bool(self._paused) and self._relieve(now)
+        self._resume_readers(now)
+        if self._paused or self._untaken:
+            self._schedule(TICK_SECONDS if is_waiting and self._paused else IDLE_TICK_SECONDS)
 
     def _measure_untaken(self) -> None:
         """Count what callers have taken since the last check."""
@@ -382,25 +390,33 @@
             if not holder.by_use[MemoryUse.UNTAKEN_RESPONSE]:
                 self._untaken.discard(holder)
 
-    def _relieve(self, now: float) -> None:
-        """Close slow callers if paused worker connections need their memory."""
-        # Callers with data to take are not served by closing others: they are read for again when
-        # they have taken most of it.
-        waiting = [
-            holder
-            for holder in self._paused.values()
-            if holder.by_use[MemoryUse.UNTAKEN_RESPONSE] <= LIGHT_HOLDER_BYTES
-            and not self.account.at_untaken_limit(holder)
-        ]
+    def _relieve(self, now: float) -> bool:
+        """Close slow callers if paused worker connections need their memory.
+
+        :return: whether there are such worker connections.
+        """
+        waiting = [holder for holder in self._paused.values() if self._is_served(holder, now)]
         if not waiting:
             self._progressed_at = now
-            return
-        shortfall = READ_BYTES - self.account.room
-        if shortfall > 0 and any(holder.is_light for holder in waiting):
-            self._close_slow(shortfall)
+            return False
+        light = sum(holder.is_light for holder in waiting)
+        if light and self.account.room < READ_BYTES:
+            wanted = min(light * READ_BYTES, self.account.tight_room) - self.account.room
+            self._close_slow(wanted) or self._close_slow(READ_BYTES - self.account.room)
         if now - self._progressed_at >= DEADLOCK_SECONDS:
             self._progressed_at = now
             self._close_slow(READ_BYTES, include_active=True)
+        return True
+
+    def _is_served(self, holder: ConnectionMemory, now: float) -> bool:
+        """Return whether others are closed so that more is read for a holder.
+
+        Callers with much data to take are read for again when they have taken most of it.
+        """
+        if holder.by_use[MemoryUse.UNTAKEN_RESPONSE] > LIGHT_HOLDER_BYTES:
+            return False
+        slow_seconds = holder.slow_seconds(now)
+        return slow_seconds is None or slow_seconds < STALLED_SECONDS
 
     # Closing
 
