--- a/src/wheelslip/forwarding/memory_account.py
+++ b/src/wheelslip/forwarding/memory_account.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable, Iterable
 
 PROCESS_MEGABYTES = 64
-"""Memory of the process itself. A node that has just started uses 36 MB, one with 30 workers and
-some hundred requests per second 61 MB."""
+"""Memory of the process itself. A node that has just started uses 25 MB (bench/slow_readers.py);
+an earlier build with 130 streams at once used 61 MB (docs/MEASUREMENTS.md)."""
 
 ACCOUNT_SHARE = 0.5
 """Share of the remaining memory that the account may use. The rest is for what is not counted:
-objects of connections (25 KB for a request with its two connections, 2,000 such requests at the
-descriptor limit of the smallest node), spare capacity of buffers and fragmentation."""
+objects of connections and requests, up to 2,000 at the descriptor limit of the smallest node, spare
+capacity of buffers and fragmentation. Buffers of 28 MB made a process grow by 34 MB."""
 
 SMALLEST_SHARE = 0.125
 """Minimum size of the account as a share of all memory, for machines smaller than any deployed."""
@@ -38,6 +38,10 @@
 UNTAKEN_SHARE = 0.0625
 """Maximum share of the account that is read ahead for one caller that does not take it."""
 
+READ_BYTES = 64 * 1024
+"""Maximum size of one read from a worker. A worker connection is read only while the account has
+room for this, as the data is in memory before its size is known."""
+
 RECEIVE_SECONDS = 2.0
 """Time that a caller has to send a body before it counts as slow. A body of 1 MB takes 1.6 s on the
 slowest link of a node, 5 Mbit/s."""
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -7,9 +7,10 @@
 from wheelslip.deployment import CallerLimits
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
+from wheelslip.forwarding.connection_memory import ConnectionMemory
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.metrics import ForwardingMetrics
-from wheelslip.forwarding.node_memory import ConnectionMemory, NodeMemory
+from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
 
 BACKLOG = 512
