--- a/bench/slow_readers.py
+++ b/bench/slow_readers.py
@@ -165,7 +165,7 @@
     parser.add_argument("--callers", type=int, default=200)
     parser.add_argument("--megabytes", type=int, default=128, help="memory of the node")
     parser.add_argument("--others", type=int, default=400, help="requests of other callers")
-    parser.add_argument("--event-seconds", type=float, default=0.5, help="pause of 32 KB events")
+    parser.add_argument("--event-seconds", type=float, default=0.1, help="pause of 32 KB events")
     parser.add_argument("--checkout", type=pathlib.Path, default=ROOT, help="build to measure")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
