--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -22,7 +22,9 @@
 )
 from wheelslip.forwarding.limit_meter import LimitMeter
 from wheelslip.forwarding.long_tasks import BackgroundTasks
+from wheelslip.forwarding.memory_account import MemoryUse, account_bytes
 from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.relay import RelayLease
@@ -151,6 +153,9 @@
             self._feed.recent_followers,
         )
         notices.report_limit = self._limit_reports.report_observation
+        self._memory = NodeMemory(
+            lambda: account_bytes(self.settings.limits.memory_megabytes), clock
+        )
         self._metrics = self._make_metrics()
         incarnation = f"{random_source.getrandbits(48):012x}"
         queue_server = QueueServer(
@@ -249,7 +254,7 @@
             self._forwarder,
             self._registry,
             clock,
-            lambda: self.settings.limits.memory_megabytes,
+            self._memory,
         )
         self._readiness = ReadinessServer(self.is_ready, clock)
         self._metrics_server = MetricsServer(self._metrics, clock)
@@ -287,9 +292,9 @@
         worker = self._registry.view.by_id(worker_id)
         return self._placement.total_load(worker.info.id).running if worker is not None else 0.0
 
-    def hold_bytes(self, count: int) -> None:
-        """Reserve memory as if for request bodies; for tests."""
-        self._callers.reserve_bytes(count)
+    def hold_bytes(self, count: int, use: MemoryUse = MemoryUse.REQUEST_BODY) -> None:
+        """Reserve memory without a connection, as far as there is room; for tests."""
+        self._memory.hold_without_connection(use, count)
 
     def receive_datagram(self, data: bytes) -> None:
         """Handle a datagram as if the socket had received it."""
@@ -390,6 +395,7 @@
             "queue_returned": lambda: float(self._dispatcher.returned),
             "queue_rejected_alone": lambda: float(self._placement.room.rejected),
             **self._meter.gauges(),
+            **self._memory.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_fingerprints()),
             "engines_said_leaving": lambda: float(self._registry.notices.leaving_notices),
             "engine_rests_begun": lambda: float(self._registry.notices.backoffs_begun),
