Dispatcher: queues of waiting requests move to a module of their own

The dispatcher keeps grants, charges and contacts of nodes. DispatchQueues decides which waiting requests start or are rejected, and obtains grants through a function. No change of behaviour.

--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -6,23 +6,21 @@
 over rebuilds the grants of its predecessor.
 
 When the queue is enabled, a worker is granted only requests that it can start soon. Others wait in
-the queue of their service (:mod:`wheelslip.routing.service_queue`) until their node receives the
+the queue of their service (:mod:`wheelslip.routing.dispatch_queues`) until their node receives the
 decision: a worker or a rejection.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from itertools import islice
-from typing import NamedTuple
 
+from wheelslip.routing.dispatch_queues import Decision, DispatchQueues, NoWorker
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.service_queue import MIN_RETRY_SECONDS, ServiceQueue
 from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimited, TenantLimits
-from wheelslip.routing.waiting_request import Group, QueuedQuery, WaitingRequest
+from wheelslip.routing.waiting_request import QueryId, QueuedQuery
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
 
 UNLISTED_GRACE_SECONDS = 1.0
@@ -37,17 +35,6 @@
 CHARGE_DEDUPLICATION_SECONDS = 2.0
 """How long a repeated charge-only query is recognized; longer than a node waits for a reply."""
 
-DECISION_MEMORY_SECONDS = 1.5
-"""How long a rejection or withdrawal is repeated to a node that still renews its request, longer
-than the interval of renewals plus the delay of a datagram."""
-
-MAX_FAILED_TRIES = 2
-"""Number of kinds of waiting requests tried without success in one pass. Requests of another model
-or with other excluded workers may start although the first in order cannot."""
-
-MAX_PASSED_REQUESTS = 64
-"""Number of waiting requests that one pass looks at to find another kind."""
-
 
 class Progress(Enum):
     """Progress of a granted request, as its node reports it.
@@ -67,21 +54,6 @@
     UNREACHED = "unreached"
 
 
-class QueryId(NamedTuple):
-    """Identifies a query: the incarnation of the node and its sequence number there."""
-
-    node: str
-    number: int
-
-
-Decision = Placement | Overloaded | TenantLimited
-"""Decision on a waiting request: its worker, or the exception that rejects it."""
-
-
-class NoWorker(Exception):
-    """Raised when no worker may take a request now, whatever its load."""
-
-
 @dataclass
 class _Grant:
     placement: Placement
@@ -122,8 +94,7 @@
         self._swept_at = clock()
         self.grants_issued = 0
         self.overload_refusals = 0
-        self._queues: dict[str, ServiceQueue] = {}
-        self._decided: dict[QueryId, tuple[float, Overloaded | TenantLimited]] = {}
+        self._queues = DispatchQueues(placement, limits, clock, self._start_soon)
 
     @property
     def active_grants(self) -> int:
@@ -133,27 +104,27 @@
     @property
     def queued(self) -> int:
         """Number of requests that have waited since the start."""
-        return sum(queue.queued for queue in self._queues.values())
+        return self._queues.queued
 
     @property
     def displaced(self) -> int:
         """Number of waiting requests rejected because they were overtaken."""
-        return sum(queue.displaced for queue in self._queues.values())
+        return self._queues.displaced
 
     @property
     def rejected(self) -> int:
         """Number of requests rejected by a queue for other reasons."""
-        return sum(queue.rejected for queue in self._queues.values())
+        return self._queues.rejected
 
     @property
     def reserved(self) -> int:
         """Number of open reservations for callers that were told when to return."""
-        return sum(len(queue.reservations) for queue in self._queues.values())
+        return self._queues.reserved
 
     @property
     def returned(self) -> int:
         """Number of callers that have returned at their reserved time."""
-        return sum(queue.returned for queue in self._queues.values())
+        return self._queues.returned
 
     def grant(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         """Grant a worker; return ``None`` when no worker may take the request now.
@@ -168,7 +139,7 @@
         if existing is not None:
             return existing.placement
         if self._queues_requests():
-            return self._grant_if_next(query_id, query)
+            return self._queues.start_if_next(query_id, query)
         try:
             tenant_charge = self._limits.charge(query)
         except NoAuthority:
@@ -212,35 +183,7 @@
         existing = self._grants.get(query_id)
         if existing is not None:
             return existing.placement
-        queue = self._queue(queued.query.service)
-        if queue.requests.renew(query_id):
-            return None
-        if query_id in self._decided:
-            raise self._decided[query_id][1]
-        return self._start_or_wait(queue, query_id, queued)
-
-    def _start_or_wait(
-        self, queue: ServiceQueue, query_id: QueryId, queued: QueuedQuery
-    ) -> Placement | None:
-        self._limits.check(queued.query)
-        request = queue.submit(query_id, queued)
-        if self._may_start(queue, request):
-            try:
-                placement = self._start(queue, request)
-            except NoAuthority as exc:
-                raise NoWorker from exc
-            except Overloaded:
-                pass
-            else:
-                if placement is None:
-                    raise NoWorker
-                return placement
-        try:
-            queue.offer(request)
-        except Overloaded as exc:
-            self._remember(query_id, exc)
-            raise
-        return None
+        return self._queues.enqueue(query_id, queued)
 
     def withdraw(self, query_id: QueryId) -> None:
         """Remove a waiting request whose caller has left or whose node has given up.
@@ -248,9 +191,7 @@
         If the request has been granted, the grant ends as unused: its node has not sent it.
         """
         self._record_contact(query_id.node)
-        self._remember(query_id, Overloaded(MIN_RETRY_SECONDS))
-        for queue in self._queues.values():
-            queue.requests.remove(query_id)
+        self._queues.withdraw(query_id)
         if query_id in self._grants:
             self._end_unused(query_id)
 
@@ -259,73 +200,28 @@
 
         To be called every 10 ms while something waits, and after progress that frees capacity.
         """
-        decisions = []
-        for service, queue in self._queues.items():
-            if queue.is_idle():
-                continue
-            rejected = queue.sweep()
-            if not self.placement.has_worker(service):
-                rejected += list(queue.requests.in_order())
-            for request in rejected:
-                decisions.append((request.query_id, self._reject(queue, request)))
-            decisions += self._start_waiting(service, queue)
-        return decisions
+        return self._queues.advance()
 
     def queue_depth(self) -> int:
         """Return the number of waiting requests of all services."""
-        return sum(len(queue.requests) for queue in self._queues.values())
+        return self._queues.depth()
 
     def expected_seconds(self, query_id: QueryId) -> float:
         """Return the expected time until a waiting request starts; 0 if it does not wait."""
-        for queue in self._queues.values():
-            request = queue.requests.get(query_id)
-            if request is not None:
-                return queue.requests.wait_seconds(request)
-        return 0.0
+        return self._queues.expected_seconds(query_id)
 
     def _queues_requests(self) -> bool:
         return self._queue_enabled() and self.placement.limits_admission()
 
-    def _queue(self, service: str) -> ServiceQueue:
-        queue = self._queues.get(service)
-        if queue is None:
-            queue = self._queues[service] = ServiceQueue(
-                self._clock, lambda: self.placement.start_capacity(service)
-            )
-        return queue
-
-    def _may_start(self, queue: ServiceQueue, request: WaitingRequest) -> bool:
-        """Return whether a new request is to be placed before all waiting ones."""
-        if request.group is Group.RESENT:
-            return True
-        service = request.query.service
-        if not self.placement.may_start_soon(service) and self.placement.has_worker(service):
-            return False
-        return queue.requests.is_next(request)
-
-    def _grant_if_next(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
-        queue = self._queue(query.service)
-        request = queue.submit(query_id, QueuedQuery(query))
-        try:
-            if self._may_start(queue, request):
-                return self._start(queue, request)
-        except NoAuthority:
-            return None
-        except Overloaded:
-            pass
-        # Builds without a queue tell callers this time; it is no reservation.
-        raise Overloaded(max(MIN_RETRY_SECONDS, queue.requests.wait_seconds(request)))
-
-    def _start(self, queue: ServiceQueue, request: WaitingRequest) -> Placement | None:
+    def _start_soon(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         """Grant a worker that can start a request soon; return ``None`` when none may take it.
 
         :raises Overloaded: when no worker can start it soon.
         :raises TenantLimited: when the tenant exceeds its rate limit.
         :raises NoAuthority: when another node must count the request.
         """
-        now = self._clock()
-        query = request.remaining_query(now)._replace(must_start_soon=True)
-        placement = self._choice.choose(query, now)
+        query = query._replace(must_start_soon=True)
+        placement = self._choice.choose(query, self._clock())
         if placement is None:
             return None
         try:
@@ -334,52 +230,9 @@
             if placement.rate_limit_charged:
                 self._allowance.refund(placement.worker.info.id)
             raise
-        queue.requests.record_start(request)
-        self._issue(request.query_id, placement, tenant_charge, query.priority)
-        return placement
-
-    def _start_waiting(self, service: str, queue: ServiceQueue) -> list[tuple[QueryId, Decision]]:
-        """Start waiting requests in order until one is found that no worker can start."""
-        decisions = []
-        failed: set[tuple] = set()
-        while len(failed) < MAX_FAILED_TRIES and self.placement.may_start_soon(service):
-            waiting = islice(queue.requests.in_order(), MAX_PASSED_REQUESTS)
-            request = next((each for each in waiting if _kind(each) not in failed), None)
-            if request is None:
-                break
-            decision = self._try_start(queue, request)
-            if decision is None:
-                failed.add(_kind(request))
-            else:
-                decisions.append((request.query_id, decision))
-        return decisions
-
-    def _try_start(self, queue: ServiceQueue, request: WaitingRequest) -> Decision | None:
-        """Decide on a waiting request; return ``None`` when it continues to wait."""
-        try:
-            placement = self._start(queue, request)
-        except TenantLimited as exc:
-            queue.requests.remove(request.query_id)
-            self._remember(request.query_id, exc)
-            return exc
-        except (Overloaded, NoAuthority):
-            return None
-        if placement is None and not self.placement.has_worker(
-            request.query.service, request.query.excluded
-        ):
-            return self._reject(queue, request)
+        self._issue(query_id, placement, tenant_charge, query.priority)
         return placement
 
-    def _reject(self, queue: ServiceQueue, request: WaitingRequest) -> Overloaded:
-        queue.requests.remove(request.query_id)
-        rejection = queue.reject(request)
-        self._remember(request.query_id, rejection)
-        return rejection
-
-    def _remember(self, query_id: QueryId, decision: Overloaded | TenantLimited) -> None:
-        """Repeat a decision if a renewal crosses it, as the node does not hold the request."""
-        self._decided[query_id] = (self._clock() + DECISION_MEMORY_SECONDS, decision)
-
     def _place(self, query: PlacementQuery, tenant_charge: Charge | None) -> Placement | None:
         """Choose a worker; refund the charge when there is none."""
         try:
@@ -455,8 +308,11 @@
             grant.had_first_token = True
             self.placement.first_token(grant.placement, grant.began_at)
             if grant.priority is not None:
-                queue = self._queue(grant.placement.worker.info.service)
-                queue.record_response(grant.priority, self._clock() - grant.began_at)
+                self._queues.record_response(
+                    grant.placement.worker.info.service,
+                    grant.priority,
+                    self._clock() - grant.began_at,
+                )
 
     def _record_served(self, grant: _Grant) -> None:
         """Update what the queue measures from a request that its worker has served."""
@@ -465,11 +321,10 @@
         if grant.priority is None:
             return
         seconds = self._clock() - grant.began_at
-        queue = self._queue(worker.info.service)
-        queue.rate.record_duration(seconds)
+        self._queues.record_duration(worker.info.service, seconds)
         self.placement.record_duration(worker.info.service, seconds)
         if not grant.had_first_token:
-            queue.record_response(grant.priority, seconds)
+            self._queues.record_response(worker.info.service, grant.priority, seconds)
 
     def _end(self, query_id: QueryId, completed: bool = False) -> None:
         grant = self._grants.pop(query_id)
@@ -524,9 +379,7 @@
             for query_id, expires_at in self._charged.items()
             if now < expires_at
         }
-        self._decided = {
-            query_id: decided for query_id, decided in self._decided.items() if now < decided[0]
-        }
+        self._queues.forget_decisions()
         timed_out = {
             node
             for node, contact_at in self._last_contact.items()
@@ -538,9 +391,3 @@
             query_id for query_id in self._grants if query_id.node not in self._last_contact
         ]:
             self._end(expired_id)
-
-
-def _kind(request: WaitingRequest) -> tuple:
-    """Return what two requests have in common if none can start when the other cannot."""
-    query = request.query
-    return query.model, query.excluded, query.tenant if query.limit_units else ""
--- a/src/wheelslip/routing/waiting_request.py
+++ b/src/wheelslip/routing/waiting_request.py
@@ -15,6 +15,13 @@
 """The same limit as a share of the time between arrival and deadline."""
 
 
+class QueryId(NamedTuple):
+    """Identifies a query: the incarnation of the node and its sequence number there."""
+
+    node: str
+    number: int
+
+
 class QueuedQuery(NamedTuple):
     """A placement query that may wait, as its node submits it.
 
