Rate of starts: a pause of the dispatcher does not count as time without starts

After a pause of 0.9 s the estimate fell from 100 to 32 starts per second, and waiting requests that could still be served were rejected. One update now counts at most 0.2 s.

--- a/src/wheelslip/routing/start_rate.py
+++ b/src/wheelslip/routing/start_rate.py
@@ -14,6 +14,11 @@
 MIN_LOWER_SHARE = 1.0 / 8.0
 """Share of the starts that lower priorities receive at least."""
 
+MAX_STEP_SECONDS = 0.2
+"""Most time that one update counts as time without starts. Updates are due every 50 ms while requests
+wait, so a longer step means that the dispatcher itself stood still. One such step lowers the rate
+by a fifth, which does not reject waiting requests (:data:`request_queue.WAITING_MARGIN`)."""
+
 MIN_RATE = 0.1
 """Lower bound of every rate, in starts per second."""
 
@@ -46,6 +51,8 @@
         now = self._clock()
         elapsed, self._updated_at = now - self._updated_at, now
         self._slots = self._capacity()
+        if is_busy:
+            elapsed = min(elapsed, MAX_STEP_SECONDS)
         decay = math.exp(-elapsed / MEMORY_SECONDS)
         for key in self._recent:
             self._recent[key] *= decay
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -182,6 +182,19 @@
     assert len(queue) == 21
 
 
+def test_pause_of_the_dispatcher_does_not_lower_the_rate(clock):
+    """Guards against a dispatcher that counts its own pause as time without starts.
+
+    At 100 starts/s, 60 requests with 1.1 s left are served in time.
+    """
+    queue = busy_queue(clock, 100.0)
+    for number in range(60):
+        add(queue, number, queued(target=2.0))
+    clock.now += 0.9
+    assert queue.sweep() == []
+    assert len(queue) == 60
+
+
 class View(SimpleNamespace):
     """Workers of a service ``s``; those in ``away`` do not accept requests."""
 
