Queue: lapsed reservations no longer count for the expected wait

Only requests with a content expired reservations, so an ask was refused and newcomers were rejected because of callers that had not returned. The number of open reservations in the metrics was stale for the same reason.

--- a/src/wheelslip/routing/dispatch_queues.py
+++ b/src/wheelslip/routing/dispatch_queues.py
@@ -73,7 +73,7 @@
     @property
     def reserved(self) -> int:
         """Number of open reservations for callers that were told when to return."""
-        return sum(len(queue.reservations) for queue in self._queues.values())
+        return sum(queue.reserved for queue in self._queues.values())
 
     @property
     def returned(self) -> int:
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -92,7 +92,7 @@
         self._clock = clock
         self.rate = StartRate(clock, capacity)
         self.reservations = ReturnReservations()
-        self.requests = RequestQueue(clock, self.rate, self.reservations.due_before)
+        self.requests = RequestQueue(clock, self.rate, self._due_before)
         self._response_seconds: dict[int, _MeanAndDeviation] = {}
         self._swept_at = clock()
         self._undelivered: list[WaitingRequest] = []
@@ -101,6 +101,12 @@
         self.rejected = 0
         self.returned = 0
 
+    @property
+    def reserved(self) -> int:
+        """Number of open reservations."""
+        self.reservations.expire(self._clock())
+        return len(self.reservations)
+
     def submit(self, query_id: Hashable, queued: QueuedQuery) -> WaitingRequest:
         """Return a new request; claim the reservation of a caller that has returned."""
         now = self._clock()
@@ -164,6 +170,11 @@
         """Record the time from a start to the first response."""
         self._response_seconds.setdefault(priority, _MeanAndDeviation(seconds)).record(seconds)
 
+    def _due_before(self, time: float, priority: int) -> int:
+        # Requests without a content, as in an ``ask``, do not pass through ``claim``, which expires.
+        self.reservations.expire(self._clock())
+        return self.reservations.due_before(time, priority)
+
     def _reserve(self, request: WaitingRequest, earliest: float, latest: float) -> float | None:
         if not request.queued.content:
             return None
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -26,7 +26,7 @@
     QueuedQuery,
     RequestQueue,
 )
-from wheelslip.routing.service_queue import QueueRejected
+from wheelslip.routing.service_queue import QueueRejected, ServiceQueue
 from wheelslip.routing.start_rate import StartRate
 from wheelslip.routing.tenant_limits import TenantLimited, TenantLimits
 from wheelslip.routing.worker_allowance import WorkerAllowance
@@ -424,3 +424,27 @@
     ask(dispatcher, 61, content="c")
     end(dispatcher, 43)
     assert list(decided(dispatcher))[0] == 61
+
+
+def busy_service(clock, rate=20.0) -> ServiceQueue:
+    """Return the queue of a service that has measured a rate of starts, with one waiting request."""
+    queue = ServiceQueue(clock, lambda: 10.0)
+    for number in range(int(5 * rate)):
+        queue.offer(queue.submit(number, queued()))
+        clock.now += 1.0 / rate
+        queue.requests.record_start(queue.requests.get(number))
+    queue.offer(queue.submit("waiting", queued(target=5.0)))
+    return queue
+
+
+def test_lapsed_reservations_add_nothing_to_the_expected_wait(clock):
+    """Guards against newcomers rejected because of callers that have not returned."""
+    queue = busy_service(clock)
+    now = clock()
+    for number in range(20):
+        place = now + 0.05 * number
+        assert queue.reservations.reserve(f"c{number}", 0, now, place, now + 5.0, 0.01)
+    clock.now += 3.0
+    newcomer = queue.submit("new", queued(target=5.0))
+    assert queue.requests.wait_seconds(newcomer) < 0.1
+    assert queue.reserved == 0
