Dispatcher: a waiting request that is granted without the queue leaves the queue

A renewal after the queue was switched off, or a node's list of running requests, granted a request that was still in the queue. The queue then granted it again, and the load of the first grant was never removed from its worker.

--- a/src/wheelslip/routing/dispatch_queues.py
+++ b/src/wheelslip/routing/dispatch_queues.py
@@ -127,6 +127,10 @@
     def withdraw(self, query_id: QueryId) -> None:
         """Remove a waiting request; a renewal that crosses the withdrawal is rejected."""
         self._remember(query_id, Overloaded(MIN_RETRY_SECONDS))
+        self.remove(query_id)
+
+    def remove(self, query_id: QueryId) -> None:
+        """Remove a waiting request that is granted without the queue."""
         for queue in self._queues.values():
             queue.requests.remove(query_id)
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -140,6 +140,8 @@
             return existing.placement
         if self._queues_requests():
             return self._queues.start_if_next(query_id, query)
+        # It may still wait if the queue has just been switched off.
+        self._queues.remove(query_id)
         try:
             tenant_charge = self._limits.charge(query)
         except NoAuthority:
@@ -355,6 +357,7 @@
             placement = self.placement.rebuild_placement(request)
             if placement is None:
                 return
+            self._queues.remove(query_id)
             grant = _Grant(placement, self.placement.begin(placement))
             self._grants[query_id] = grant
         if request.prefill_tokens == 0:
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -14,7 +14,7 @@
     WorkerState,
 )
 from wheelslip.routing.dispatcher import Dispatcher, NoWorker, Progress, QueryId
-from wheelslip.routing.fleet_choice import FleetPlacement
+from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.limit_authority import SingleNodeAuthority
 from wheelslip.routing.named_limits import WorkerRateLimits
 from wheelslip.routing.overload import Overloaded
@@ -328,6 +328,33 @@
     assert repeated.value is rejection
 
 
+def test_renewal_after_the_queue_was_switched_off_grants_once(clock):
+    """Guards against a second grant that replaces the first, whose load then stays for ever."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in (1, 2, 3):
+        ask(dispatcher, number)
+    dispatcher.placement.limits_admission = lambda: False
+    assert dispatcher.enqueue(QueryId("n", 3), queued())
+    for number in (1, 2):
+        end(dispatcher, number)
+    assert decided(dispatcher) == {}
+    end(dispatcher, 3)
+    assert dispatcher.placement.load("w0").running == 0
+
+
+def test_waiting_request_that_its_node_runs_is_not_granted(clock):
+    """Guards against a second grant of a request that a restored grant accounts for."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in (1, 2, 3):
+        ask(dispatcher, number)
+    dispatcher.reconcile_running("n", [1, 2, 3], [RunningRequest(3, "w0", None, (), 0, 0)])
+    for number in (1, 2):
+        end(dispatcher, number)
+    assert decided(dispatcher) == {}
+    end(dispatcher, 3)
+    assert dispatcher.placement.load("w0").running == 0
+
+
 def test_request_with_excluded_workers_does_not_block_others(clock):
     """Guards against a queue held up by a request that only one busy worker may take."""
     dispatcher = make_dispatcher(clock, View(models=("", "")))
