--- a/src/wheelslip/routing/fair_class.py
+++ b/src/wheelslip/routing/fair_class.py
@@ -61,7 +61,13 @@
         self.size -= 1
 
     def record_start(self, request: WaitingRequest) -> None:
-        """Advance the virtual time by a request that is not, or no longer, in its flow."""
+        """Advance the virtual time by a request that is not, or no longer, in its flow.
+
+        When no request waits, all tenants are equal again: none is ahead by more than one request.
+        """
+        if not self.size:
+            self._flows.clear()
+            return
         flow = self._flow(request.query.tenant)
         self._virtual_time = max(self._virtual_time, flow.tag)
         flow.tag += request.work
@@ -76,9 +82,12 @@
 
     def ahead(self, request: WaitingRequest) -> int:
         """Return how many requests start before one that waits or would wait."""
-        own = self._flow(request.query.tenant)
+        if not self.size:
+            return 0
+        own = self._flows.get(request.query.tenant) or _Flow()
         position = own.position(request)
-        tag = own.tag + position * own.work
+        own_tag = own.tag if own.requests else max(own.tag, self._virtual_time)
+        tag = own_tag + position * own.work
         count = position
         for flow in self._flows.values():
             if flow is not own and flow.requests and flow.tag <= tag:
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -82,6 +82,19 @@
     assert order(queue)[:4] == ["flood0", "b0", "flood1", "b1"]
 
 
+def test_tenants_without_waiting_requests_are_forgotten(clock):
+    """Guards against a record for each tenant that ever sent a request, without a queue to sweep."""
+    queue = make_queue(clock)
+    for number in range(100):
+        request = queue.submit(number, queued(f"t{number}"), 0.0)
+        assert queue.is_next(request)
+        queue.wait_seconds(request)
+        queue.record_start(request)
+    for number in range(100):
+        queue.wait_seconds(queue.submit(number, queued(f"u{number}"), 0.0))
+    assert sum(len(each._flows) for each in queue._classes.values()) == 0
+
+
 def test_rejected_and_withdrawn_requests_cost_their_tenant_nothing(clock):
     """Guards against a tenant that falls behind because its requests were not served."""
     queue = make_queue(clock)
