--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -137,7 +137,8 @@
             self.rejected += 1
         now = self._clock()
         wait = self.requests.wait_seconds(request)
-        latest = now + RETRY_SHARE * (request.deadline_at - now) - RETURN_MARGIN_SECONDS
+        willing_seconds = RETRY_SHARE * (request.deadline_at - now) - RETURN_MARGIN_SECONDS
+        latest = now + min(willing_seconds, MAX_RETRY_SECONDS)
         reserved_at = self._reserve(request, now + wait, latest)
         # A caller without a reservation is told a time beyond what it is willing to wait.
         retry_at = (
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -501,3 +501,14 @@
     newcomer = queue.submit("new", queued(target=5.0))
     assert queue.requests.wait_seconds(newcomer) < 0.1
     assert queue.reserved == 0
+
+
+def test_callers_are_told_the_time_that_is_reserved_for_them(clock):
+    """Guards against a time cut to the maximum retry time, before the reservation is valid."""
+    queue = busy_service(clock)
+    for number in range(30):
+        each = queued(target=0.0, content=f"c{number}")._replace(deadline_seconds=90.0)
+        rejection = queue.reject(queue.submit(f"r{number}", each))
+        if rejection.has_reservation:
+            returned_at = clock() + rejection.retry_seconds
+            assert queue.reservations.claim(f"c{number}", returned_at), number
