--- a/src/wheelslip/routing/request_queue.py
+++ b/src/wheelslip/routing/request_queue.py
@@ -144,7 +144,10 @@
         return seconds + due / wait.rate
 
     def available_rate(self, request: WaitingRequest) -> float:
-        """Return the starts per second that more urgent requests leave to a request."""
+        """Return the starts per second that more urgent requests leave to a request.
+
+        Infinite while nothing is known.
+        """
         return self._available(request.class_in(Group.IN_TIME))
 
     def offer(self, request: WaitingRequest) -> list[WaitingRequest]:
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -1,5 +1,6 @@
 """The queue of one service with what it measures: rate of starts, response times, returns."""
 
+import math
 from collections.abc import Callable, Hashable
 
 from wheelslip.routing.overload import MAX_RETRY_SECONDS, Overloaded
@@ -177,7 +178,8 @@
         return self.reservations.due_before(time, priority)
 
     def _reserve(self, request: WaitingRequest, earliest: float, latest: float) -> float | None:
-        if not request.queued.content:
+        rate = self.requests.available_rate(request)
+        if not request.queued.content or math.isinf(rate):
             return None
         return self.reservations.reserve(
             request.queued.content,
@@ -185,7 +187,7 @@
             self._clock(),
             earliest,
             latest,
-            1.0 / (RESERVED_SHARE * self.requests.available_rate(request)),
+            1.0 / (RESERVED_SHARE * rate),
         )
 
     def _expected_response_seconds(self, query: PlacementQuery) -> float:
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -512,3 +512,13 @@
         if rejection.has_reservation:
             returned_at = clock() + rejection.retry_seconds
             assert queue.reservations.claim(f"c{number}", returned_at), number
+
+
+def test_nothing_is_promised_while_the_rate_is_unknown(clock):
+    """Guards against 2,000 reservations per second at a dispatcher that has just taken over."""
+    queue = ServiceQueue(clock, lambda: 10.0)
+    for number in range(20):
+        each = queued(target=-2.0, content=f"c{number}", waited_seconds=3.0)
+        rejection = queue.reject(queue.submit(number, each))
+        assert not rejection.has_reservation
+        assert rejection.retry_seconds > each.deadline_seconds / 3 - 0.1
