--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -118,13 +118,9 @@
         self._slots.forget(worker_id)
 
     def start_capacity(self, service: str) -> int:
-        """Return how many requests the reachable workers of a service may hold."""
-        engine, now = self._engine(service), self._clock()
-        workers = [
-            worker
-            for worker in self._registry.workers_of(service)
-            if not self.load(worker.info.id).is_avoided(now)
-        ]
+        """Return how many requests the workers of a service may hold that can be chosen now."""
+        engine = self._engine(service)
+        workers = self._prefer_reachable(self._registry.workers_of(service))
         if engine is not None:
             return engine.capacity * len(workers)
         return sum(self._slots.usable(worker.info) for worker in workers)
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -381,6 +381,17 @@
     assert dispatcher.placement.load("w0").running == 0
 
 
+@pytest.mark.parametrize("engine", [None, ENGINE])
+def test_unreachable_workers_count_if_there_are_no_others(clock, engine):
+    """Guards against a queue rejected as a whole because all workers are briefly suspected."""
+    placement = make_dispatcher(clock, View(engine, ("", ""), capacity=4)).placement
+    placement.suspect("w0")
+    assert placement.start_capacity("s") == 4
+    placement.suspect("w1")
+    assert placement.may_start_soon("s")
+    assert placement.start_capacity("s") == 8
+
+
 def test_request_with_excluded_workers_does_not_block_others(clock):
     """Guards against a queue held up by a request that only one busy worker may take."""
     dispatcher = make_dispatcher(clock, View(models=("", "")))
