--- a/src/wheelslip/routing/dispatch_queues.py
+++ b/src/wheelslip/routing/dispatch_queues.py
@@ -54,6 +54,7 @@
         self._grant = grant
         self._queues: dict[str, ServiceQueue] = {}
         self._decided: dict[QueryId, tuple[float, Overloaded | TenantLimited]] = {}
+        self._undelivered: list[tuple[QueryId, Decision]] = []
 
     @property
     def queued(self) -> int:
@@ -136,9 +137,9 @@
 
     def advance(self) -> list[tuple[QueryId, Decision]]:
         """Return the decisions on waiting requests: grants and rejections."""
-        decisions = []
+        decisions, self._undelivered = self._undelivered, []
         for service, queue in self._queues.items():
-            if queue.is_idle():
+            if not queue.requests:
                 continue
             rejected = queue.sweep()
             if not self._placement.has_worker(service):
@@ -188,10 +189,12 @@
                     raise NoWorker
                 return placement
         try:
-            queue.offer(request)
+            displaced = queue.offer(request)
         except Overloaded as exc:
             self._remember(query_id, exc)
             raise
+        for each in displaced:
+            self._undelivered.append((each.query_id, self._reject(queue, each)))
         return None
 
     def _may_start(self, queue: ServiceQueue, request: WaitingRequest) -> bool:
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -96,7 +96,6 @@
         self.requests = RequestQueue(clock, self.rate, self._due_before)
         self._response_seconds: dict[int, _MeanAndDeviation] = {}
         self._swept_at = clock()
-        self._undelivered: list[WaitingRequest] = []
         self.queued = 0
         self.displaced = 0
         self.rejected = 0
@@ -118,8 +117,8 @@
         expected = self._expected_response_seconds(queued.query)
         return self.requests.submit(query_id, queued, expected, has_reservation)
 
-    def offer(self, request: WaitingRequest) -> None:
-        """Let a request wait.
+    def offer(self, request: WaitingRequest) -> list[WaitingRequest]:
+        """Let a request wait; return those that a full queue must reject for it.
 
         :raises QueueRejected: if it cannot be served in time.
         """
@@ -127,7 +126,7 @@
         if request in rejected:
             raise self.reject(request)
         self.queued += 1
-        self._undelivered.extend(rejected)
+        return rejected
 
     def reject(self, request: WaitingRequest) -> QueueRejected:
         """Return the rejection of a request, with the time at which its caller should return."""
@@ -155,18 +154,13 @@
             len(self.requests),
         )
 
-    def is_idle(self) -> bool:
-        """Return whether there is nothing to decide."""
-        return not self.requests and not self._undelivered
-
     def sweep(self) -> list[WaitingRequest]:
         """Return the waiting requests that are to be rejected now."""
-        rejected, self._undelivered = self._undelivered, []
         now = self._clock()
-        if now - self._swept_at >= SWEEP_SECONDS:
-            self._swept_at = now
-            rejected += self.requests.sweep()
-        return rejected
+        if now - self._swept_at < SWEEP_SECONDS:
+            return []
+        self._swept_at = now
+        return self.requests.sweep()
 
     def record_response(self, priority: int, seconds: float) -> None:
         """Record the time from a start to the first response."""
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -13,6 +13,7 @@
     WorkerInfo,
     WorkerState,
 )
+from wheelslip.routing import request_queue
 from wheelslip.routing.dispatcher import Dispatcher, NoWorker, Progress, QueryId
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.limit_authority import SingleNodeAuthority
@@ -392,6 +393,22 @@
     assert placement.start_capacity("s") == 8
 
 
+def test_request_displaced_from_a_full_queue_is_rejected_once(clock, monkeypatch):
+    """Guards against a renewal before the next pass that enqueues the request once more."""
+    monkeypatch.setattr(request_queue, "MAX_WAITING", 2)
+    dispatcher = make_dispatcher(clock, View())
+    for number in (1, 2):
+        ask(dispatcher, number)
+    for number in (3, 4):
+        ask(dispatcher, number, priority=1, target=2.0 + number)
+    clock.now += 0.01
+    assert ask(dispatcher, 5) is None
+    with pytest.raises(QueueRejected) as renewal:
+        dispatcher.enqueue(QueryId("n", 4), queued(priority=1, target=6.0))
+    assert decided(dispatcher) == {4: renewal.value}
+    assert dispatcher.displaced + dispatcher.rejected == 1
+
+
 def test_request_with_excluded_workers_does_not_block_others(clock):
     """Guards against a queue held up by a request that only one busy worker may take."""
     dispatcher = make_dispatcher(clock, View(models=("", "")))
