--- a/tests/unit/forwarding/test_queue_under_load.py
+++ b/tests/unit/forwarding/test_queue_under_load.py
@@ -341,14 +341,27 @@
     assert world.dispatcher.queue_depth() == 0
 
 
+def distant_world() -> World:
+    """Round trips of 20 ms and requests of 69 ms, at a load of 1.5."""
+    return plain_world(1.5, delay=0.005)
+
+
 def test_distant_workers_are_kept_busy():
-    """Round trips of 20 ms and requests of 69 ms: guards against slots idle for a round trip.
+    """Guards against slots idle for a round trip.
 
     Granting only to slots that are known to be free would serve at most 0.78 of the capacity.
     """
-    world = plain_world(1.5, delay=0.005)
+    world = distant_world()
+    world.run(SECONDS + 5.0)
+    assert share(world.callers, in_target) * 1.5 >= 0.85
+
+
+def test_distant_workers_reject_few_requests():
+    """Guards against slots kept busy by more requests than their workers accept."""
+    world = distant_world()
     world.run(SECONDS + 5.0)
     assert share(of_priority(world, 0), in_target) >= 0.95
+    # Served late included; the goal is that of the test above.
     assert share(world.callers, was_served) * 1.5 >= 0.82
     assert world.rejected_by_worker < 0.1 * sum(map(was_served, world.callers))
 
@@ -384,7 +397,7 @@
     world.run(SECONDS + 5.0)
     others = [caller for caller in world.callers if caller.tenant != "flood"]
     assert share(others, in_target) >= 0.95
-    assert share(world.callers, in_target) >= 0.8 / 1.9
+    assert share(world.callers, in_target) >= 0.85 / 1.9
 
 
 def test_urgent_flood_leaves_lower_priority_its_share():
