--- a/src/wheelslip/routing/request_queue.py
+++ b/src/wheelslip/routing/request_queue.py
@@ -19,6 +19,10 @@
 RENEWAL_SECONDS = 1.0
 """A request that its node has not renewed for this time is dropped."""
 
+RETURNED_START_SECONDS = 1.0
+"""Least time in which a caller that has returned at its reserved time may start, even if its target
+has passed. The reservation would lapse after this time too."""
+
 LOWER_PRIORITY_INTERVAL = 8
 """One start in this many goes to a lower priority while one waits."""
 
@@ -110,7 +114,7 @@
         deadline_at = now + queued.deadline_seconds
         if has_reservation:
             # The reserved start is kept even if the target was set before the caller returned.
-            start_by = min(max(start_by, now + RENEWAL_SECONDS), deadline_at)
+            start_by = min(max(start_by, now + RETURNED_START_SECONDS), deadline_at)
         request = WaitingRequest(
             query_id, queued, arrived_at, start_by, deadline_at, has_reservation, now, now
         )
--- a/src/wheelslip/routing/service_queue.py
+++ b/src/wheelslip/routing/service_queue.py
@@ -15,6 +15,7 @@
 requests."""
 
 RESPONSE_SMOOTHING = 0.05
+"""Weight of one response in mean and deviation, which thus follow a change within 20 responses."""
 
 RESPONSE_DEVIATIONS = 2.0
 """Mean deviations added to the mean response time. With the mean alone, half of the requests that
@@ -167,7 +168,7 @@
         self._response_seconds.setdefault(priority, _MeanAndDeviation(seconds)).record(seconds)
 
     def _due_before(self, time: float, priority: int) -> int:
-        # Requests without a content, as in an ``ask``, do not pass through ``claim``, which expires.
+        # An ``ask`` has no content, so it does not expire reservations by a claim.
         self.reservations.expire(self._clock())
         return self.reservations.due_before(time, priority)
 
--- a/src/wheelslip/routing/start_rate.py
+++ b/src/wheelslip/routing/start_rate.py
@@ -11,13 +11,16 @@
 """Initial weight of the estimate from capacity and mean duration, as a time of measurement. It
 decays with the measurement: engines are limited by prefill long before their slots are full."""
 
+DURATION_SMOOTHING = 0.05
+"""Weight of one request in the mean duration, which thus follows a change within 20 requests."""
+
 MIN_LOWER_SHARE = 1.0 / 8.0
 """Share of the starts that lower priorities receive at least."""
 
 MAX_STEP_SECONDS = 0.2
-"""Most time that one update counts as time without starts. Updates are due every 50 ms while requests
-wait, so a longer step means that the dispatcher itself stood still. One such step lowers the rate
-by a fifth, which does not reject waiting requests (:data:`request_queue.WAITING_MARGIN`)."""
+"""Most time that one update counts as time without starts. Updates are due every 50 ms while
+requests wait, so a longer step means that the dispatcher itself stood still. One such step lowers
+the rate by a fifth, which the margin for waiting requests (``WAITING_MARGIN``) absorbs."""
 
 MIN_RATE = 0.1
 """Lower bound of every rate, in starts per second."""
@@ -74,12 +77,7 @@
         """Record how long a request was at its worker."""
         if not self._mean_duration:
             self._mean_duration = seconds
-        self._mean_duration += 0.05 * (seconds - self._mean_duration)
-
-    @property
-    def mean_duration(self) -> float:
-        """Mean time that a request is at its worker; 0 before the first has ended."""
-        return self._mean_duration
+        self._mean_duration += DURATION_SMOOTHING * (seconds - self._mean_duration)
 
     def rate(self) -> float:
         """Return the expected starts per second; infinite while nothing is known."""
