Tests: limits over restarts of all nodes, and one profile for property tests

Callers saw: a flooding tenant ran up to 340,200 units in a window for 308,000 allowed after a cut and two restarts of all nodes, and a limited worker got 36 requests for 35.

The histories of KNOWN-RED.txt are explicit tests named after the failure. Further tests fail for the single causes: fleet size of a restarted meter, counts of other nodes taken for a fleet size, a vote valid at two meters, a reserve at each start.

All property tests use one hypothesis profile that draws the same examples on every run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,31 @@
-"""Deselects the tests in KNOWN-RED.txt, at most three, and prints their names."""
+"""Deselects the tests in KNOWN-RED.txt, at most three, and prints their names.
 
+Registers the hypothesis profile of all property tests. It draws the same examples on every run, so
+that a run fails only through a change of the code. ``make histories`` draws fresh ones.
+"""
+
+import os
 import pathlib
 
 import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis.internal.conjecture import engine
+
+SHRINKING_SECONDS = 20
+"""Bound of the time in which hypothesis simplifies a failing example; its default is 300 s."""
+
+settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    print_blob=False,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.function_scoped_fixture],
+)
+settings.register_profile("fresh", parent=settings.get_profile("repeatable"), derandomize=False)
+settings.load_profile("fresh" if os.environ.get("WHEELSLIP_HISTORIES") else "repeatable")
+# Hypothesis has no setting for it.
+engine.MAX_SHRINKING_SECONDS = SHRINKING_SECONDS
 
 pytest.register_assert_rewrite("tests.probe.judge", "tests.probe.callers")
 
--- a/tests/probe/test_streams.py
+++ b/tests/probe/test_streams.py
@@ -3,7 +3,7 @@
 import time
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from standins.cluster import Cluster, EngineSpec, NodeSpec
@@ -23,12 +23,7 @@
         yield cluster
 
 
-@settings(
-    derandomize=True,
-    max_examples=40,
-    deadline=None,
-    suppress_health_check=[HealthCheck.function_scoped_fixture],
-)
+@settings(max_examples=40)
 @given(cut=st.integers(min_value=0, max_value=4500), stream=st.booleans())
 def test_response_is_complete_after_connection_cut_at_any_byte(small_cluster, cut, stream):
     """The stream has about 2,500 bytes, so that some cuts are beyond its end."""
--- a/tests/unit/forwarding/test_tenant_limits.py
+++ b/tests/unit/forwarding/test_tenant_limits.py
@@ -1,12 +1,14 @@
 """Tenant limits across nodes: votes, token buckets, and the bound under random fault histories."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tests.unit.forwarding.fault_histories import HISTORIES, HISTORY, NODES, apply_fault
 from wheelslip.deployment import TenantLimit
 from wheelslip.peers.dispatch_link import MAX_METERS_QUERIED
 from wheelslip.peers.dispatch_messages import VOTE, VOTE_COUNT, VOTE_RELEASE, VOTE_REPLY
@@ -27,10 +29,10 @@
     TenantLimits,
 )
 
-NODES = 20
 RELAYS = 3
 RELAY_LEASE_SECONDS = 3.0
 WINDOW_SECONDS = 8.0
+WINDOW_TICKS = round(WINDOW_SECONDS / TICK_SECONDS) + 1
 OVERAGE = 0.1
 TOLERANCE = LimitTolerance(WINDOW_SECONDS, OVERAGE, 110_000.0)
 LARGEST_REQUEST = 9000.0
@@ -153,8 +155,8 @@
         self.frozen.discard(number)
         self.nodes[number] = Node(self, number)
 
-    def restart_all(self) -> None:
-        for number in range(NODES):
+    def kill_and_restart(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
             self.kill(number)
             self.restart(number)
 
@@ -378,53 +380,142 @@
     assert limits.charge(request(1e9)) is None
 
 
-EVENT = st.one_of(
-    st.tuples(st.just("kill"), st.integers(0, NODES - 1)),
-    st.tuples(st.just("restart"), st.integers(0, NODES - 1)),
-    st.tuples(st.just("freeze"), st.integers(0, NODES - 1)),
-    st.tuples(st.just("wake"), st.integers(0, NODES - 1)),
-    st.tuples(st.just("cut"), st.integers(1, NODES - 1)),
-    st.tuples(st.just("cut one way"), st.integers(1, NODES - 1)),
-    st.tuples(st.just("heal"), st.just(0)),
-    st.tuples(st.just("stop"), st.integers(0, NODES - 1)),
-    st.tuples(st.just("kill all"), st.just(0)),
-)
+def play(history, seed: int, ticks_before: int) -> World:
+    """Play a fault history on a running fleet while a tenant sends far more than its limit."""
+    source = random.Random(seed)
+    world = World()
+    world.advance(ticks_before)
+    for (kind, number), ticks in history:
+        apply_fault(world, kind, number)
+        flood(world, ticks, source)
+    return world
 
 
-def apply_fault(world: World, kind: str, number: int) -> None:
-    """Apply one event of a fault history."""
-    match kind:
-        case "kill":
-            world.kill(number)
-        case "restart":
-            world.restart(number)
-        case "freeze":
-            world.frozen.add(number)
-        case "wake":
-            world.frozen.discard(number)
-        case "cut" | "cut one way":
-            world.partition(number, both_ways=kind == "cut")
-        case "heal":
-            world.cuts.clear()
-        case "stop":
-            world.nodes[number].votes.release()
-        case "kill all":
-            world.restart_all()
-
-
-@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
-@given(
-    history=st.lists(st.tuples(EVENT, st.integers(1, 12)), min_size=1, max_size=8),
-    seed=st.integers(0, 2**16),
-)
+def flood(world: World, ticks: int, source: random.Random) -> None:
+    for _ in range(ticks):
+        world.advance(1)
+        for _ in range(40):
+            world.send(source.randrange(NODES), source.choice([900.0, LARGEST_REQUEST]))
+
+
+@settings(max_examples=HISTORIES)
+@given(history=HISTORY, seed=st.integers(0, 2**16))
 def test_flooding_tenant_never_exceeds_bound(history, seed):
-    source = random.Random(seed)
+    assert play(history, seed, WINDOW_TICKS).max_units_in_window() <= BOUND
+
+
+CUT_THEN_TWO_RESTARTS = [
+    (("heal", 0), 18),
+    (("kill", 9), 3),
+    (("cut", 1), 7),
+    (("kill all", 0), 11),
+    (("kill all", 0), 7),
+]
+FEWEST_EVENTS = [(("cut", 1), 7), (("kill all", 0), 11), (("kill all", 0), 7)]
+RESTARTS_OF_CUT_METER = [
+    (("cut", 1), 1),
+    (("kill", 0), 1),
+    (("kill", 0), 1),
+    (("kill all", 0), 6),
+    (("kill", 0), 1),
+    (("kill all", 0), 1),
+    (("restart", 1), 10),
+]
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("history", [CUT_THEN_TWO_RESTARTS, FEWEST_EVENTS, RESTARTS_OF_CUT_METER])
+def test_restarts_of_all_nodes_during_cut_refill_no_reserve(history, seed):
+    # Failed with up to 340,200 units for 308,000: each start of a standby meter granted its whole
+    # reserve again.
+    assert play(history, seed, 20).max_units_in_window() <= BOUND
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_meter_restarted_behind_cut_does_not_claim_the_whole_limit(seed):
+    # Failed with a share of 1.0: the meter took the nodes that it could reach for all nodes.
+    world = play([(("cut", 1), 8), (("kill all", 0), 8)], seed, 20)
+    assert world.nodes[0].authority.share() <= 1 / NODES
+    assert sum(node.authority.share() for node in world.nodes) <= 1.0 + OVERAGE
+
+
+def test_restarted_meter_learns_fleet_size_from_other_meters():
+    # Failed with a share of 1.0 for 7 votes: the preferred meter accepted no number from others.
+    world = World()
+    world.advance(WINDOW_TICKS)
+    world.partition(7, both_ways=True)
+    world.advance(8)
+    world.kill_and_restart([0])
+    world.advance(8)
+    assert world.nodes[0].authority.fleet_size == NODES
+    assert sum(node.authority.share() for node in world.nodes) <= 1.0 + OVERAGE
+
+
+def test_vote_counts_of_other_nodes_are_no_fleet_size():
+    # Failed: a single vote of a node that votes for itself passed as the size of the fleet.
+    clock = Clock()
+    authority = VotedAuthority("2", lambda: ["1", "2", "3"], lambda: 0.0, clock)
+    authority.record_vote("2")
+    authority.record_peer_votes("9", 1, VOTE_VALIDITY_SECONDS)
+    assert authority.fleet_size == 0
+    assert authority.share() == pytest.approx(1 / DEFAULT_FLEET_SIZE)
+
+
+def test_restarted_voter_holds_back_its_vote_while_an_earlier_one_may_be_valid():
+    # Failed: after a restart, a node's vote was valid at two meters at once.
     world = World()
     world.advance(20)
-    for (kind, number), ticks in history:
-        apply_fault(world, kind, number)
+    voter = NODES - 1
+    world.cuts |= {(voter, 0), (0, voter)}
+    world.advance(8)
+    world.cuts.clear()
+    world.kill_and_restart([voter])
+    holders = set()
+    for _ in range(8):
+        world.advance(1)
+        holding = {n.number for n in world.nodes if str(voter) in n.authority.voters()}
+        assert len(holding) <= 1
+        holders |= holding
+    assert holders == {0, 1}
+
+
+def test_standby_meter_has_no_reserve_in_its_first_window():
+    # Failed: each start and each new standby meter had a whole reserve at once.
+    world = World()
+    world.advance(WINDOW_TICKS)
+    world.kill_and_restart([1])
+    world.frozen.add(0)
+    world.advance(2)
+    assert not world.nodes[1].charge(900.0)
+    world.frozen.discard(0)
+    world.advance(WINDOW_TICKS)
+    world.frozen.add(0)
+    assert world.nodes[1].charge(900.0)
+
+
+@pytest.mark.parametrize("units", [900.0, LARGEST_REQUEST])
+def test_limited_tenant_is_served_again_within_two_seconds_of_restart_of_all_nodes(units):
+    world = World()
+    world.advance(WINDOW_TICKS)
+    world.kill_and_restart(range(NODES))
+    source = random.Random(1)
+    for ticks, expected_rate in [(8, 0.0), (8, 0.95 * LIMIT.rate), (80, 0.95 * LIMIT.rate)]:
+        world.ran.clear()
         for _ in range(ticks):
             world.advance(1)
             for _ in range(40):
-                world.send(source.randrange(NODES), source.choice([900.0, LARGEST_REQUEST]))
-    assert world.max_units_in_window() <= BOUND
+                world.send(source.randrange(NODES), units)
+        ran = sum(ran_units for _, ran_units in world.ran)
+        # The largest request waits until the bucket holds it, so one may fall into the next period.
+        assert ran + units >= expected_rate * ticks * TICK_SECONDS
+
+
+def test_steady_tenant_is_not_refused_two_seconds_after_restart_of_all_nodes():
+    world = World()
+    world.advance(WINDOW_TICKS)
+    world.kill_and_restart(range(NODES))
+    world.advance(8)
+    per_tick = 0.95 * LIMIT.rate * TICK_SECONDS
+    for tick in range(80):
+        world.advance(1)
+        assert world.send(tick % NODES, per_tick)
--- a/tests/unit/forwarding/test_view_histories.py
+++ b/tests/unit/forwarding/test_view_histories.py
@@ -232,7 +232,7 @@
 
 @pytest.mark.parametrize("max_removed_keys", [1, entry_log.MAX_REMOVED_KEYS])
 @given(steps=STEPS)
-@settings(max_examples=300, deadline=None, derandomize=True)
+@settings(max_examples=300)
 def test_nodes_send_only_what_the_newest_received_entry_allows(max_removed_keys, steps):
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(entry_log, "MAX_REMOVED_KEYS", max_removed_keys)
--- a/tests/unit/forwarding/test_worker_allowance.py
+++ b/tests/unit/forwarding/test_worker_allowance.py
@@ -4,10 +4,11 @@
 from types import SimpleNamespace
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.unit.forwarding.test_tenant_limits import EVENT, NODES, World, apply_fault
+from tests.unit.forwarding.fault_histories import HISTORIES, HISTORY, NODES, apply_fault
+from tests.unit.forwarding.test_tenant_limits import OVERAGE, World
 from wheelslip.deployment import Incarnation
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
 from wheelslip.peers.limit_votes import TICK_SECONDS
@@ -101,20 +102,53 @@
     assert fleet.max_in_window() <= max_allowed(rate)
 
 
-@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
-@given(
-    history=st.lists(st.tuples(EVENT, st.integers(1, 12)), min_size=1, max_size=8),
-    seed=st.integers(0, 2**16),
-    rate=st.sampled_from([0.0, 0.5, 1.0, 5.0, 40.0]),
-)
-def test_worker_rate_stays_within_bound_under_any_fault_history(history, seed, rate):
+def play(history, seed: int, rate: float) -> Fleet:
+    """Play a fault history on a running fleet that sends far more than the worker takes."""
     source = random.Random(seed)
     fleet = Fleet(rate)
     fleet.run(20, source)
     for (kind, number), ticks in history:
         apply_fault(fleet.world, kind, number)
         fleet.run(ticks, source)
-    assert fleet.max_in_window() <= max_allowed(rate)
+    return fleet
+
+
+@settings(max_examples=HISTORIES)
+@given(
+    history=HISTORY,
+    seed=st.integers(0, 2**16),
+    rate=st.sampled_from([0.0, 0.5, 1.0, 5.0, 40.0]),
+)
+def test_worker_rate_stays_within_bound_under_any_fault_history(history, seed, rate):
+    assert play(history, seed, rate).max_in_window() <= max_allowed(rate)
+
+
+CUT_THEN_RESTARTS = [
+    (("cut", 2), 1),
+    (("kill all", 0), 1),
+    (("kill", 2), 1),
+    (("kill", 0), 4),
+    (("restart", 0), 12),
+    (("kill", 2), 11),
+]
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_halves_of_a_restarted_fleet_do_not_both_use_the_whole_worker_limit(seed):
+    # Failed at seed 5 with 36 requests for 35: each half took its own voters for all nodes.
+    fleet = play(CUT_THEN_RESTARTS, seed, 5.0)
+    assert fleet.max_in_window() <= max_allowed(5.0)
+    assert sum(node.authority.share() for node in fleet.world.nodes) <= 1.0 + OVERAGE
+
+
+def test_worker_receives_its_limit_two_seconds_after_restart_of_all_nodes():
+    fleet = Fleet(5.0)
+    fleet.run(20, random.Random(1))
+    fleet.world.kill_and_restart(range(NODES))
+    fleet.run(8, random.Random(2))
+    fleet.sent_at.clear()
+    fleet.run(40, random.Random(3))
+    assert len(fleet.sent_at) >= 0.95 * 5.0 * 40 * TICK_SECONDS
 
 
 def test_worker_receives_requests_soon_after_meter_failure():
