Limits hold over restarts of all nodes

Callers saw: a flooding tenant ran up to 340,200 units in 8 s for 308,000 allowed when all nodes started twice within a window beside a cut, and a worker that announces 5 requests a second got 36 in 4 s for 35.

Cause: a start granted what it did not know. - Each start of a standby meter, and each node that became one, had its whole reserve (32,000 units) at once. In the tenants' history the reserves gave three times 64,000 units within one window. - The preferred meter took the votes that it had for all nodes. Cut off with a single vote it granted the whole limit. Two relays did so on both sides of the cut in the workers' history, since a report of a single vote passed as a fleet size. A number known to others was ignored by the preferred meter. - A node that had voted before its restart voted at once for another meter, beside the earlier vote. - If a limit of a worker or a query came before the first configuration, the tenants of that configuration passed as added later and had a full burst. - While a meter counted the nodes of a healed side one by one, it told each of them another number (257 requests for 245 at 40 a second in a fresh history).

Now a node casts no vote for 0.8 s after its start and asks the other meters for the fleet size. It takes the number from them, or counts once all relays vote for it, since no other relay can then grant anything. Else it assumes 380 nodes. It passes on a count that has not risen for 0.8 s. A reserve exists after a whole window as standby meter. Buckets start empty whenever the configuration arrives.

--- a/src/wheelslip/forwarding/limit_meter.py
+++ b/src/wheelslip/forwarding/limit_meter.py
@@ -13,9 +13,6 @@
 from wheelslip.routing.tenant_limits import LimitTolerance, TenantLimits
 from wheelslip.routing.worker_allowance import WorkerAllowance
 
-NO_LIMITS: dict[str, TenantLimit] = {}
-"""Limits of tenants before a configuration was received."""
-
 
 class LimitMeter:
     """A node's authority over rate limits, its token buckets and its vote for a meter.
@@ -70,9 +67,9 @@
             self._clock,
         )
 
-    def _tenant_limits(self) -> dict[str, TenantLimit]:
+    def _tenant_limits(self) -> dict[str, TenantLimit] | None:
         cfg = self._registry.configuration
-        return cfg.tenant_limits if cfg is not None else NO_LIMITS
+        return cfg.tenant_limits if cfg is not None else None
 
     def _tolerance(self) -> LimitTolerance:
         bounds = self._bounds()
--- a/src/wheelslip/peers/limit_votes.py
+++ b/src/wheelslip/peers/limit_votes.py
@@ -56,6 +56,7 @@
         self._is_responsive = is_responsive
         self._has_limits = has_limits
         self._clock = clock
+        self._may_vote_at = clock() + VOTE_VALIDITY_SECONDS
         self._valid_until: dict[str, float] = {}
         self._excluded_until: dict[str, float] = {}
         self._awaiting_reply: set[str] = set()
@@ -95,8 +96,13 @@
         """Vote for the first responsive meter, or for this node.
 
         A meter that did not reply to the last vote is only probed. It holds that vote until the
-        vote expires, and this node votes for no other meter until then.
+        vote expires, and this node votes for no other meter until then. After a start, a vote of
+        the previous process may still be valid at an unknown meter, so no vote is cast until it
+        has expired.
         """
+        if now < self._may_vote_at:
+            self._query_meters()
+            return
         meter = self._choose_meter(now)
         self._valid_until = {
             address: until for address, until in self._valid_until.items() if now < until
@@ -109,6 +115,12 @@
         else:
             self._send_vote(meter, is_probe=False)
 
+    def _query_meters(self) -> None:
+        """Ask the other meters for the fleet size, which this node does not know after a start."""
+        for meter in self._meters():
+            if meter != self._address:
+                self._send_vote(meter, is_probe=True)
+
     def _choose_meter(self, now: float) -> str:
         for meter in self._meters():
             if self._excluded_until.get(meter, 0.0) > now:
--- a/src/wheelslip/routing/limit_authority.py
+++ b/src/wheelslip/routing/limit_authority.py
@@ -8,6 +8,11 @@
 expire, without a call to the store. In normal operation all nodes vote for the same meter, which
 then charges exactly.
 
+A node that starts does not know how many nodes there are, and its own count says nothing about
+nodes that it cannot reach. It takes the number from a meter that knows it, or counts the voters once
+all relays vote for it, since no other relay can then grant anything. Until then it assumes a large
+fleet and grants almost nothing.
+
 The module does no I/O; the clock is injected.
 """
 
@@ -23,7 +28,7 @@
 voters may be partitioned and vote for another meter."""
 
 DEFAULT_FLEET_SIZE = 380
-"""Fleet size assumed by a meter that has not received one."""
+"""Fleet size assumed by a node that does not know it."""
 
 PEER_VOTES_VALIDITY_SECONDS = 0.4
 """Lifetime of the vote count that another meter reports every quarter of a second. A node that
@@ -43,12 +48,15 @@
     :ivar fleet_size: number of nodes, 0 while unknown.
     :ivar standby_share: fraction of the standby reserve that belongs to this node, 0 if it is no
         standby meter.
+    :ivar standby_seconds: time for which this node has been a standby meter without interruption.
     """
 
     fleet_size: int
 
     standby_share: float
 
+    standby_seconds: float
+
     def update_fleet_size(self, nodes: int) -> None:
         """Accept the number of nodes that another meter reports."""
 
@@ -64,6 +72,7 @@
 
     fleet_size = 1
     standby_share = 0.0
+    standby_seconds = 0.0
 
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
@@ -111,10 +120,12 @@
         self._peer_votes: dict[str, _PeerVotes] = {}
         self._fleet_size = 0
         self._fleet_size_updated_at = clock()
-        self._fleet_size_reported = False
+        self._is_fleet_size_known = False
+        self._fleet_size_settled_at = float("-inf")
         self._role_valid_until = float("-inf")
-        self._is_preferred = False
+        self._relay_addresses: list[str] = []
         self._standby_share = 0.0
+        self._standby_since = clock()
         self._share = 0.0
         self._weighted_seconds = 0.0
         self._advanced_at = clock()
@@ -122,8 +133,13 @@
 
     @property
     def fleet_size(self) -> int:
-        """The number of nodes, 0 while unknown."""
-        return self._fleet_size
+        """The number of nodes, 0 while unknown.
+
+        A count that has just risen is incomplete, for instance after a cut was healed. A node that
+        took it for the fleet size and was cut off again would grant too much.
+        """
+        is_settled = self._clock() >= self._fleet_size_settled_at
+        return self._fleet_size if self._is_fleet_size_known and is_settled else 0
 
     @property
     def standby_share(self) -> float:
@@ -131,6 +147,13 @@
         self._refresh_role(self._clock())
         return 0.0 if self.released else self._standby_share
 
+    @property
+    def standby_seconds(self) -> float:
+        """The time for which this node has been a standby meter without interruption."""
+        if self.standby_share <= 0.0:
+            return 0.0
+        return self._clock() - self._standby_since
+
     def voters(self) -> list[str]:
         """Return the addresses of the nodes whose votes are valid."""
         self._expire(self._clock())
@@ -162,14 +185,19 @@
         self._peer_votes[meter] = _PeerVotes(
             votes, self._clock() + min(PEER_VOTES_VALIDITY_SECONDS, seconds)
         )
-        self._fleet_size_reported = True
         self._advance()
 
     def update_fleet_size(self, nodes: int) -> None:
-        """Accept the number of nodes from the meter that this node votes for."""
-        if nodes and not self._is_preferred:
-            self._fleet_size, self._fleet_size_reported = nodes, True
-            self._fleet_size_updated_at = self._clock()
+        """Accept the number of nodes from another meter.
+
+        The preferred meter counts by itself and accepts a number only while it knows none.
+        """
+        if nodes and not (self._is_preferred() and self._is_fleet_size_known):
+            self._fleet_size, self._is_fleet_size_known = nodes, True
+            self._fleet_size_updated_at = self._fleet_size_settled_at = self._clock()
+
+    def _is_preferred(self) -> bool:
+        return self._relay_addresses[:1] == [self._address]
 
     def release(self) -> list[str]:
         """Return all votes permanently; return the addresses of their voters."""
@@ -204,21 +232,24 @@
         self._expire(now)
         votes = len(self._votes)
         self._observe_fleet_size(votes, now)
-        fleet_size = self._fleet_size
-        if not self._is_preferred and not self._fleet_size_reported:
-            fleet_size = max(fleet_size, DEFAULT_FLEET_SIZE)
         if not votes:
             return 0.0
+        fleet_size = self._fleet_size
+        if not self._is_fleet_size_known:
+            fleet_size = max(fleet_size, DEFAULT_FLEET_SIZE)
         return min(1.0, votes / fleet_size * (1.0 + VOTE_OVERAGE_SHARE * self._overage()))
 
     def _refresh_role(self, now: float) -> None:
         if now < self._role_valid_until:
             return
         self._role_valid_until = now + ROLE_REFRESH_SECONDS
-        relays = self._relays()
-        self._is_preferred = relays[:1] == [self._address]
-        is_standby = self._address in relays and not self._is_preferred
-        self._standby_share = 1.0 / (len(relays) - 1) if is_standby else 0.0
+        relays = self._relay_addresses = self._relays()
+        if self._address not in relays[1:]:
+            self._standby_share = 0.0
+            return
+        if self._standby_share <= 0.0:
+            self._standby_since = now
+        self._standby_share = 1.0 / (len(relays) - 1)
 
     def _observe_fleet_size(self, votes: int, now: float) -> None:
         """Raise the fleet size at once; lower it only after a delay and with a majority."""
@@ -227,5 +258,14 @@
         )
         has_majority = 2 * votes >= self._fleet_size
         is_old = now - self._fleet_size_updated_at > FLEET_SIZE_RETENTION_SECONDS
+        if total > self._fleet_size:
+            self._fleet_size_settled_at = now + VOTE_VALIDITY_SECONDS
         if total >= self._fleet_size or (is_old and has_majority):
             self._fleet_size, self._fleet_size_updated_at = total, now
+        if not self._is_fleet_size_known:
+            self._is_fleet_size_known = self._has_votes_of_all_relays()
+
+    def _has_votes_of_all_relays(self) -> bool:
+        """Return whether no other relay can hold a vote of its own, as a relay elsewhere would."""
+        relays = self._relay_addresses
+        return bool(relays) and all(relay in self._votes for relay in relays)
--- a/src/wheelslip/routing/tenant_limits.py
+++ b/src/wheelslip/routing/tenant_limits.py
@@ -7,7 +7,8 @@
 
 While the meter is unreachable, a standby meter admits requests from a reserve, which is refilled
 slowly and holds part of the amount by which a limit may be exceeded. A short pause of the meter
-therefore causes no refusals below the limits.
+therefore causes no refusals below the limits. A node has a reserve only after it has been a standby
+meter for a whole window: what was taken from the reserve before that is not known to it.
 
 The module does no I/O; clock and authority are injected.
 """
@@ -82,7 +83,8 @@
 class TenantLimits:
     """The token buckets of all tenants at one node.
 
-    :param limits: returns the configured limits by tenant name.
+    :param limits: returns the configured limits by tenant name, ``None`` until a configuration was
+        received.
     :param authority: this node's share of every limit.
     :param clock: steady clock in seconds.
     :param tolerance: returns the amount by which limits may be exceeded.
@@ -91,7 +93,7 @@
 
     def __init__(
         self,
-        limits: Callable[[], dict[str, TenantLimit]],
+        limits: Callable[[], dict[str, TenantLimit] | None],
         authority: Authority,
         clock: Callable[[], float],
         tolerance: Callable[[], LimitTolerance] = LimitTolerance,
@@ -116,7 +118,7 @@
         :raises NoAuthority: if another node must count the request.
         """
         self.update()
-        limit = self._limits.get(query.tenant)
+        limit = self._limits.get(query.tenant) if self._limits is not None else None
         if limit is None or not query.limit_units:
             return None
         share = self._authority.share()
@@ -150,6 +152,10 @@
         if standby_share <= 0.0:
             return False
         tolerance, now = self._tolerance(), self._clock()
+        if self._authority.standby_seconds < tolerance.window_seconds:
+            # A reserve of an earlier period as standby meter must not outlast that period.
+            self._reserves.clear()
+            return False
         capacity = RESERVE_SHARE * standby_share * tolerance.excess(limit)
         reserve = self._reserves.get(query.tenant)
         if reserve is None:
@@ -174,7 +180,7 @@
         granted before this node started. The bucket of a tenant added later starts full.
         """
         limits = self._configured_limits()
-        if limits is self._limits:
+        if limits is None or limits is self._limits:
             return
         share, now = self._authority.share(), self._authority.weighted_seconds()
         for tenant, limit in limits.items():
@@ -191,7 +197,7 @@
         """Cap the buckets at this node's current share, which may have fallen."""
         self.update()
         share, now = self._authority.share(), self._authority.weighted_seconds()
-        for tenant, limit in self._limits.items():
+        for tenant, limit in (self._limits or {}).items():
             self._bucket(tenant, limit, share).refill(now)
 
     def _bucket(self, tenant: str, limit: TenantLimit, share: float) -> TokenBucket:
--- a/tests/unit/forwarding/test_worker_allowance.py
+++ b/tests/unit/forwarding/test_worker_allowance.py
@@ -133,6 +133,27 @@
 ]
 
 
+HEAL_TOO_SHORT_TO_COUNT_ALL_NODES = [
+    (("kill all", 0), 5),
+    (("cut", 10), 8),
+    (("kill all", 0), 11),
+    (("heal", 0), 1),
+    (("cut", 2), 8),
+    (("cut one way", 3), 11),
+    (("cut", 19), 9),
+    (("cut", 13), 3),
+]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_nodes_cut_off_again_do_not_use_an_incomplete_fleet_size(seed):
+    # Failed with 257 requests for 245: while the meter counted the nodes of the healed side one
+    # after the other, each was told another number, and then was cut off with it.
+    fleet = play(HEAL_TOO_SHORT_TO_COUNT_ALL_NODES, seed, 40.0)
+    assert fleet.max_in_window() <= max_allowed(40.0)
+    assert sum(node.authority.share() for node in fleet.world.nodes) <= 1.0 + OVERAGE
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_halves_of_a_restarted_fleet_do_not_both_use_the_whole_worker_limit(seed):
     # Failed at seed 5 with 36 requests for 35: each half took its own voters for all nodes.
