--- a/src/wheelslip/peers/limit_votes.py
+++ b/src/wheelslip/peers/limit_votes.py
@@ -9,10 +9,12 @@
 
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
+    START_NOTICE,
     VOTE,
     VOTE_COUNT,
     VOTE_RELEASE,
     VOTE_REPLY,
+    StartNotice,
     Vote,
     VoteCountReport,
     VoteRelease,
@@ -56,6 +58,8 @@
         self._is_responsive = is_responsive
         self._has_limits = has_limits
         self._clock = clock
+        self._started_at = clock()
+        self._may_vote_at = self._started_at + VOTE_VALIDITY_SECONDS
         self._valid_until: dict[str, float] = {}
         self._excluded_until: dict[str, float] = {}
         self._awaiting_reply: set[str] = set()
@@ -63,6 +67,7 @@
         socket.register(VOTE_REPLY, VoteReply, self._handle_vote_reply)
         socket.register(VOTE_COUNT, VoteCountReport, self._handle_vote_count)
         socket.register(VOTE_RELEASE, VoteRelease, self._handle_release)
+        socket.register(START_NOTICE, StartNotice, self._handle_start)
 
     async def run(self) -> None:
         """Vote periodically until cancelled."""
@@ -92,16 +97,21 @@
         return [meter for meter in meters if meter != self._address and self._is_responsive(meter)]
 
     def _vote(self, now: float) -> None:
-        """Vote for the first responsive meter, or for this node.
+        """Vote for the first responsive meter.
 
         A meter that did not reply to the last vote is only probed. It holds that vote until the
-        vote expires, and this node votes for no other meter until then.
+        vote expires, and this node votes for no other meter until then. After a start, a vote of
+        the previous process may still be valid at an unknown meter, so no vote is cast until it
+        has expired.
         """
+        if now < self._may_vote_at:
+            self._query_meters(now)
+            return
         meter = self._choose_meter(now)
         self._valid_until = {
             address: until for address, until in self._valid_until.items() if now < until
         }
-        if any(holder != meter for holder in self._valid_until):
+        if meter is None or any(holder != meter for holder in self._valid_until):
             return
         self._valid_until[meter] = now + VOTE_VALIDITY_SECONDS
         if meter == self._address:
@@ -109,14 +119,29 @@
         else:
             self._send_vote(meter, is_probe=False)
 
-    def _choose_meter(self, now: float) -> str:
-        for meter in self._meters():
+    def _query_meters(self, now: float) -> None:
+        """Ask the other meters for the fleet size, and tell them that it is unknown here."""
+        meters = [meter for meter in self._meters() if meter != self._address]
+        if not self._authority.fleet_size:
+            self._socket.send_to(meters, START_NOTICE, StartNotice(now - self._started_at))
+        for meter in meters:
+            self._send_vote(meter, is_probe=True)
+
+    def _choose_meter(self, now: float) -> str | None:
+        """Return the first responsive meter, ``None`` if no meter responds.
+
+        A node that is no relay holds no vote of its own while there are relays. A meter that counts
+        the nodes after a start knows nothing of nodes that are cut off from all relays, and their
+        shares would add to its own.
+        """
+        meters = self._meters()
+        for meter in meters:
             if self._excluded_until.get(meter, 0.0) > now:
                 continue
             if meter == self._address or meter not in self._awaiting_reply:
                 return meter
             self._send_vote(meter, is_probe=True)
-        return self._address
+        return None if meters else self._address
 
     def _send_vote(self, meter: str, is_probe: bool) -> None:
         self._awaiting_reply.add(meter)
@@ -136,11 +161,18 @@
 
     def _handle_vote_reply(self, reply: VoteReply, sender: str) -> None:
         self._awaiting_reply.discard(sender)
-        self._authority.update_fleet_size(reply.fleet_size)
+        now = self._clock()
+        # The count of a meter for which this node does not vote need not include this node's side
+        # of a cut. Only a node that has just started has nothing better.
+        if now < self._may_vote_at or now < self._valid_until.get(sender, now):
+            self._authority.update_fleet_size(reply.fleet_size)
 
     def _handle_vote_count(self, report: VoteCountReport, sender: str) -> None:
         self._authority.record_peer_votes(sender, report.votes, report.remaining_seconds)
 
+    def _handle_start(self, notice: StartNotice, sender: str) -> None:
+        self._authority.record_start(sender, notice.age_seconds)
+
     def _handle_release(self, release: VoteRelease, sender: str) -> None:
         now = self._clock()
         self._valid_until.pop(sender, None)
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -21,6 +21,7 @@
     ProgressReport,
     QueuedNotice,
     RunningReport,
+    StartNotice,
     Vote,
     VoteCountReport,
     VoteRelease,
@@ -95,6 +96,7 @@
         Sample("voted", VoteReply(9)),
         Sample("votes", VoteCountReport(5, 1.5)),
         Sample("released", VoteRelease(4)),
+        Sample("started", StartNotice(0.25)),
         Sample(
             "limits",
             LimitReportBatch(
