--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -261,8 +261,10 @@
             return
         try:
             self._admission.confirm(job)
-        except WheelslipError:
+        except WheelslipError as error:
             assignment.record_unused()
+            if job.may_have_run:
+                raise self._unserved_error(job, error.message) from error
             raise
 
     def _backoff_end(self, job: Job, service: str) -> float | None:
