API keys are checked again after a wait whoever chooses the worker

A request that had waited and whose worker was then chosen by its own node, or granted by a dispatcher without a queue, was sent without the check.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -22,6 +22,7 @@
     :param allowance: charged for the worker's rate limit if this node chose the worker itself.
     :param link: used to report the progress of a granted request.
     :param grant: the dispatcher's grant, or ``None`` if this node chose the worker itself.
+    :ivar queued: the request may have waited in the queue of a dispatcher.
     """
 
     def __init__(
@@ -31,12 +32,14 @@
         allowance: WorkerAllowance,
         link: DispatchLink | None,
         grant: Grant | None,
+        queued: bool = False,
     ):
         self.placement = placement
         self._records = records
         self._allowance = allowance
         self._link = link
         self._grant = grant
+        self.queued = queued
         self._started_at = 0.0
         self._failed = False
         self._not_run = False
@@ -49,11 +52,6 @@
         """Whether a dispatcher chose the worker."""
         return self._grant is not None
 
-    @property
-    def queued(self) -> bool:
-        """Whether the request may have waited in the queue of a dispatcher."""
-        return self._grant is not None and self._grant.queued
-
     @property
     def silent(self) -> bool:
         """Whether the worker did not acknowledge the data sent to it."""
@@ -180,17 +178,19 @@
             except DispatcherUnavailable:
                 pass
             else:
-                return grant and self._assignment(grant.placement, grant)
+                return grant and self._assignment(job, grant.placement, grant)
         return await self._assign_locally(job, service)
 
     async def _assign_locally(self, job: Job, service: str) -> Assignment | None:
         query = self._query(job, service)
         await self._charge_quota(job, query)
         placement = self._local_choice.choose(query, self._clock())
-        return placement and self._assignment(placement, None)
+        return placement and self._assignment(job, placement, None)
 
-    def _assignment(self, placement: Placement, grant: Grant | None) -> Assignment:
-        return Assignment(placement, self._records, self._allowance, self._link, grant)
+    def _assignment(self, job: Job, placement: Placement, grant: Grant | None) -> Assignment:
+        return Assignment(
+            placement, self._records, self._allowance, self._link, grant, job.has_waited
+        )
 
     async def _charge_quota(self, job: Job, query: PlacementQuery) -> None:
         """Charge a request to the quota of its tenant, unless that was done before.
@@ -221,7 +221,11 @@
         )
 
     def _queue_query(self, job: Job, service: str) -> PlacementQuery:
-        """Return the query with the tenant, by whose share the queue orders, even without a limit."""
+        """Return the query with the tenant, by whose share the queue orders, even without a limit.
+
+        It is needed only when the request is about to wait, so this also records that it waits.
+        """
+        job.has_waited = True
         tenant = job.tenant.name if job.tenant is not None else ""
         return self._query(job, service)._replace(tenant=tenant)
 
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -37,6 +37,7 @@
     :ivar last_incarnation: worker incarnation that the request was last sent to.
     :ivar last_sent_at: when it was sent there, in seconds of the steady clock.
     :ivar on_trial: the request is suspected of crashing workers and holds the trial lock.
+    :ivar has_waited: the request was put into the queue of a dispatcher.
     :ivar first_event_at: when the first event was forwarded, 0 before that.
     """
 
@@ -58,6 +59,7 @@
     last_sent_at: float = 0.0
     on_trial: bool = False
     weights_version: int | None = None
+    has_waited: bool = False
     first_event_at: float = 0.0
 
     @property
