A repeated grant does not end the grant of a request about to be sent

A renewal that crosses the grant repeats it. If both copies arrived before the waiting task ran, the second was reported as unused, and the dispatcher gave the slot to another request.

--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -420,6 +420,9 @@
         fut = self._pending.get(reply.query_number)
         if fut is not None and not fut.done():
             fut.set_result(reply)
+        elif fut is not None and fut.result().worker:
+            # A repeated grant: the request is about to be sent, but not listed as granted yet.
+            return
         elif self._queue.deliver_reply(reply):
             return
         elif reply.worker and reply.query_number not in self._grants:
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -163,7 +163,16 @@
         return self._without_queue.get(address, 0.0) <= self._clock()
 
     def deliver_reply(self, reply: WorkerGrant) -> bool:
-        """Deliver a dispatcher's decision; return whether the request waits for one."""
+        """Deliver a dispatcher's decision.
+
+        :return: whether the request waited for it, or has just received the same grant.
+        """
+        waiter = self._waiters.get(reply.query_number)
+        if waiter is not None and waiter.outcome.done():
+            # The waiting task has not run since the first decision, so a repeated grant is not
+            # unused. A grant after a rejection is.
+            decision = waiter.outcome.result()
+            return isinstance(decision, WorkerGrant) and decision.worker is not None
         return self._deliver(reply.query_number, reply)
 
     def capacity_changed(self) -> None:
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -571,3 +571,48 @@
         assert fleet.node.queue.has_queue(SECOND)
 
     in_fleet(run)
+
+
+@pytest.mark.parametrize("waits", [True, False])
+def test_grant_received_twice_before_its_request_continues_is_kept(waits):
+    """A renewal may cross the grant. The second copy must not end the grant of a running request."""
+
+    async def run(fleet):
+        dispatcher = fleet.first.dispatcher
+        if not waits:
+            dispatcher.grant = lambda query_id, query: Placement(WORKER)
+        handle = fleet.node.socket.handlers[GRANT]
+
+        def receive_twice(message, sender):
+            handle(message, sender)
+            if message.worker:
+                handle(message, sender)
+
+        fleet.node.socket.handlers[GRANT] = receive_twice
+        request = fleet.node.request()
+        if waits:
+            await until(lambda: dispatcher.waiting, "queued")
+            dispatcher.decide(Placement(WORKER))
+        assert (await request).placement.worker is WORKER
+        assert PROGRESS not in fleet.network.kinds(FIRST)
+
+    in_fleet(run)
+
+
+def test_grant_that_crosses_a_rejection_is_returned():
+    """The node has given up the request, so it must not keep the slot of a worker."""
+
+    async def run(fleet):
+        request = fleet.node.request()
+        dispatcher = fleet.first.dispatcher
+        await until(lambda: dispatcher.waiting, "queued")
+        [query_id] = dispatcher.waiting
+        rejection = WorkerGrant.of(query_id.number, f"d-{FIRST}", Overloaded(0.4))
+        grant = WorkerGrant.of(query_id.number, f"d-{FIRST}", Placement(WORKER))
+        for reply in (rejection, grant):
+            fleet.node.socket.handlers[GRANT](reply, FIRST)
+        with pytest.raises(Overloaded):
+            await request
+        assert PROGRESS in fleet.network.kinds(FIRST)
+
+    in_fleet(run)
