--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -279,6 +279,12 @@
                 if fut.done():
                     self._health.record_reply(address, self._clock() - sent_at)
                     return fut.result(), sends
+        except asyncio.CancelledError:
+            if fut.done() and fut.result().worker:
+                # The grant arrived at the moment of the cancellation.
+                query_id = QueryId(message.node, message.query_number)
+                self._send_progress(address, query_id, Progress.UNUSED)
+            raise
         finally:
             del self._pending[message.query_number]
         self._health.record_timeout(address)
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -616,3 +616,25 @@
         assert PROGRESS in fleet.network.kinds(FIRST)
 
     in_fleet(run)
+
+
+def test_grant_of_a_query_that_is_cancelled_on_arrival_is_returned():
+    """The caller may leave between the arrival of the grant and the next step of its task."""
+
+    async def run(fleet):
+        dispatcher = fleet.first.dispatcher
+        dispatcher.grant = lambda query_id, query: dispatcher.granted.setdefault(
+            query_id, Placement(WORKER)
+        )
+        request = fleet.node.request()
+        handle = fleet.node.socket.handlers[GRANT]
+
+        def cancel_on_arrival(message, sender):
+            handle(message, sender)
+            request.cancel()
+
+        fleet.node.socket.handlers[GRANT] = cancel_on_arrival
+        await until(lambda: dispatcher.unused, "grant returned")
+        assert request.cancelled() and not dispatcher.granted
+
+    in_fleet(run)
