Nodes whose requests wait report their running requests, also if there are none

A grant whose final report is lost ends when its node does not list it, or sends nothing for 4 s. A node without grants sent no list, but its renewals kept the lost grant active; a single slot stayed in use as long as requests waited for it.

--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -379,7 +379,10 @@
         """Report running requests to the dispatchers periodically until cancelled."""
         while True:
             await asyncio.sleep(RUNNING_REPORT_SECONDS)
-            for service in {grant.service for grant in self._grants.values()}:
+            services = {grant.service for grant in self._grants.values()}
+            # A grant whose final report was lost ends when it is not listed. Without a report it
+            # would hold its slot for as long as this node's waiting requests are renewed.
+            for service in services | self._queue.services():
                 self._report_running(service)
 
     def _update_dispatcher(self, service: str, address: str, incarnation: str) -> None:
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -158,6 +158,11 @@
         enqueued_at = self._enqueued_at.get(service)
         return enqueued_at is not None and self._clock() - enqueued_at < PRESSURE_SECONDS
 
+    def services(self) -> set[str]:
+        """Return the services for which requests of this node wait or were enqueued recently."""
+        waiting = {waiter.query.service for waiter in self._waiters.values()}
+        return waiting | {service for service in self._enqueued_at if self.has_waited(service)}
+
     def has_queue(self, address: str) -> bool:
         """Return whether a dispatcher is expected to have a queue."""
         return self._without_queue.get(address, 0.0) <= self._clock()
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -7,7 +7,7 @@
 import pytest
 
 from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
-from wheelslip.peers import queue_link
+from wheelslip.peers import dispatch_link, queue_link
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_messages import (
     ENQUEUE,
@@ -638,3 +638,23 @@
         assert request.cancelled() and not dispatcher.granted
 
     in_fleet(run)
+
+
+def test_node_whose_requests_wait_reports_that_it_runs_none(monkeypatch):
+    """After a lost final report its grant would otherwise hold a slot for as long as the node
+    renews waiting requests, forever if it was the only slot."""
+    monkeypatch.setattr(dispatch_link, "RUNNING_REPORT_SECONDS", 0.01)
+
+    async def run(fleet):
+        reports = []
+        fleet.first.dispatcher.reconcile_running = lambda *report: reports.append(report)
+        reporting = asyncio.get_running_loop().create_task(fleet.node.link.run())
+        request = fleet.node.request()
+        await until(lambda: fleet.first.dispatcher.waiting, "queued")
+        reports.clear()
+        await until(lambda: reports, "reported")
+        assert reports[0] == (f"d-{NODE}", [], [])
+        for task in (request, reporting):
+            task.cancel()
+
+    in_fleet(run)
