A request without memory to send it leaves no record of its worker

It was recorded as a success of the worker, which ended a suspicion, and as a failed request after a backoff. A charge to this node's share of the worker's rate limit was not refunded.

--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -157,12 +157,8 @@
         )
 
     async def run(self) -> AttemptOutcome:
-        """Send the request and relay the response.
-
-        :raises WheelslipError: if the request was not sent, as the node has no memory for it.
-        """
+        """Send the request and relay the response; :meth:`reserve_memory` must be called before."""
         job = self._job
-        self._reserve_memory()
         job.attempts_sent += 1
         job.may_have_run += 1
         self._check_start_deadline()
@@ -183,7 +179,7 @@
                 self._assignment.record_silent()
             return AttemptOutcome.LOST
 
-    def _reserve_memory(self) -> None:
+    def reserve_memory(self) -> None:
         """Register the attempt at the memory account of the node.
 
         The transport copies what the worker does not take at once, so all of the body is counted
@@ -196,7 +192,6 @@
         is_stream = route.kind is RouteKind.STREAM
         memory.describe_request(job.request.metadata.request_id, is_stream, route.resumable)
         if not memory.add_unsent(len(job.request.body)):
-            self._assignment.record_not_run(failed=False)
             memory.count_rejection()
             kind = ErrorKind.ENGINE_LOST if job.may_have_run else ErrorKind.MEMORY_FULL
             raise WheelslipError(kind, "no memory to send the request body")
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -370,12 +370,18 @@
     async def _run_attempt(
         self, job: Job, assignment: Assignment, connection: HttpConnection, caller: CallerConnection
     ) -> AttemptOutcome:
+        attempt = Attempt(self._services, job, assignment, connection, caller)
+        try:
+            attempt.reserve_memory()
+        except WheelslipError:
+            connection.close()
+            assignment.record_unused()
+            raise
         incarnation = job.last_incarnation = assignment.placement.worker.info.id
         job.last_sent_at = self._clock()
         notices = self._registry.notices
         recovery_slot, outcome = notices.begin(incarnation), None
         assignment.begin()
-        attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
             outcome = await attempt.run()
             return outcome
