--- a/src/wheelslip/forwarding/node_memory.py
+++ b/src/wheelslip/forwarding/node_memory.py
@@ -99,9 +99,19 @@
         self._untaken.discard(holder)
 
     def refresh_size(self) -> None:
-        """Apply a changed setting of the size."""
-        self.account.size = self._size()
+        """Apply a changed setting of the size.
+
+        Reading is paused if less room is left than before: data that does not fit closes
+        connections.
+        """
+        size = self._size()
+        if size == self.account.size:
+            return
+        self.account.size = size
         self._tight_room = READ_BYTES + self.account.tight_room
+        self._is_tight = False
+        if self.account.room < self._tight_room:
+            self._pause_unfit()
 
     # Additions
 
--- a/tests/unit/forwarding/test_node_memory.py
+++ b/tests/unit/forwarding/test_node_memory.py
@@ -138,3 +138,25 @@
         assert caller.closed and memory.account.held == SIZE
 
     run(scenario, clock)
+
+
+def test_reduced_size_pauses_reading_and_closes_no_caller(clock):
+    """Data that arrives after the reduction would not fit, which closes connections."""
+    size = SIZE
+
+    async def main():
+        nonlocal size
+        memory = NodeMemory(lambda: size, clock)
+        caller, reader = attached(memory)
+        caller.write(SIZE // 32)
+        memory.hold_without_connection(MemoryUse.REQUEST_BODY, SIZE // 2)
+        assert not reader.paused
+        size = SIZE // 2
+        memory.refresh_size()
+        assert reader.paused and not caller.closed
+        size = SIZE
+        memory.refresh_size()
+        await advance(clock, STALLED_SECONDS)
+        assert not reader.paused and not caller.closed
+
+    asyncio.run(main())
