--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -135,6 +135,7 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._connection.leave_memory()
+        self._caller.memory.reduce_buffered(self._kept_bytes())
         if not self.released:
             self._connection.close()
 
--- a/src/wheelslip/forwarding/connection_memory.py
+++ b/src/wheelslip/forwarding/connection_memory.py
@@ -105,6 +105,11 @@
         elif count < held:
             self._node.account.remove(self, MemoryUse.BUFFERED_RESPONSE, held - count)
 
+    def reduce_buffered(self, count: int) -> None:
+        """Reduce the bytes of the buffered response if more are held."""
+        if count < self.by_use[MemoryUse.BUFFERED_RESPONSE]:
+            self.set_buffered(count)
+
     def set_untaken(self, count: int, written: int) -> None:
         """Set the bytes that the caller has not taken.
 
--- a/tests/unit/forwarding/test_request_without_memory.py
+++ b/tests/unit/forwarding/test_request_without_memory.py
@@ -9,7 +9,9 @@
 from wheelslip.deployment import Incarnation, RouteKind, Worker, WorkerInfo, WorkerState
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding.assignment import Assignment
+from wheelslip.forwarding.attempt import Attempt, AttemptServices
 from wheelslip.forwarding.forwarder import Forwarder
+from wheelslip.forwarding.memory_account import MemoryUse
 from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.routing.dispatcher import Progress
 from wheelslip.routing.placement import Placement
@@ -55,3 +57,20 @@
         link.report_progress.assert_called_once_with(grant, Progress.UNUSED)
     else:
         allowance.refund.assert_called_once_with(WORKER.info.id)
+
+
+def test_buffer_of_a_failed_attempt_is_released_when_it_ends(clock):
+    """The request may wait for its next worker for seconds, without the data."""
+    caller, job = make_caller(clock), make_job(b"", 0)
+    services = AttemptServices(Mock(), Mock(), Mock(), Mock(), clock)
+    attempt = Attempt(services, job, Mock(), Mock(), caller)
+    caller.memory.set_buffered(5000)
+    attempt.finish()
+    assert caller.memory.by_use[MemoryUse.BUFFERED_RESPONSE] == 0
+    job.failed_response = Mock(body=bytes(100))
+    caller.memory.set_buffered(5000)
+    attempt.finish()
+    assert caller.memory.by_use[MemoryUse.BUFFERED_RESPONSE] == 100
+    caller.memory.set_buffered(0)
+    attempt.finish()
+    assert caller.memory.held == 0
