--- a/src/wheelslip/forwarding/caller_connection.py
+++ b/src/wheelslip/forwarding/caller_connection.py
@@ -121,7 +121,7 @@
         self._pipelined_bytes += count
         if not self.memory.add_body(count, 0):
             self._disconnect()
-            self._transport.abort()
+            self.abort()
         elif self._pipelined_bytes > MAX_PIPELINED_BYTES:
             self._transport.pause_reading()
 
@@ -171,11 +171,8 @@
         if receiving and not self.untaken_bytes():
             self._reject(ErrorKind.MEMORY_FULL, "request body sent too slowly; memory is needed")
             return
-        connection = self._transport.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._disconnect()
-        self._transport.abort()
+        self._reset()
 
     def _disconnect(self) -> None:
         self._closed = True
@@ -353,6 +350,17 @@
     def abort(self) -> None:
         """Abort the connection, so that a partial response is recognizably incomplete."""
         self._closed = True
+        if self._parser.our_state is h11.SEND_BODY and self._parser.their_http_version == b"1.0":
+            # Such a response ends with its connection, so a normal close would complete it.
+            self._reset()
+        else:
+            # The caller still receives the data that was sent before.
+            self._transport.abort()
+
+    def _reset(self) -> None:
+        connection = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
     def close_gracefully(self) -> None:
