Late replies to renewals do not end the wait at a dispatcher

Renewals that were answered after their timeout counted as unanswered, so a waiting request was withdrawn and enqueued again about every second.

--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -235,6 +235,9 @@
                 raise Overloaded(EXPIRED_RETRY_SECONDS)
             if self._is_replaced(waiter):
                 raise QueueUnavailable(ever_replied=True)
+            if waiter.replied.done():
+                # The reply to the last renewal came after its timeout.
+                unanswered = 0
             sent_at = self._clock()
             if await self._send_and_wait(waiter):
                 unanswered = 0
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -658,3 +658,26 @@
             task.cancel()
 
     in_fleet(run)
+
+
+def test_dispatcher_that_replies_later_than_the_timeout_keeps_its_requests(monkeypatch):
+    """Timeouts are learned from queries; leaving for late replies to renewals would enqueue all
+    requests of a busy dispatcher again every second."""
+    monkeypatch.setattr(queue_link, "RENEWAL_SECONDS", 0.06)
+
+    async def run(fleet):
+        request = fleet.node.request()
+        dispatcher = fleet.first.dispatcher
+        await until(lambda: dispatcher.waiting, "queued")
+        await asyncio.sleep(0.01)
+        handle = fleet.node.socket.handlers[QUEUED]
+        loop = asyncio.get_running_loop()
+        fleet.node.socket.handlers[QUEUED] = lambda *notice: loop.call_later(0.03, handle, *notice)
+        fleet.node.health.timeout_seconds = lambda address: 0.01
+        count = len(dispatcher.enqueued)
+        renewals = queue_link.MAX_UNANSWERED_RENEWALS + 2
+        await until(lambda: len(dispatcher.enqueued) >= count + renewals, "renewed")
+        assert len(set(dispatcher.enqueued)) == 1 and not dispatcher.withdrawn
+        request.cancel()
+
+    in_fleet(run)
