--- a/src/wheelslip/peers/queue_server.py
+++ b/src/wheelslip/peers/queue_server.py
@@ -103,7 +103,6 @@
         if not self._enabled():
             return
         query_id = request.query.query_id()
-        self._addresses[query_id.node] = sender
         try:
             decision = self.enqueue(query_id, request.queued_query())
         except NoWorker:
@@ -119,6 +118,7 @@
         if placement is not None:
             self._send_decision(sender, query_id, placement)
             return
+        self._addresses[query_id.node] = sender
         self._socket.send(sender, QUEUED, self.notice(query_id))
 
     def _handle_withdrawal(self, withdrawal: Withdrawal, sender: str) -> None:
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -681,3 +681,15 @@
         request.cancel()
 
     in_fleet(run)
+
+
+def test_server_keeps_no_address_of_a_node_whose_requests_do_not_wait():
+    """Each start of a node has another incarnation, so the table would grow without limit."""
+
+    async def run(fleet):
+        fleet.first.dispatcher.decide_on_arrival = Overloaded(0.9)
+        with pytest.raises(Overloaded):
+            await fleet.node.request()
+        assert not fleet.first.server._addresses
+
+    in_fleet(run)
