--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -203,6 +203,9 @@
         :raises NoWorker: when no worker may take the request now.
         """
         if not self._queues_requests():
+            # The queue may have been switched off while the request waited.
+            if queued.query.service in self._queues:
+                self._queues[queued.query.service].requests.remove(query_id)
             placement = self.grant(query_id, queued.query)
             if placement is None:
                 raise NoWorker
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -411,3 +411,18 @@
     ask(dispatcher, 61, content="c")
     end(dispatcher, 43)
     assert list(decided(dispatcher))[0] == 61
+
+
+def test_request_granted_after_the_queue_is_switched_off_no_longer_waits(clock):
+    """Settings are reloaded while requests wait. A second grant would end the first, which runs."""
+    enabled = [True]
+    dispatcher = make_dispatcher(clock, View(capacity=1))
+    dispatcher._queue_enabled = lambda: enabled[0]
+    first, second = (QueryId("n", number) for number in (1, 2))
+    assert dispatcher.enqueue(first, queued()) is not None
+    assert dispatcher.enqueue(second, queued()) is None
+    enabled[0] = False
+    assert dispatcher.enqueue(second, queued()) is not None
+    assert dispatcher.queue_depth() == 0
+    dispatcher.record_progress(first, Progress.ENDED)
+    assert dispatcher.advance_queues() == [] and dispatcher.active_grants == 1
