--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -186,7 +186,8 @@
         The transport copies what the worker does not take at once, so all of the body is counted
         again until the request was written.
 
-        :raises WheelslipError: if the body does not fit.
+        :raises WheelslipError: if the body does not fit. The caller gets 503 only if no earlier
+            attempt may have run.
         """
         job, memory = self._job, self._caller.memory
         route = job.route
--- a/src/wheelslip/forwarding/node_memory.py
+++ b/src/wheelslip/forwarding/node_memory.py
@@ -38,7 +38,7 @@
 
 
 class NodeMemory:
-    """Account of a node with the connections that it concerns.
+    """Account of a node with the connections whose bytes it counts.
 
     :param size: returns the size of the account in bytes.
     :ivar slow_readers_closed: connections closed for their memory.
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -232,7 +232,7 @@
     ) -> Grant | None:
         """Wait in the queue of a dispatcher, and of the next ones if it no longer replies.
 
-        :param refusal: raised if the first dispatcher has no queue.
+        :param refusal: raised if the first dispatcher does not reply to the request to enqueue.
         """
         while True:
             try:
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -39,7 +39,7 @@
 
 MAX_UNANSWERED_RENEWALS = 4
 """Renewals in a row without a reply after which a dispatcher is left even though it replies to
-other requests; its queue has dropped the request by then."""
+other requests. Without renewals its queue drops the request after 1 s."""
 
 WITHOUT_QUEUE_SECONDS = 5.0
 """Time for which nothing is enqueued at a dispatcher that ignored a request to enqueue. It is
@@ -51,6 +51,11 @@
 QUEUED_LOG_LINES_PER_SECOND = 10.0
 
 
+PRESSURE_SECONDS = 1.0
+"""Time after a request was enqueued for which its service counts as short of workers. A node of a
+large fleet sends only a few requests per second."""
+
+
 class QueueTerms(NamedTuple):
     """What a queue needs to know of a request; computed only if the request waits.
 
@@ -66,11 +71,6 @@
     content: Callable[[], str]
 
 
-PRESSURE_SECONDS = 1.0
-"""Time after a request was enqueued for which its service counts as short of workers. A node of a
-large fleet sends only a few requests per second."""
-
-
 class QueueUnavailable(Exception):
     """Raised when a dispatcher no longer decides on a request.
 
@@ -98,7 +98,10 @@
 class _Waiter:
     """A request that waits at one dispatcher.
 
+    :ivar query: as it was last sent.
+    :ivar outcome: completed by the decision.
     :ivar replied: completed by the next reply; replaced with each message that is sent.
+    :ivar dispatcher: incarnation of the dispatcher, empty before its first notice.
     """
 
     address: str
