--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -660,15 +660,6 @@
         "../unit/forwarding/test_tenant_limits.py"
         "::test_restarted_voter_holds_back_its_vote_while_an_earlier_one_may_be_valid",
     ),
-    _single_edit(
-        "full retry ratio in the first window",
-        FORWARDING,
-        "routing/retry_window.py",
-        "START_RATIO_SHARE if is_first_window else NODE_RATIO_SHARE",
-        "NODE_RATIO_SHARE",
-        "../unit/forwarding/test_budget_and_split.py"
-        "::test_restarts_within_a_window_allow_no_retries_above_ratio",
-    ),
     _single_edit(
         "rate limit lifted by a response to an earlier request",
         FORWARDING,
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -135,6 +135,7 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._connection.leave_memory()
+        self._caller.memory.reduce_buffered(self._kept_bytes())
         if not self.released:
             self._connection.close()
 
@@ -157,12 +158,8 @@
         )
 
     async def run(self) -> AttemptOutcome:
-        """Send the request and relay the response.
-
-        :raises WheelslipError: if the request was not sent, as the node has no memory for it.
-        """
+        """Send the request and relay the response; :meth:`reserve_memory` must be called before."""
         job = self._job
-        self._reserve_memory()
         job.attempts_sent += 1
         job.may_have_run += 1
         self._check_start_deadline()
@@ -183,20 +180,20 @@
                 self._assignment.record_silent()
             return AttemptOutcome.LOST
 
-    def _reserve_memory(self) -> None:
+    def reserve_memory(self) -> None:
         """Register the attempt at the memory account of the node.
 
         The transport copies what the worker does not take at once, so all of the body is counted
         again until the request was written.
 
-        :raises WheelslipError: if the body does not fit.
+        :raises WheelslipError: if the body does not fit. The caller gets 503 only if no earlier
+            attempt may have run.
         """
         job, memory = self._job, self._caller.memory
         route = job.route
         is_stream = route.kind is RouteKind.STREAM
         memory.describe_request(job.request.metadata.request_id, is_stream, route.resumable)
         if not memory.add_unsent(len(job.request.body)):
-            self._assignment.record_not_run(failed=False)
             memory.count_rejection()
             kind = ErrorKind.ENGINE_LOST if job.may_have_run else ErrorKind.MEMORY_FULL
             raise WheelslipError(kind, "no memory to send the request body")
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -261,8 +261,10 @@
             return
         try:
             self._admission.confirm(job)
-        except WheelslipError:
+        except WheelslipError as error:
             assignment.record_unused()
+            if job.may_have_run:
+                raise self._unserved_error(job, error.message) from error
             raise
 
     def _backoff_end(self, job: Job, service: str) -> float | None:
@@ -368,12 +370,18 @@
     async def _run_attempt(
         self, job: Job, assignment: Assignment, connection: HttpConnection, caller: CallerConnection
     ) -> AttemptOutcome:
+        attempt = Attempt(self._services, job, assignment, connection, caller)
+        try:
+            attempt.reserve_memory()
+        except WheelslipError:
+            connection.close()
+            assignment.record_unused()
+            raise
         incarnation = job.last_incarnation = assignment.placement.worker.info.id
         job.last_sent_at = self._clock()
         notices = self._registry.notices
         recovery_slot, outcome = notices.begin(incarnation), None
         assignment.begin()
-        attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
             outcome = await attempt.run()
             return outcome
--- a/src/wheelslip/forwarding/node_memory.py
+++ b/src/wheelslip/forwarding/node_memory.py
@@ -38,7 +38,7 @@
 
 
 class NodeMemory:
-    """Account of a node with the connections that it concerns.
+    """Account of a node with the connections whose bytes it counts.
 
     :param size: returns the size of the account in bytes.
     :ivar slow_readers_closed: connections closed for their memory.
@@ -99,9 +99,19 @@
         self._untaken.discard(holder)
 
     def refresh_size(self) -> None:
-        """Apply a changed setting of the size."""
-        self.account.size = self._size()
+        """Apply a changed setting of the size.
+
+        Reading is paused if less room is left than before: data that does not fit closes
+        connections.
+        """
+        size = self._size()
+        if size == self.account.size:
+            return
+        self.account.size = size
         self._tight_room = READ_BYTES + self.account.tight_room
+        self._is_tight = False
+        if self.account.room < self._tight_room:
+            self._pause_unfit()
 
     # Additions
 
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -232,7 +232,7 @@
     ) -> Grant | None:
         """Wait in the queue of a dispatcher, and of the next ones if it no longer replies.
 
-        :param refusal: raised if the first dispatcher has no queue.
+        :param refusal: raised if the first dispatcher does not reply to the request to enqueue.
         """
         while True:
             try:
@@ -279,6 +279,12 @@
                 if fut.done():
                     self._health.record_reply(address, self._clock() - sent_at)
                     return fut.result(), sends
+        except asyncio.CancelledError:
+            if fut.done() and fut.result().worker:
+                # The grant arrived at the moment of the cancellation.
+                query_id = QueryId(message.node, message.query_number)
+                self._send_progress(address, query_id, Progress.UNUSED)
+            raise
         finally:
             del self._pending[message.query_number]
         self._health.record_timeout(address)
@@ -373,7 +379,10 @@
         """Report running requests to the dispatchers periodically until cancelled."""
         while True:
             await asyncio.sleep(RUNNING_REPORT_SECONDS)
-            for service in {grant.service for grant in self._grants.values()}:
+            services = {grant.service for grant in self._grants.values()}
+            # A grant whose final report was lost ends when it is not listed. Without a report it
+            # would hold its slot for as long as this node's waiting requests are renewed.
+            for service in services | self._queue.services():
                 self._report_running(service)
 
     def _update_dispatcher(self, service: str, address: str, incarnation: str) -> None:
@@ -420,6 +429,9 @@
         fut = self._pending.get(reply.query_number)
         if fut is not None and not fut.done():
             fut.set_result(reply)
+        elif fut is not None and fut.result().worker:
+            # A repeated grant: the request is about to be sent, but not listed as granted yet.
+            return
         elif self._queue.deliver_reply(reply):
             return
         elif reply.worker and reply.query_number not in self._grants:
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -39,7 +39,7 @@
 
 MAX_UNANSWERED_RENEWALS = 4
 """Renewals in a row without a reply after which a dispatcher is left even though it replies to
-other requests; its queue has dropped the request by then."""
+other requests. Without renewals its queue drops the request after 1 s."""
 
 WITHOUT_QUEUE_SECONDS = 5.0
 """Time for which nothing is enqueued at a dispatcher that ignored a request to enqueue. It is
@@ -51,6 +51,11 @@
 QUEUED_LOG_LINES_PER_SECOND = 10.0
 
 
+PRESSURE_SECONDS = 1.0
+"""Time after a request was enqueued for which its service counts as short of workers. A node of a
+large fleet sends only a few requests per second."""
+
+
 class QueueTerms(NamedTuple):
     """What a queue needs to know of a request; computed only if the request waits.
 
@@ -66,11 +71,6 @@
     content: Callable[[], str]
 
 
-PRESSURE_SECONDS = 1.0
-"""Time after a request was enqueued for which its service counts as short of workers. A node of a
-large fleet sends only a few requests per second."""
-
-
 class QueueUnavailable(Exception):
     """Raised when a dispatcher no longer decides on a request.
 
@@ -98,7 +98,10 @@
 class _Waiter:
     """A request that waits at one dispatcher.
 
+    :ivar query: as it was last sent.
+    :ivar outcome: completed by the decision.
     :ivar replied: completed by the next reply; replaced with each message that is sent.
+    :ivar dispatcher: incarnation of the dispatcher, empty before its first notice.
     """
 
     address: str
@@ -158,12 +161,26 @@
         enqueued_at = self._enqueued_at.get(service)
         return enqueued_at is not None and self._clock() - enqueued_at < PRESSURE_SECONDS
 
+    def services(self) -> set[str]:
+        """Return the services for which requests of this node wait or were enqueued recently."""
+        waiting = {waiter.query.service for waiter in self._waiters.values()}
+        return waiting | {service for service in self._enqueued_at if self.has_waited(service)}
+
     def has_queue(self, address: str) -> bool:
         """Return whether a dispatcher is expected to have a queue."""
         return self._without_queue.get(address, 0.0) <= self._clock()
 
     def deliver_reply(self, reply: WorkerGrant) -> bool:
-        """Deliver a dispatcher's decision; return whether the request waits for one."""
+        """Deliver a dispatcher's decision.
+
+        :return: whether the request waited for it, or has just received the same grant.
+        """
+        waiter = self._waiters.get(reply.query_number)
+        if waiter is not None and waiter.outcome.done():
+            # The waiting task has not run since the first decision, so a repeated grant is not
+            # unused. A grant after a rejection is.
+            decision = waiter.outcome.result()
+            return isinstance(decision, WorkerGrant) and decision.worker is not None
         return self._deliver(reply.query_number, reply)
 
     def capacity_changed(self) -> None:
@@ -221,6 +238,9 @@
                 raise Overloaded(EXPIRED_RETRY_SECONDS)
             if self._is_replaced(waiter):
                 raise QueueUnavailable(ever_replied=True)
+            if waiter.replied.done():
+                # The reply to the last renewal came after its timeout.
+                unanswered = 0
             sent_at = self._clock()
             if await self._send_and_wait(waiter):
                 unanswered = 0
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -7,7 +7,7 @@
 import pytest
 
 from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
-from wheelslip.peers import queue_link
+from wheelslip.peers import dispatch_link, queue_link
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_messages import (
     ENQUEUE,
@@ -571,3 +571,125 @@
         assert fleet.node.queue.has_queue(SECOND)
 
     in_fleet(run)
+
+
+@pytest.mark.parametrize("waits", [True, False])
+def test_grant_received_twice_before_its_request_continues_is_kept(waits):
+    """A renewal may cross the grant. The second copy must not end the grant of a running request."""
+
+    async def run(fleet):
+        dispatcher = fleet.first.dispatcher
+        if not waits:
+            dispatcher.grant = lambda query_id, query: Placement(WORKER)
+        handle = fleet.node.socket.handlers[GRANT]
+
+        def receive_twice(message, sender):
+            handle(message, sender)
+            if message.worker:
+                handle(message, sender)
+
+        fleet.node.socket.handlers[GRANT] = receive_twice
+        request = fleet.node.request()
+        if waits:
+            await until(lambda: dispatcher.waiting, "queued")
+            dispatcher.decide(Placement(WORKER))
+        assert (await request).placement.worker is WORKER
+        assert PROGRESS not in fleet.network.kinds(FIRST)
+
+    in_fleet(run)
+
+
+def test_grant_that_crosses_a_rejection_is_returned():
+    """The node has given up the request, so it must not keep the slot of a worker."""
+
+    async def run(fleet):
+        request = fleet.node.request()
+        dispatcher = fleet.first.dispatcher
+        await until(lambda: dispatcher.waiting, "queued")
+        [query_id] = dispatcher.waiting
+        rejection = WorkerGrant.of(query_id.number, f"d-{FIRST}", Overloaded(0.4))
+        grant = WorkerGrant.of(query_id.number, f"d-{FIRST}", Placement(WORKER))
+        for reply in (rejection, grant):
+            fleet.node.socket.handlers[GRANT](reply, FIRST)
+        with pytest.raises(Overloaded):
+            await request
+        assert PROGRESS in fleet.network.kinds(FIRST)
+
+    in_fleet(run)
+
+
+def test_grant_of_a_query_that_is_cancelled_on_arrival_is_returned():
+    """The caller may leave between the arrival of the grant and the next step of its task."""
+
+    async def run(fleet):
+        dispatcher = fleet.first.dispatcher
+        dispatcher.grant = lambda query_id, query: dispatcher.granted.setdefault(
+            query_id, Placement(WORKER)
+        )
+        request = fleet.node.request()
+        handle = fleet.node.socket.handlers[GRANT]
+
+        def cancel_on_arrival(message, sender):
+            handle(message, sender)
+            request.cancel()
+
+        fleet.node.socket.handlers[GRANT] = cancel_on_arrival
+        await until(lambda: dispatcher.unused, "grant returned")
+        assert request.cancelled() and not dispatcher.granted
+
+    in_fleet(run)
+
+
+def test_node_whose_requests_wait_reports_that_it_runs_none(monkeypatch):
+    """After a lost final report its grant would otherwise hold a slot for as long as the node
+    renews waiting requests, forever if it was the only slot."""
+    monkeypatch.setattr(dispatch_link, "RUNNING_REPORT_SECONDS", 0.01)
+
+    async def run(fleet):
+        reports = []
+        fleet.first.dispatcher.reconcile_running = lambda *report: reports.append(report)
+        reporting = asyncio.get_running_loop().create_task(fleet.node.link.run())
+        request = fleet.node.request()
+        await until(lambda: fleet.first.dispatcher.waiting, "queued")
+        reports.clear()
+        await until(lambda: reports, "reported")
+        assert reports[0] == (f"d-{NODE}", [], [])
+        for task in (request, reporting):
+            task.cancel()
+
+    in_fleet(run)
+
+
+def test_dispatcher_that_replies_later_than_the_timeout_keeps_its_requests(monkeypatch):
+    """Timeouts are learned from queries; leaving for late replies to renewals would enqueue all
+    requests of a busy dispatcher again every second."""
+    monkeypatch.setattr(queue_link, "RENEWAL_SECONDS", 0.06)
+
+    async def run(fleet):
+        request = fleet.node.request()
+        dispatcher = fleet.first.dispatcher
+        await until(lambda: dispatcher.waiting, "queued")
+        await asyncio.sleep(0.01)
+        handle = fleet.node.socket.handlers[QUEUED]
+        loop = asyncio.get_running_loop()
+        fleet.node.socket.handlers[QUEUED] = lambda *notice: loop.call_later(0.03, handle, *notice)
+        fleet.node.health.timeout_seconds = lambda address: 0.01
+        count = len(dispatcher.enqueued)
+        renewals = queue_link.MAX_UNANSWERED_RENEWALS + 2
+        await until(lambda: len(dispatcher.enqueued) >= count + renewals, "renewed")
+        assert len(set(dispatcher.enqueued)) == 1 and not dispatcher.withdrawn
+        request.cancel()
+
+    in_fleet(run)
+
+
+def test_server_keeps_no_address_of_a_node_whose_requests_do_not_wait():
+    """Each start of a node has another incarnation, so the table would grow without limit."""
+
+    async def run(fleet):
+        fleet.first.dispatcher.decide_on_arrival = Overloaded(0.9)
+        with pytest.raises(Overloaded):
+            await fleet.node.request()
+        assert not fleet.first.server._addresses
+
+    in_fleet(run)
