Join: soak bursts and the probe of the local limit use the stand-ins' settings

Seven soak tests failed at the join because both parts had given stand-in workers a capacity; the burst soak wrote a second [routing] section. The probe of a node without a dispatcher now switches the dispatcher off, since a node with one lets its requests wait.

--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -154,6 +154,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._zones = zones
         self._crests = crests
+        if crests:
+            self.site.routing["queue"] = True
         self._capacity = CREST_CAPACITY if crests else DEFAULT_CAPACITY
         self._folder = folder
         self._environment: dict[str, dict[str, str]] = {}
@@ -253,6 +255,7 @@
             worker.faults = WorkerFaults(max_running=CREST_CAPACITY)
         worker.born = round(time.time() * 1000)
         worker.version = weights
+        worker.capacity = self._capacity
         worker.accepted_versions = set(LOADABLE_VERSIONS)
         worker.crash_on = self.crashing_body
         worker.on_crash = lambda ended: self.on_crash(ended)
@@ -293,7 +296,7 @@
     def write_stale_entry(self, name: str, previous: PreviousIncarnation) -> None:
         """Overwrite a worker's entry with that of a previous incarnation."""
         service = self.service_of[name]
-        entry = json.loads(previous.worker.entry(service, "z1", capacity=self._capacity))
+        entry = json.loads(previous.worker.entry(service, "z1"))
         entry["address"] = previous.proxy.address
         self.site.model.put(f"servers/{name}", json.dumps(entry).encode())
 
@@ -321,7 +324,7 @@
         :param state: ``ready`` or ``draining``.
         """
         worker = self.site.workers[name]
-        entry = json.loads(worker.entry(self.service_of[name], "z1", state, self._capacity))
+        entry = json.loads(worker.entry(self.service_of[name], "z1", state))
         entry["address"] = self.worker_proxies[name].address
         if state == "ready":
             # Before the write, because requests may arrive as soon as the entry is visible.
@@ -385,7 +388,7 @@
             weights_deadline_ms=round(WEIGHTS_DEADLINE_SECONDS * 1000),
         )
         settings = path.read_text().replace(site.store.server.address, proxy.address)
-        path.write_text(settings + ("\n[routing]\nqueue = true\n" if self._crests else ""))
+        path.write_text(settings)
         self._environment[name] = os.environ | {"WHEELSLIP_NODE_FILE": str(path)}
 
     async def start_node(self, name: str, planned: bool = False) -> None:
--- a/tests/probe/forwarding/test_load_limit.py
+++ b/tests/probe/forwarding/test_load_limit.py
@@ -24,10 +24,8 @@
 
 async def test_burst_above_the_capacity_is_rejected_with_a_retry_time(site):
     """Every request of a burst was sent to the worker, where most of them missed their target."""
+    site.routing |= {"queue": True, "dispatch": False}
     worker = await site_with_worker(site)
-    path = site.folder / "n1.toml"
-    path.write_text(path.read_text() + "\n[routing]\nqueue = true\n")
-    site.nodes["n1"].reload()
     answers = await answers_to_burst(site)
     assert sorted(answer.status for answer in answers) == [200] * CAPACITY + [503] * 12
     assert len(worker.runs) == CAPACITY
