--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -724,7 +724,7 @@
         "occupied workers not passed over by local choice",
         FORWARDING,
         "routing/worker_choice.py",
-        "if query.sent_before or not self._limits_load():",
+        "if query.sent_before or not self._limits_load() or not self.may_queue(query.service):",
         "if True:",
         "../unit/forwarding/test_worker_room.py::test_workers_get_no_more_than_their_capacity",
     ),
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -138,7 +138,7 @@
         existing = self._grants.get(query_id)
         if existing is not None:
             return existing.placement
-        if self._queues_requests():
+        if self._queues_requests(query.service):
             return self._queues.start_if_next(query_id, query)
         # It may still wait if the queue has just been switched off.
         self._queues.remove(query_id)
@@ -175,7 +175,7 @@
         :raises TenantLimited: when the tenant exceeds its rate limit.
         :raises NoWorker: when no worker may take the request now.
         """
-        if not self._queues_requests():
+        if not self._queues_requests(queued.query.service):
             placement = self.grant(query_id, queued.query)
             if placement is None:
                 raise NoWorker
@@ -212,8 +212,9 @@
         """Return the expected time until a waiting request starts; 0 if it does not wait."""
         return self._queues.expected_seconds(query_id)
 
-    def _queues_requests(self) -> bool:
-        return self._queue_enabled() and self.placement.limits_admission()
+    def _queues_requests(self, service: str) -> bool:
+        is_enabled = self._queue_enabled() and self.placement.limits_admission()
+        return is_enabled and self.placement.may_queue(service)
 
     def _start_soon(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         """Grant a worker that can start a request soon; return ``None`` when none may take it.
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -151,6 +151,16 @@
         candidates = self._with_room(query, candidates, engine)
         return self._choose_engine(query, candidates, engine)
 
+    def may_queue(self, service: str) -> bool:
+        """Return whether requests of a service may wait until a worker can start them.
+
+        Model engines get only what they can start within some 60 ms. Engines that need longer for
+        a typical prompt would idle between two prompts, so their speeds must be known, and fast.
+        """
+        if self._engine(service) is None or self.speeds is None:
+            return True
+        return self.engine_speeds(service) is not None
+
     def require_room(self, query: PlacementQuery) -> None:
         """Check that some worker is below its capacity, before the request is charged to a tenant.
 
@@ -181,7 +191,7 @@
 
         :raises Overloaded: if all workers are at their capacity.
         """
-        if query.sent_before or not self._limits_load():
+        if query.sent_before or not self._limits_load() or not self.may_queue(query.service):
             return candidates
         with_room = [
             worker
--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -9,6 +9,10 @@
 from wheelslip.routing.worker_load import WorkerLoad
 from wheelslip.routing.worker_speed import SpeedEstimates
 
+SLOW_WORKER_SHARE = 0.4
+"""Below this share of its service's rate a worker counts as slow even where the assumed rate is used;
+estimates of equal workers under load differ by up to a factor of two."""
+
 SUSPECT_SECONDS = 2.0
 """Time for which an unreachable worker is avoided."""
 
@@ -76,15 +80,31 @@
         """Learned speeds; ``None`` while they are switched off."""
         return self._speeds if self._speeds is not None and self._learn_speeds() else None
 
+    def engine_speeds(self, service: str) -> SpeedEstimates | None:
+        """Return the learned speeds of model engines if they replace the assumed ones.
+
+        Estimates vary with the streams beside a prefill. Where the engines of a service are about
+        as fast as assumed, that variation would move requests more than the true differences do.
+        """
+        speeds = self.speeds
+        if speeds is None or not speeds.differs_from(PREFILL_TOKENS_PER_SECOND, service):
+            return None
+        return speeds
+
     def prefill_rate(self, worker: Worker) -> float:
         """Return the prefill rate of a worker in tokens per second."""
-        speeds = self.speeds
-        if speeds is None:
+        info = worker.info
+        speeds = self.engine_speeds(info.service)
+        if speeds is not None:
+            return speeds.prefill_rate(info.id, info.service)
+        if self.speeds is None:
             return PREFILL_TOKENS_PER_SECOND
-        return speeds.prefill_rate(worker.info.id, worker.info.service)
+        relative = self.speeds.prefill_rate(info.id, info.service)
+        relative /= self.speeds.service_rate(info.service)
+        return PREFILL_TOKENS_PER_SECOND * (relative if relative < SLOW_WORKER_SHARE else 1.0)
 
     def _service_rate(self, service: str) -> float:
-        speeds = self.speeds
+        speeds = self.engine_speeds(service)
         return PREFILL_TOKENS_PER_SECOND if speeds is None else speeds.service_rate(service)
 
     def _first_token_overhead(self, worker: Worker) -> float:
@@ -93,12 +113,12 @@
         The median of the service: a worker's own estimate includes what its streams cost at the
         time, and placement by it undoes the separation of long and short prompts.
         """
-        speeds = self.speeds
+        speeds = self.engine_speeds(worker.info.service)
         return 0.0 if speeds is None else speeds.first_token_overhead(worker.info.service)
 
     def _mean_request_seconds(self, service: str, worker: Worker | None = None) -> float:
         """Return the mean duration of a request of a service, or of one at a worker."""
-        speeds = self.speeds
+        speeds = self.engine_speeds(service)
         if speeds is None:
             return self._request_seconds
         if worker is None:
