Queue and learned speeds take effect where engines are not about as fast as assumed; long prompts stay off short requests' streams

(1) Where engines compute prompts about as fast as the assumed 30,000 tokens/s, estimates vary by a factor of two with the streams beside a prefill, and placement by them mixes long and short prompts; the queue's 60 ms of work are less than one prompt there, so engines idle. Change: learned prefill rates replace the assumed one only where the service's rate differs by a factor of 1.6 (a worker clearly slower than its service counts as slow everywhere); engine services queue only then. Engines set aside for short requests are also sized by the slots that those occupy; a long prompt waits rather than start beside their streams, and may wait 0.3 s at an engine for long prompts.

--- a/src/wheelslip/routing/duration_estimates.py
+++ b/src/wheelslip/routing/duration_estimates.py
@@ -110,6 +110,14 @@
             return durations.mean.value
         return self._initial.service_seconds(service) if self._initial else INITIAL_REQUEST_SECONDS
 
+    def priority_seconds(self, service: str, priority: int) -> float:
+        """Return the mean duration of a request of a service and priority, 0 while unknown."""
+        durations = self._services.get(service)
+        mean = durations.by_priority.get(priority) if durations else None
+        if mean is not None:
+            return mean.value
+        return self._initial.priority_seconds(service, priority) if self._initial else 0.0
+
     def factor(self, worker: Incarnation, service: str) -> float:
         """Return the duration of requests at a worker relative to equal requests elsewhere."""
         prior = self._initial.factor(worker, service) if self._initial else 1.0
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -51,6 +51,10 @@
 """Longest wait at a model engine of a request that must start soon: a quarter of the shortest
 target in use (0.265 s), and twice the longest round trip of 30 ms, so that no engine idles."""
 
+MAX_LONG_WAIT_SECONDS = 0.3
+"""The same for a long prompt at an engine that is set aside for long prompts: half of a target of
+0.6 s. Urgent short requests are placed elsewhere, so they do not wait behind it."""
+
 RECENT_CONTACT_SECONDS = 0.5
 """A worker that another node reached within this time is not suspected when one node fails to
 reach it."""
@@ -132,18 +136,42 @@
         if engine is None:
             free = [worker for worker in workers if self._has_free_slot(worker)]
         else:
-            free = [worker for worker in workers if self._may_start_at(worker, engine)]
+            longest = MAX_LONG_WAIT_SECONDS
+            free = [worker for worker in workers if self._may_start_at(worker, engine, longest)]
         if any(not self.load(worker.info.id).is_avoided(now) for worker in free):
             return True
         # Unreachable workers are used if there are no others.
         return bool(free) and self._prefer_reachable(workers) == workers
 
-    def _may_start_at(self, worker: Worker, engine: EngineProfile) -> bool:
+    def _may_start_at(self, worker: Worker, engine: EngineProfile, longest_wait: float) -> bool:
         """Return whether an engine has a free slot and a short backlog."""
         load = self.load(worker.info.id)
-        most_tokens = MAX_WORKER_WAIT_SECONDS * self.prefill_rate(worker)
+        most_tokens = longest_wait * self.prefill_rate(worker)
         return load.running < engine.capacity and load.prefill_tokens <= most_tokens
 
+    def _most_wait(
+        self,
+        worker: Worker,
+        engine: EngineProfile,
+        is_long: bool,
+        other_length: bool,
+        is_separated: bool,
+    ) -> float | None:
+        """Return the longest wait at an engine of a request that must start soon.
+
+        :param is_long: the prompt is long.
+        :param other_length: the engine is set aside for requests of the other length.
+        :param is_separated: engines are set aside for long and for short requests.
+        :return: ``None`` when the engine must not take the request.
+        """
+        if is_long and other_length and self.load(worker.info.id).running:
+            # Under overload one long prompt after the other would stall the streams there, and
+            # all of them would be late by their pauses.
+            return None
+        is_set_aside = is_separated and is_long and not other_length
+        most_wait = MAX_LONG_WAIT_SECONDS if is_set_aside else MAX_WORKER_WAIT_SECONDS
+        return most_wait if self._may_start_at(worker, engine, most_wait) else None
+
     def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
         """Return whether a service has a worker that is not excluded."""
         workers = self._registry.workers_of(service)
@@ -202,7 +230,7 @@
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
         if self._slot_wait_seconds(estimate.worker, load.running, held, engine) and load.running:
             return -1.0
-        return min(longest, MAX_WORKER_WAIT_SECONDS)
+        return longest
 
     def _choose_engine(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
@@ -212,7 +240,9 @@
         :raises Overloaded: when no worker can.
         """
         now = self._clock()
+        is_long = self._is_long(query)
         preferred = self._preferred(query, candidates)
+        is_separated = len(preferred) < len(candidates)
         preferred_ids = {candidate.info.id for candidate in preferred}
         home = self._home(query, preferred)
         store = self._store(query)
@@ -228,9 +258,10 @@
             state = self._cache_state(query, version, workers, engine, store)
             outdated = self._is_outdated(query.model, version)
             for worker in workers:
-                if must_start_soon and not self._may_start_at(worker, engine):
-                    continue
                 other_length = worker.info.id not in preferred_ids
+                most_wait = self._most_wait(worker, engine, is_long, other_length, is_separated)
+                if must_start_soon and most_wait is None:
+                    continue
                 cost = self._extra_cost(query, worker, other_length, outdated)
                 if worker is home:
                     cost -= OTHER_ZONE_SECONDS
@@ -239,6 +270,7 @@
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
                 target_seconds = query.target_seconds - self._first_token_overhead(worker)
                 longest = self._longest_wait(query, target_seconds, estimate, engine, limits)
+                longest = min(longest, most_wait) if must_start_soon else longest
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
                 if not is_late and estimate.cost + cost < lowest_cost:
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -336,17 +336,25 @@
     def _preferred(self, query: PlacementQuery, candidates: list[Worker]) -> list[Worker]:
         """Return the workers that are set aside for requests of this length."""
         separation = self._separation.setdefault(query.stream_group, PromptSeparation())
+        is_long = self._is_long(query)
         prefill_seconds = query.prompt_tokens / self._service_rate(query.service)
-        is_long = prefill_seconds > LONG_PROMPT_PAUSE_SHARE * query.pause_seconds
-        separation.record(prefill_seconds, is_long, self._clock())
+        engine = self._engine(query.service)
+        slot_seconds = self._priority_seconds(query.service, query.priority)
+        separation.record(prefill_seconds, is_long, self._clock(), slot_seconds)
         # Streams of short requests last longest and delay the loading of new weights at their
         # worker, so short requests start on the newest weights.
         outdated = self._with_outdated_weights(query.model, candidates)
-        short = separation.short_workers([worker.info.id for worker in candidates], outdated)
+        workers = [worker.info.id for worker in candidates]
+        short = separation.short_workers(workers, outdated, engine.capacity)
         if not short:
             return candidates
         return [worker for worker in candidates if (worker.info.id in short) != is_long]
 
+    def _is_long(self, query: PlacementQuery) -> bool:
+        """Return whether the prefill of a prompt stalls streams for a good part of a pause."""
+        prefill_seconds = query.prompt_tokens / self._service_rate(query.service)
+        return prefill_seconds > LONG_PROMPT_PAUSE_SHARE * query.pause_seconds
+
     def _with_outdated_weights(self, model: str, workers: list[Worker]) -> frozenset[Incarnation]:
         """Return the workers for whose weights a newer version has been announced."""
         versions = {worker.weights.get(model) for worker in workers}
--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -9,7 +9,7 @@
 from wheelslip.routing.worker_load import WorkerLoad
 from wheelslip.routing.worker_speed import SpeedEstimates
 
-SLOW_WORKER_SHARE = 0.4
+SLOW_WORKER_SHARE = 0.6
 """Below this share of its service's rate a worker counts as slow even where the assumed rate is used;
 estimates of equal workers under load differ by up to a factor of two."""
 
@@ -125,6 +125,11 @@
             return speeds.service_request_seconds(service)
         return speeds.request_seconds(worker.info.id, service)
 
+    def _priority_seconds(self, service: str, priority: int) -> float:
+        """Return the mean duration of requests of a priority, 0 while it is unknown."""
+        speeds = self.engine_speeds(service)
+        return 0.0 if speeds is None else speeds.priority_seconds(service, priority)
+
     def _duration_factor(self, worker: Worker) -> float:
         """Return the mean duration of requests at a worker relative to its service's."""
         speeds = self.speeds
--- a/src/wheelslip/routing/worker_speed.py
+++ b/src/wheelslip/routing/worker_speed.py
@@ -23,7 +23,7 @@
 MIN_MEDIAN_SAMPLES = 2.0
 """Recent samples from which a worker counts among those whose median is the service's speed."""
 
-DIFFERENCE_FACTORS = (2.0, 1.5)
+DIFFERENCE_FACTORS = (1.6, 1.3)
 """A service's rate differs from an assumed one from the first factor on, until it is within the
 second, so that estimates near the limit do not switch with every sample."""
 
@@ -180,6 +180,10 @@
         """Return the mean duration of a request of a service."""
         return self._durations.service_seconds(service)
 
+    def priority_seconds(self, service: str, priority: int) -> float:
+        """Return the mean duration of a request of a service and priority, 0 while unknown."""
+        return self._durations.priority_seconds(service, priority)
+
     def duration_factor(self, worker: Incarnation, service: str) -> float:
         """Return the mean duration at a worker relative to that of equal requests elsewhere."""
         return self._durations.factor(worker, service)
