--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -615,6 +615,51 @@
         "../unit/forwarding/test_worker_allowance.py"
         "::test_worker_rate_stays_within_bound_under_any_fault_history",
     ),
+    _single_edit(
+        "fleet size counted while another relay may grant",
+        FORWARDING,
+        "routing/limit_authority.py",
+        "return has_majority and all(now < self._starting_until.get(key, now) for key in others)",
+        "return bool(self._relay_addresses)",
+        "../unit/forwarding/test_tenant_limits.py"
+        "::test_meter_restarted_behind_cut_does_not_claim_the_whole_limit",
+    ),
+    _single_edit(
+        "incomplete fleet size reported to other nodes",
+        FORWARDING,
+        "routing/limit_authority.py",
+        "self._fleet_size_settled_at = now + VOTE_VALIDITY_SECONDS",
+        "self._fleet_size_settled_at = now",
+        "../unit/forwarding/test_tenant_limits.py"
+        "::test_incomplete_count_after_a_cut_is_not_reported_to_other_nodes",
+    ),
+    _single_edit(
+        "own vote of a node that is cut off from all relays",
+        FORWARDING,
+        "peers/limit_votes.py",
+        "return None if meters else self._address",
+        "return self._address",
+        "../unit/forwarding/test_worker_allowance.py"
+        "::test_nodes_cut_off_from_all_relays_add_nothing_to_a_restarted_meter",
+    ),
+    _single_edit(
+        "reserve of a standby meter available at once",
+        FORWARDING,
+        "routing/tenant_limits.py",
+        "if self._authority.standby_seconds < tolerance.window_seconds:",
+        "if False:",
+        "../unit/forwarding/test_tenant_limits.py"
+        "::test_standby_meter_has_no_reserve_in_its_first_window",
+    ),
+    _single_edit(
+        "vote cast while an earlier one may be valid",
+        FORWARDING,
+        "peers/limit_votes.py",
+        "if now < self._may_vote_at:",
+        "if False:",
+        "../unit/forwarding/test_tenant_limits.py"
+        "::test_restarted_voter_holds_back_its_vote_while_an_earlier_one_may_be_valid",
+    ),
     _single_edit(
         "rate limit lifted by a response to an earlier request",
         FORWARDING,
@@ -632,6 +677,57 @@
         "membership.publish(message.key, message.value)",
         "../unit/test_engine_records.py::test_local_write_after_a_peer_record_is_reported_with_the_next_version",
     ),
+    _single_edit(
+        "queued request not withdrawn when its caller leaves",
+        FORWARDING,
+        "peers/queue_link.py",
+        "            self._withdraw(address, query_id)\n            raise\n",
+        "            raise\n",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_grant_that_arrives_with_the_cancellation_is_returned",
+    ),
+    _single_edit(
+        "late grant of a former dispatcher kept",
+        FORWARDING,
+        "peers/dispatch_link.py",
+        "elif reply.worker and reply.query_number not in self._grants:",
+        "elif False:",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_silent_dispatcher_is_left_and_its_late_grant_is_returned",
+    ),
+    _single_edit(
+        "queued request not renewed",
+        FORWARDING,
+        "peers/queue_link.py",
+        "            if await self._send_and_wait(waiter):\n                unanswered = 0\n",
+        "            if sent_at:\n                unanswered = 0\n",
+        "forwarding/test_queue.py::test_lost_grant_is_recovered_without_a_second_run",
+    ),
+    _single_edit(
+        "second refusal of a repeated query ends the wait",
+        FORWARDING,
+        "peers/dispatch_link.py",
+        "            if sends > 1:\n",
+        "            if False:\n",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_late_second_refusal_of_a_repeated_query_does_not_end_the_wait",
+    ),
+    _single_edit(
+        "API key not checked after a wait",
+        FORWARDING,
+        "forwarding/forwarder.py",
+        "            self._admission.confirm(job)\n",
+        "            pass\n",
+        "forwarding/test_queue.py::test_key_revoked_during_the_wait_is_not_used",
+    ),
+    _single_edit(
+        "occupied workers not passed over by local choice",
+        FORWARDING,
+        "routing/worker_choice.py",
+        "if query.sent_before or not self._limits_load() or not self.may_queue(query.service):",
+        "if True:",
+        "../unit/forwarding/test_worker_room.py::test_workers_get_no_more_than_their_capacity",
+    ),
 )
 
 
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -7,6 +7,7 @@
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.dispatch_link import DispatchLink, Grant
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
+from wheelslip.peers.queue_link import QueueTerms
 from wheelslip.routing.dispatcher import Progress
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimits
@@ -21,6 +22,7 @@
     :param allowance: charged for the worker's rate limit if this node chose the worker itself.
     :param link: used to report the progress of a granted request.
     :param grant: the dispatcher's grant, or ``None`` if this node chose the worker itself.
+    :ivar queued: the request may have waited in the queue of a dispatcher.
     """
 
     def __init__(
@@ -30,16 +32,20 @@
         allowance: WorkerAllowance,
         link: DispatchLink | None,
         grant: Grant | None,
+        queued: bool = False,
     ):
         self.placement = placement
         self._records = records
         self._allowance = allowance
         self._link = link
         self._grant = grant
+        self.queued = queued
         self._started_at = 0.0
         self._failed = False
         self._not_run = False
         self._silent = False
+        if grant is None:
+            records.room.add_unsent(placement)
 
     @property
     def granted(self) -> bool:
@@ -53,6 +59,7 @@
 
     def begin(self) -> None:
         """Record that the request is about to be sent."""
+        self._remove_unsent()
         self._started_at = self._records.begin(self.placement)
 
     def record_first_token(self) -> None:
@@ -88,15 +95,24 @@
         """Record that the request will not be sent to the worker."""
         self._finish_unsent(Progress.UNUSED)
 
+    def _remove_unsent(self) -> None:
+        if self._grant is None:
+            self._records.room.remove_unsent(self.placement)
+
     def _finish_unsent(self, progress: Progress) -> None:
+        self._remove_unsent()
         if self._grant is None and self.placement.rate_limit_charged:
             self._allowance.refund(self.placement.worker.info.id)
         self._report(progress)
 
     def end(self, had_first_token: bool) -> None:
         """Record that the attempt at the worker has ended."""
-        self._records.end(self.placement, self._started_at, had_first_token)
-        self._report(self._final_progress())
+        progress = self._final_progress()
+        completed = progress is Progress.ENDED
+        self._records.end(self.placement, self._started_at, had_first_token, completed)
+        if completed:
+            self._records.record_served(self.placement, self._started_at)
+        self._report(progress)
 
     def _final_progress(self) -> Progress:
         if self._not_run:
@@ -120,6 +136,7 @@
     :param limits: rate limits of tenants, applied if the node has no link.
     :param allowance: this node's share of the rate limits of workers.
     :param uses_dispatcher: returns whether the dispatcher chooses workers.
+    :param uses_queue: returns whether requests wait in the queue of the dispatcher.
     """
 
     def __init__(
@@ -132,6 +149,7 @@
         limits: TenantLimits,
         allowance: WorkerAllowance,
         uses_dispatcher: Callable[[], bool],
+        uses_queue: Callable[[], bool],
         clock: Callable[[], float],
     ):
         self._zone = zone
@@ -143,6 +161,7 @@
         self._allowance = allowance
         self._local_choice = RateLimitedChoice(records, allowance)
         self._uses_dispatcher = uses_dispatcher
+        self._uses_queue = uses_queue
         self._clock = clock
 
     async def assign(self, job: Job, service: str) -> Assignment | None:
@@ -155,32 +174,61 @@
         query = self._query(job, service)
         if self._link is not None and self._uses_dispatcher():
             try:
-                grant = await self._link.request_grant(query)
+                grant = await self._link.request_grant(query, self._queue_terms(job, service))
             except DispatcherUnavailable:
-                await self._charge_quota(job, query)
+                pass
             else:
-                return grant and self._assignment(grant.placement, grant)
-        else:
-            await self._charge_quota(job, query)
+                return grant and self._assignment(job, grant.placement, grant)
+        return await self._assign_locally(job, service)
+
+    async def _assign_locally(self, job: Job, service: str) -> Assignment | None:
+        query = self._query(job, service)
+        await self._charge_quota(job, query)
         placement = self._local_choice.choose(query, self._clock())
-        return placement and self._assignment(placement, None)
+        return placement and self._assignment(job, placement, None)
 
-    def _assignment(self, placement: Placement, grant: Grant | None) -> Assignment:
-        return Assignment(placement, self._records, self._allowance, self._link, grant)
+    def _assignment(self, job: Job, placement: Placement, grant: Grant | None) -> Assignment:
+        return Assignment(
+            placement, self._records, self._allowance, self._link, grant, job.has_waited
+        )
 
     async def _charge_quota(self, job: Job, query: PlacementQuery) -> None:
         """Charge a request to the quota of its tenant, unless that was done before.
 
         Requests granted by a dispatcher are charged there instead.
+
+        :raises Overloaded: if no worker has room, in which case nothing is charged.
         """
         if not query.limit_units:
             return
+        self._records.require_room(query)
         if self._link is None:
             self._limits.charge(query)
         else:
             await self._link.charge(query)
         job.quota_charged = True
 
+    def _queue_terms(self, job: Job, service: str) -> QueueTerms | None:
+        """Return the terms on which a request waits, ``None`` if the queue is switched off."""
+        if not self._uses_queue():
+            return None
+        return QueueTerms(
+            job.request.metadata.request_id,
+            job.request.arrived,
+            job.deadline,
+            lambda: self._queue_query(job, service),
+            lambda: job.fingerprint,
+        )
+
+    def _queue_query(self, job: Job, service: str) -> PlacementQuery:
+        """Return the query with the tenant, by whose share the queue orders, even without a limit.
+
+        It is needed only when the request is about to wait, so this also records that it waits.
+        """
+        job.has_waited = True
+        tenant = job.tenant.name if job.tenant is not None else ""
+        return self._query(job, service)._replace(tenant=tenant)
+
     def _query(self, job: Job, service: str) -> PlacementQuery:
         metadata = job.request.metadata
         is_charged = job.quota_charged or job.may_have_run
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -239,6 +239,7 @@
             except Overloaded as exc:
                 raise self._unserved_error(job, str(exc), exc.retry_seconds) from exc
             if assignment is not None:
+                self._confirm(job, assignment)
                 return assignment
             backoff_end = self._backoff_end(job, service)
             if backoff_end is not None:
@@ -251,6 +252,21 @@
                 async with asyncio.timeout(min(remaining, pause)):
                     await self._registry.changed()
 
+    def _confirm(self, job: Job, assignment: Assignment) -> None:
+        """Check the API key of a request again if it may have waited in a queue.
+
+        :raises WheelslipError: if the request may not run any more; its grant is returned.
+        """
+        if not assignment.queued:
+            return
+        try:
+            self._admission.confirm(job)
+        except WheelslipError as error:
+            assignment.record_unused()
+            if job.may_have_run:
+                raise self._unserved_error(job, error.message) from error
+            raise
+
     def _backoff_end(self, job: Job, service: str) -> float | None:
         """Return the time at which the first worker in backoff accepts requests again.
 
@@ -354,12 +370,18 @@
     async def _run_attempt(
         self, job: Job, assignment: Assignment, connection: HttpConnection, caller: CallerConnection
     ) -> AttemptOutcome:
+        attempt = Attempt(self._services, job, assignment, connection, caller)
+        try:
+            attempt.reserve_memory()
+        except WheelslipError:
+            connection.close()
+            assignment.record_unused()
+            raise
         incarnation = job.last_incarnation = assignment.placement.worker.info.id
         job.last_sent_at = self._clock()
         notices = self._registry.notices
         recovery_slot, outcome = notices.begin(incarnation), None
         assignment.begin()
-        attempt = Attempt(self._services, job, assignment, connection, caller)
         try:
             outcome = await attempt.run()
             return outcome
--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/forwarding/http_client.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import socket
+import threading
 
 import h11
 
 from wheelslip.deployment import Headers
+from wheelslip.forwarding.connection_memory import ConnectionMemory
+from wheelslip.forwarding.memory_account import READ_BYTES
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 """Shorter than the first retransmission of a lost SYN packet, which takes 1 s."""
@@ -21,6 +24,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Unread bytes of a response above which reading from the socket is paused."""
 
+SEPARATE_BODY_BYTES = 64 * 1024
+"""Size from which a body is written separately: joining it to the head would copy it."""
+
 
 class PeerUnreachable(Exception):
     """Raised when a connection cannot be established; nothing was sent."""
@@ -64,11 +70,25 @@
             connection.setsockopt(level, option, value)
 
 
-class HttpConnection(asyncio.Protocol):
+_read_buffers = threading.local()
+"""Receive buffer of each thread. The parser copies the data before the next read."""
+
+
+def _read_buffer() -> memoryview:
+    try:
+        return _read_buffers.view
+    except AttributeError:
+        _read_buffers.view = memoryview(bytearray(READ_BYTES))
+        return _read_buffers.view
+
+
+class HttpConnection(asyncio.BufferedProtocol):
     """Connection that carries one request at a time.
 
     A connection is not reused after data that belongs to no request: data received while no request
     is in flight, or after a complete response.
+
+    :ivar memory: account of the request in flight; ``None`` if its data is not counted.
     """
 
     def __init__(self):
@@ -80,25 +100,55 @@
         self._busy = False
         self._has_unsolicited_data = False
         self._buffered = 0
+        self._buffer_full = False
+        self._memory_full = False
+        self.memory: ConnectionMemory | None = None
         self._request: h11.Request | None = None
 
-    # Callbacks of asyncio.Protocol
+    # Callbacks of asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and set the liveness options of the socket."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
         set_liveness_options(transport.get_extra_info("socket"))
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which limits its size."""
+        return _read_buffer()
+
+    def buffer_updated(self, count: int) -> None:
         """Process data of a response; close the connection if no request is in flight."""
         if not self._busy:
             self._has_unsolicited_data = True
             self.close()
             return
-        self._buffered += len(data)
+        self._buffered += count
         if self._buffered > MAX_BUFFERED_BYTES:
+            self._buffer_full = True
+            self._apply_pauses()
+        if self.memory is not None:
+            self.memory.add_unread(self, count)
+        self._feed(_read_buffer()[:count])
+
+    def set_memory_pause(self, paused: bool) -> None:
+        """Pause or resume reading because of the node's memory."""
+        self._memory_full = paused
+        self._apply_pauses()
+
+    def _apply_pauses(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        # Both calls do nothing if reading is paused or not paused already.
+        if self._buffer_full or self._memory_full:
             self._transport.pause_reading()
-        self._feed(data)
+        else:
+            self._transport.resume_reading()
+
+    def resume_writing(self) -> None:
+        """Record that the peer has taken the request."""
+        if self.memory is not None:
+            self.memory.set_unsent(self._transport.get_write_buffer_size())
 
     def eof_received(self) -> bool:
         """Process the end of the peer's data."""
@@ -114,7 +164,7 @@
         self._closed = True
         self._notify_waiter()
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes | memoryview) -> None:
         try:
             self._parser.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as error:
@@ -145,6 +195,17 @@
         self._parser.start_next_cycle()
         self._busy = False
 
+    def use_memory(self, memory: ConnectionMemory) -> None:
+        """Count the data of the next request and its response, until :meth:`leave_memory`."""
+        self.memory = memory
+        memory.attach(self)
+
+    def leave_memory(self) -> None:
+        """Stop counting after the end of a request."""
+        if self.memory is not None:
+            self.memory.detach(self)
+            self.memory = None
+
     @property
     def open(self) -> bool:
         """Whether an idle connection can still be used."""
@@ -159,7 +220,14 @@
             raise PeerLost("connection already closed")
         self._busy = True
         self._request = h11.Request(method=method, target=target, headers=headers)
-        self._transport.write(self._parser.send(self._request) + self._body_bytes(body))
+        head = self._parser.send(self._request)
+        if len(body) > SEPARATE_BODY_BYTES:
+            self._transport.write(head)
+            self._transport.write(self._body_bytes(body))
+        else:
+            self._transport.write(head + self._body_bytes(body))
+        if self.memory is not None:
+            self.memory.set_unsent(self._transport.get_write_buffer_size())
 
     def _body_bytes(self, body: bytes) -> bytes:
         data = self._parser.send(h11.Data(data=body)) if body else b""
@@ -193,9 +261,12 @@
             raise self._error from error
 
     async def _wait_for_data(self) -> None:
-        if self._buffered > MAX_BUFFERED_BYTES and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self._buffer_full:
+            self._buffer_full = False
+            self._apply_pauses()
         self._buffered = 0
+        if self.memory is not None:
+            self.memory.clear_unread()
         self._data_waiter = asyncio.get_running_loop().create_future()
         try:
             await self._data_waiter
@@ -258,3 +329,4 @@
         if isinstance(event, h11.EndOfMessage):
             return response, bytes(body)
         body += event.data
+        del event
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -22,7 +22,9 @@
 )
 from wheelslip.forwarding.limit_meter import LimitMeter
 from wheelslip.forwarding.long_tasks import BackgroundTasks
+from wheelslip.forwarding.memory_account import MemoryUse, account_bytes
 from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.relay import RelayLease
@@ -37,16 +39,20 @@
 )
 from wheelslip.forwarding.settings import BoundsSection, ForwardingSettings, parse_address
 from wheelslip.forwarding.settings_file import SettingsFile
+from wheelslip.forwarding.speed_notices import log_speed_change
 from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_server import DispatchServer
 from wheelslip.peers.dispatcher_health import DispatcherHealth
 from wheelslip.peers.limit_reports import LimitReporter
+from wheelslip.peers.queue_link import QueueLink
+from wheelslip.peers.queue_server import QueueServer
 from wheelslip.routing.dispatcher import Dispatcher
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 LAME_DUCK_SECONDS = 2.6
 """Time between failing readiness and closing idle connections: two readiness probes a second apart
@@ -87,13 +93,25 @@
         section = self.settings.node
         self._table = table = LoadTable()
         self._pool = WorkerPool(clock)
-        self._placement = WorkerPlacement(self._registry, clock, random_source, table)
+        own_speeds = SpeedEstimates(clock)
+        self._speeds = SpeedEstimates(clock, own_speeds, log_speed_change)
+        self._placement = WorkerPlacement(
+            self._registry,
+            clock,
+            random_source,
+            table,
+            own_speeds,
+            self._learns_speeds,
+            lambda: self.settings.routing.queue,
+        )
         self._fleet = FleetPlacement(
             self._registry,
             clock,
             random_source,
             table,
             lambda: self.settings.routing.limit_admission,
+            self._speeds,
+            self._learns_speeds,
         )
         own_loads = self._placement.own_loads
         self._registry.view.on_removed = self._forget_worker
@@ -122,7 +140,9 @@
             self.bounds,
             clock,
         )
-        self._dispatcher = Dispatcher(self._fleet, self._meter.limits, self._meter.allowance, clock)
+        self._dispatcher = Dispatcher(
+            self._fleet, self._meter.limits, self._meter.allowance, clock, self._uses_queue
+        )
         notices = self._registry.notices
         self._limit_reports = LimitReporter(
             section.peers,
@@ -133,24 +153,48 @@
             self._feed.recent_followers,
         )
         notices.report_limit = self._limit_reports.report_observation
+        self._memory = NodeMemory(
+            lambda: account_bytes(self.settings.limits.memory_megabytes), clock
+        )
+        self._metrics = self._make_metrics()
+        incarnation = f"{random_source.getrandbits(48):012x}"
+        queue_server = QueueServer(
+            incarnation,
+            self._datagrams,
+            self._dispatcher,
+            self._uses_queue,
+            self._limit_reports.report_to,
+            clock,
+        )
+        self._queue_link = QueueLink(
+            section.peers,
+            self._datagrams,
+            queue_server,
+            self._dispatchers_of,
+            health,
+            self._metrics.record_queue_wait,
+            clock,
+        )
         self._dispatch_link = DispatchLink(
+            incarnation,
             section.peers,
             self._datagrams,
             self._dispatcher,
             self._placement,
-            lambda service: self._relay.dispatchers_of(service) if self._relay else [],
+            self._dispatchers_of,
             health,
             self._meter.available_meters,
             notices.limits,
             self._limit_reports.report_to,
+            self._queue_link,
             clock,
-            random_source,
         )
         self._dispatch_server = DispatchServer(
-            self._dispatch_link.incarnation,
+            incarnation,
             self._datagrams,
             self._dispatcher,
             self._limit_reports.report_to,
+            queue_server,
         )
         self._sync = RegistrySync(
             store,
@@ -163,7 +207,6 @@
             table,
             own_loads,
         )
-        self._metrics = self._make_metrics()
         assigner = WorkerAssigner(
             section.zone,
             self._registry,
@@ -173,6 +216,7 @@
             self._meter.limits,
             self._meter.allowance,
             lambda: self.settings.routing.dispatch,
+            self._uses_queue,
             clock,
         )
         self._forwarder = Forwarder(
@@ -203,13 +247,14 @@
             self._placement,
             self._lease,
             self.bounds,
+            self._queue_link.has_waited,
             clock,
         )
         self._callers = CallerServer(
             self._forwarder,
             self._registry,
             clock,
-            lambda: self.settings.limits.memory_megabytes,
+            self._memory,
         )
         self._readiness = ReadinessServer(self.is_ready, clock)
         self._metrics_server = MetricsServer(self._metrics, clock)
@@ -247,9 +292,9 @@
         worker = self._registry.view.by_id(worker_id)
         return self._placement.total_load(worker.info.id).running if worker is not None else 0.0
 
-    def hold_bytes(self, count: int) -> None:
-        """Reserve memory as if for request bodies; for tests."""
-        self._callers.reserve_bytes(count)
+    def hold_bytes(self, count: int, use: MemoryUse = MemoryUse.REQUEST_BODY) -> None:
+        """Reserve memory without a connection, as far as there is room; for tests."""
+        self._memory.hold_without_connection(use, count)
 
     def receive_datagram(self, data: bytes) -> None:
         """Handle a datagram as if the socket had received it."""
@@ -277,6 +322,12 @@
         has_configuration = self._registry.configuration is not None
         return has_configuration and self._registry.age() < max_age and not self._callers.stopping
 
+    def _learns_speeds(self) -> bool:
+        return self.settings.routing.learn_speeds
+
+    def _learned_rate(self) -> float:
+        return self._speeds.mean_rate() if self._learns_speeds() else 0.0
+
     def _min_lease_seconds(self) -> float:
         return self.settings.store.min_lease_ms / 1000
 
@@ -293,6 +344,12 @@
             lambda: self.settings.limits.link_megabits,
         )
 
+    def _uses_queue(self) -> bool:
+        return self.settings.routing.queue
+
+    def _dispatchers_of(self, service: str) -> list[str]:
+        return self._relay.dispatchers_of(service) if self._relay else []
+
     def _other_relays(self) -> list[str]:
         return self._relay.other_zone_addresses() if self._relay is not None else []
 
@@ -329,12 +386,22 @@
             "grants_given": lambda: float(self._dispatcher.grants_issued),
             "requests_held_back": lambda: float(self._dispatcher.overload_refusals),
             "granted_requests": lambda: float(self._dispatcher.active_grants),
+            "waiting_requests": lambda: float(self._queue_link.waiting),
+            "queue_depth": lambda: float(self._dispatcher.queue_depth()),
+            "queue_queued": lambda: float(self._dispatcher.queued),
+            "queue_displaced": lambda: float(self._dispatcher.displaced),
+            "queue_rejected": lambda: float(self._dispatcher.rejected),
+            "queue_reserved": lambda: float(self._dispatcher.reserved),
+            "queue_returned": lambda: float(self._dispatcher.returned),
+            "queue_rejected_alone": lambda: float(self._placement.room.rejected),
             **self._meter.gauges(),
+            **self._memory.gauges(),
             "refused_contents": lambda: float(self._crash_guard.refused_fingerprints()),
             "engines_said_leaving": lambda: float(self._registry.notices.leaving_notices),
             "engine_rests_begun": lambda: float(self._registry.notices.backoffs_begun),
             "engines_resting": lambda: float(self._registry.notices.backing_off_count),
             "engines_limited": lambda: float(self._registry.notices.limits.count()),
+            "learned_prefill_rate": self._learned_rate,
             "worker_connections_opened": lambda: float(self._pool.opened),
         }
         return metrics
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -4,18 +4,23 @@
 active until its node reports that the request has ended. Nodes also list their running requests
 periodically: a grant whose final report was lost is ended, and a dispatcher that has just taken
 over rebuilds the grants of its predecessor.
+
+When the queue is enabled, a worker is granted only requests that it can start soon. Others wait in
+the queue of their service (:mod:`wheelslip.routing.dispatch_queues`) until their node receives the
+decision: a worker or a rejection.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple
 
+from wheelslip.routing.dispatch_queues import Decision, DispatchQueues, NoWorker
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimits
+from wheelslip.routing.tenant_limits import Charge, NoAuthority, TenantLimited, TenantLimits
+from wheelslip.routing.waiting_request import QueryId, QueuedQuery
 from wheelslip.routing.worker_allowance import RateLimitedChoice, WorkerAllowance
 
 UNLISTED_GRACE_SECONDS = 1.0
@@ -49,19 +54,14 @@
     UNREACHED = "unreached"
 
 
-class QueryId(NamedTuple):
-    """Identifies a query: the incarnation of the node and its sequence number there."""
-
-    node: str
-    number: int
-
-
 @dataclass
 class _Grant:
     placement: Placement
     began_at: float
     had_first_token: bool = False
     tenant_charge: Charge | None = None
+    priority: int | None = None
+    """Priority of a request granted while the queue was enabled."""
 
 
 class Dispatcher:
@@ -69,6 +69,7 @@
 
     :param limits: tenant rate limits.
     :param allowance: this node's share of the rate limits that workers announce.
+    :param queue_enabled: returns whether requests wait here when no worker can start them soon.
     :ivar grants_issued: number of grants since the start.
     :ivar overload_refusals: number of queries refused since the start because of overload.
     """
@@ -79,8 +80,10 @@
         limits: TenantLimits,
         allowance: WorkerAllowance,
         clock: Callable[[], float],
+        queue_enabled: Callable[[], bool] = lambda: False,
     ):
         self.placement = placement
+        self._queue_enabled = queue_enabled
         self._limits = limits
         self._allowance = allowance
         self._choice = RateLimitedChoice(placement, allowance)
@@ -91,23 +94,54 @@
         self._swept_at = clock()
         self.grants_issued = 0
         self.overload_refusals = 0
+        self._queues = DispatchQueues(placement, limits, clock, self._start_soon)
 
     @property
     def active_grants(self) -> int:
         """Number of grants whose requests have not been reported as ended."""
         return len(self._grants)
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that have waited since the start."""
+        return self._queues.queued
+
+    @property
+    def displaced(self) -> int:
+        """Number of waiting requests rejected because they were overtaken."""
+        return self._queues.displaced
+
+    @property
+    def rejected(self) -> int:
+        """Number of requests rejected by a queue for other reasons."""
+        return self._queues.rejected
+
+    @property
+    def reserved(self) -> int:
+        """Number of open reservations for callers that were told when to return."""
+        return self._queues.reserved
+
+    @property
+    def returned(self) -> int:
+        """Number of callers that have returned at their reserved time."""
+        return self._queues.returned
+
     def grant(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
         """Grant a worker; return ``None`` when no worker may take the request now.
 
         :raises TenantLimited: when the tenant exceeds its rate limit.
-        :raises Overloaded: when no worker can begin the request in time.
+        :raises Overloaded: when no worker can begin the request in time; when the queue is enabled,
+            also when a waiting request starts before it or no worker can start it soon.
         """
         self._record_contact(query_id.node)
         self._sweep()
         existing = self._grants.get(query_id)
         if existing is not None:
             return existing.placement
+        if self._queues_requests(query.service):
+            return self._queues.start_if_next(query_id, query)
+        # It may still wait if the queue has just been switched off.
+        self._queues.remove(query_id)
         try:
             tenant_charge = self._limits.charge(query)
         except NoAuthority:
@@ -115,9 +149,91 @@
             return None
         placement = self._place(query, tenant_charge)
         if placement is not None:
-            self.grants_issued += 1
-            began_at = self.placement.begin(placement)
-            self._grants[query_id] = _Grant(placement, began_at, tenant_charge=tenant_charge)
+            self._issue(query_id, placement, tenant_charge)
+        return placement
+
+    def _issue(
+        self,
+        query_id: QueryId,
+        placement: Placement,
+        tenant_charge: Charge | None,
+        priority: int | None = None,
+    ) -> None:
+        self.grants_issued += 1
+        began_at = self.placement.begin(placement)
+        self._grants[query_id] = _Grant(
+            placement, began_at, tenant_charge=tenant_charge, priority=priority
+        )
+
+    def enqueue(self, query_id: QueryId, queued: QueuedQuery) -> Placement | None:
+        """Grant a worker, or let the request wait; ``None`` means that it waits.
+
+        A repeated call renews a waiting request. One that is not renewed for 1 s is dropped.
+
+        :raises Overloaded: when the request is rejected; usually a
+            :class:`~wheelslip.routing.service_queue.QueueRejected` with the reasons.
+        :raises TenantLimited: when the tenant exceeds its rate limit.
+        :raises NoWorker: when no worker may take the request now.
+        """
+        if not self._queues_requests(queued.query.service):
+            placement = self.grant(query_id, queued.query)
+            if placement is None:
+                raise NoWorker
+            return placement
+        self._record_contact(query_id.node)
+        self._sweep()
+        existing = self._grants.get(query_id)
+        if existing is not None:
+            return existing.placement
+        return self._queues.enqueue(query_id, queued)
+
+    def withdraw(self, query_id: QueryId) -> None:
+        """Remove a waiting request whose caller has left or whose node has given up.
+
+        If the request has been granted, the grant ends as unused: its node has not sent it.
+        """
+        self._record_contact(query_id.node)
+        self._queues.withdraw(query_id)
+        if query_id in self._grants:
+            self._end_unused(query_id)
+
+    def advance_queues(self) -> list[tuple[QueryId, Decision]]:
+        """Return the decisions on waiting requests: grants and rejections.
+
+        To be called every 10 ms while something waits, and after progress that frees capacity.
+        """
+        return self._queues.advance()
+
+    def queue_depth(self) -> int:
+        """Return the number of waiting requests of all services."""
+        return self._queues.depth()
+
+    def expected_seconds(self, query_id: QueryId) -> float:
+        """Return the expected time until a waiting request starts; 0 if it does not wait."""
+        return self._queues.expected_seconds(query_id)
+
+    def _queues_requests(self, service: str) -> bool:
+        is_enabled = self._queue_enabled() and self.placement.limits_admission()
+        return is_enabled and self.placement.may_queue(service)
+
+    def _start_soon(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
+        """Grant a worker that can start a request soon; return ``None`` when none may take it.
+
+        :raises Overloaded: when no worker can start it soon.
+        :raises TenantLimited: when the tenant exceeds its rate limit.
+        :raises NoAuthority: when another node must count the request.
+        """
+        query = query._replace(must_start_soon=True)
+        placement = self._choice.choose(query, self._clock())
+        if placement is None:
+            return None
+        try:
+            tenant_charge = self._limits.charge(query)
+        except (TenantLimited, NoAuthority):
+            if placement.rate_limit_charged:
+                self._allowance.refund(placement.worker.info.id)
+            raise
+        self._issue(query_id, placement, tenant_charge, query.priority)
         return placement
 
     def _place(self, query: PlacementQuery, tenant_charge: Charge | None) -> Placement | None:
@@ -159,17 +275,21 @@
                 if grant.had_first_token or not grant.placement.chain:
                     self.placement.record_outcome(worker_id, failed=False)
                     self.placement.record_contact(worker_id, query_id.node)
-                self._end(query_id)
+                    self._record_served(grant)
+                self._end(query_id, completed=True)
             case Progress.FAILED:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end(query_id)
+                self.placement.record_rejected(grant.placement.worker)
             case Progress.SILENT:
                 self.placement.record_outcome(worker_id, failed=True)
                 self.placement.record_unreachable(worker_id, query_id.node)
                 self._end(query_id)
+                self.placement.record_rejected(grant.placement.worker)
             case Progress.NOT_RUN:
                 self.placement.record_outcome(worker_id, failed=True)
                 self._end_not_run(query_id)
+                self.placement.record_rejected(grant.placement.worker)
             case Progress.UNUSED:
                 self._end_unused(query_id)
             case Progress.UNREACHED:
@@ -190,10 +310,28 @@
         if not grant.had_first_token:
             grant.had_first_token = True
             self.placement.first_token(grant.placement, grant.began_at)
+            if grant.priority is not None:
+                self._queues.record_response(
+                    grant.placement.worker.info.service,
+                    grant.priority,
+                    self._clock() - grant.began_at,
+                )
+
+    def _record_served(self, grant: _Grant) -> None:
+        """Update what the queue measures from a request that its worker has served."""
+        worker = grant.placement.worker
+        self.placement.record_served(worker)
+        if grant.priority is None:
+            return
+        seconds = self._clock() - grant.began_at
+        self._queues.record_duration(worker.info.service, seconds)
+        self.placement.record_duration(worker.info.service, seconds)
+        if not grant.had_first_token:
+            self._queues.record_response(worker.info.service, grant.priority, seconds)
 
-    def _end(self, query_id: QueryId) -> None:
+    def _end(self, query_id: QueryId, completed: bool = False) -> None:
         grant = self._grants.pop(query_id)
-        self.placement.end(grant.placement, grant.began_at, grant.had_first_token)
+        self.placement.end(grant.placement, grant.began_at, grant.had_first_token, completed)
 
     def reconcile_running(
         self, node: str, numbers: list[int], requests: list[RunningRequest]
@@ -220,6 +358,7 @@
             placement = self.placement.rebuild_placement(request)
             if placement is None:
                 return
+            self._queues.remove(query_id)
             grant = _Grant(placement, self.placement.begin(placement))
             self._grants[query_id] = grant
         if request.prefill_tokens == 0:
@@ -244,6 +383,7 @@
             for query_id, expires_at in self._charged.items()
             if now < expires_at
         }
+        self._queues.forget_decisions()
         timed_out = {
             node
             for node, contact_at in self._last_contact.items()
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -29,11 +29,13 @@
     MIN_TRANSFER_TOKENS,
     OTHER_ZONE_SECONDS,
     PREFILL_INTERFERENCE,
-    PREFILL_TOKENS_PER_SECOND,
     RUNNING_REQUEST_SECONDS,
     DeploymentView,
     WorkerPlacement,
 )
+from wheelslip.routing.worker_records import PREFILL_TOKENS_PER_SECOND, REQUEST_SMOOTHING
+from wheelslip.routing.worker_slots import WorkerSlots
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 ARRIVAL_MEMORY_SECONDS = 2.0
 """Time constant of the arrival rate estimate."""
@@ -45,6 +47,14 @@
 MAX_DELAYED_REQUESTS = 4.0
 """Upper bound of the number of requests that one prefill is assumed to delay."""
 
+MAX_WORKER_WAIT_SECONDS = 0.06
+"""Longest wait at a model engine of a request that must start soon: a quarter of the shortest
+target in use (0.265 s), and twice the longest round trip of 30 ms, so that no engine idles."""
+
+MAX_LONG_WAIT_SECONDS = 0.3
+"""The same for a long prompt at an engine that is set aside for long prompts: half of a target of
+0.6 s. Urgent short requests are placed elsewhere, so they do not wait behind it."""
+
 RECENT_CONTACT_SECONDS = 0.5
 """A worker that another node reached within this time is not suspected when one node fails to
 reach it."""
@@ -70,6 +80,8 @@
 
     :param table: table of this node, of which only the saved prompts are used and updated.
     :param limits_admission: returns whether requests that no worker can start in time are refused.
+    :param speeds: learned speeds; ``None`` to use constants.
+    :param learn_speeds: returns whether speeds are learned and used.
     """
 
     def __init__(
@@ -79,9 +91,13 @@
         random_source: random.Random,
         table: LoadTable | None = None,
         limits_admission: Callable[[], bool] = lambda: True,
+        speeds: SpeedEstimates | None = None,
+        learn_speeds: Callable[[], bool] = lambda: True,
     ):
-        super().__init__(registry, clock, random_source, table)
-        self._limits_admission = limits_admission
+        super().__init__(registry, clock, random_source, table, speeds, learn_speeds)
+        self.limits_admission = limits_admission
+        self._slots = WorkerSlots(clock)
+        self._mean_durations: dict[str, float] = {}
         self._admission: dict[str, AdmissionLimits] = {}
         self._retry_schedule = RetrySchedule()
         self._cache_index = FleetCacheIndex(clock)
@@ -95,11 +111,126 @@
         load = self.load(worker_id)
         return LoadAtWorker(worker_id, load.running, load.prefill_tokens, load.held_tokens)
 
+    def _unseen_tokens(self, worker_id: Incarnation) -> int:
+        return 0
+
     def forget(self, worker_id: Incarnation) -> None:
         """Delete the records of a departed worker."""
         super().forget(worker_id)
         self._cache_index.forget(worker_id)
         self._last_contact.pop(worker_id, None)
+        self._slots.forget(worker_id)
+
+    def start_capacity(self, service: str) -> int:
+        """Return how many requests the workers of a service may hold that can be chosen now."""
+        engine = self._engine(service)
+        workers = self._prefer_reachable(self._registry.workers_of(service))
+        if engine is not None:
+            return engine.capacity * len(workers)
+        return sum(self._slots.usable(worker.info) for worker in workers)
+
+    def may_start_soon(self, service: str) -> bool:
+        """Return whether any worker of a service has a free slot and a short backlog."""
+        engine, now = self._engine(service), self._clock()
+        workers = self._registry.workers_of(service)
+        if engine is None:
+            free = [worker for worker in workers if self._has_free_slot(worker)]
+        else:
+            longest = MAX_LONG_WAIT_SECONDS
+            free = [worker for worker in workers if self._may_start_at(worker, engine, longest)]
+        if any(not self.load(worker.info.id).is_avoided(now) for worker in free):
+            return True
+        # Unreachable workers are used if there are no others.
+        return bool(free) and self._prefer_reachable(workers) == workers
+
+    def _may_start_at(self, worker: Worker, engine: EngineProfile, longest_wait: float) -> bool:
+        """Return whether an engine has a free slot and a short backlog."""
+        load = self.load(worker.info.id)
+        most_tokens = longest_wait * self.prefill_rate(worker)
+        return load.running < engine.capacity and load.prefill_tokens <= most_tokens
+
+    def _most_wait(
+        self,
+        worker: Worker,
+        engine: EngineProfile,
+        is_long: bool,
+        other_length: bool,
+        is_separated: bool,
+    ) -> float | None:
+        """Return the longest wait at an engine of a request that must start soon.
+
+        :param is_long: the prompt is long.
+        :param other_length: the engine is set aside for requests of the other length.
+        :param is_separated: engines are set aside for long and for short requests.
+        :return: ``None`` when the engine must not take the request.
+        """
+        if is_long and other_length and self.load(worker.info.id).running:
+            # Under overload one long prompt after the other would stall the streams there, and
+            # all of them would be late by their pauses.
+            return None
+        is_set_aside = is_separated and is_long and not other_length
+        most_wait = MAX_LONG_WAIT_SECONDS if is_set_aside else MAX_WORKER_WAIT_SECONDS
+        return most_wait if self._may_start_at(worker, engine, most_wait) else None
+
+    def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
+        """Return whether a service has a worker that is not excluded."""
+        workers = self._registry.workers_of(service)
+        return any(worker.info.id not in excluded for worker in workers)
+
+    def record_duration(self, service: str, seconds: float) -> None:
+        """Update the mean duration of the requests of a service."""
+        mean = self._mean_durations.get(service, seconds)
+        self._mean_durations[service] = mean + REQUEST_SMOOTHING * (seconds - mean)
+
+    def record_served(self, worker: Worker) -> None:
+        """Record that a worker served a request, so that it may be given more."""
+        self._slots.record_served(worker.info)
+
+    def record_rejected(self, worker: Worker) -> None:
+        """Record that a worker rejected or failed a request, so that it is given fewer."""
+        running = self.load(worker.info.id).running
+        mean_duration = self._mean_durations.get(worker.info.service, 0.0)
+        self._slots.record_rejected(worker.info, running, mean_duration)
+
+    def _has_free_slot(self, worker: Worker) -> bool:
+        load = self.load(worker.info.id)
+        mean_duration = self._mean_durations.get(worker.info.service, 0.0)
+        return self._slots.has_free(worker.info, load.running, load.waiting, mean_duration)
+
+    def _choose_without_engine(
+        self, query: PlacementQuery, candidates: list[Worker]
+    ) -> Placement | None:
+        """Return the least loaded worker.
+
+        :raises Overloaded: when the request must start soon and no worker has a free slot.
+        """
+        if candidates and query.must_start_soon:
+            reachable = self._prefer_reachable(candidates)
+            candidates = [worker for worker in reachable if self._has_free_slot(worker)]
+            if not candidates:
+                raise Overloaded(self._mean_durations.get(query.service, 0.0))
+        return super()._choose_without_engine(query, candidates)
+
+    def _longest_wait(
+        self,
+        query: PlacementQuery,
+        target_seconds: float,
+        estimate: WorkerEstimate,
+        engine: EngineProfile,
+        limits: AdmissionLimits,
+    ) -> float:
+        """Return the longest acceptable wait of a request at a worker; negative without a slot.
+
+        :param target_seconds: time left until the target, less the overhead of a first token.
+        """
+        longest = limits.longest_wait(query.priority, target_seconds, estimate.prefill_seconds)
+        if not query.must_start_soon:
+            return longest
+        load = self.load(estimate.worker.info.id)
+        held = load.held_tokens + query.prompt_tokens + query.output_tokens
+        if self._slot_wait_seconds(estimate.worker, load.running, held, engine) and load.running:
+            return -1.0
+        return longest
 
     def _choose_engine(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
@@ -109,7 +240,9 @@
         :raises Overloaded: when no worker can.
         """
         now = self._clock()
+        is_long = self._is_long(query)
         preferred = self._preferred(query, candidates)
+        is_separated = len(preferred) < len(candidates)
         preferred_ids = {candidate.info.id for candidate in preferred}
         home = self._home(query, preferred)
         store = self._store(query)
@@ -118,22 +251,26 @@
         for worker in candidates:
             by_version[worker.weights.get(query.model)].append(worker)
         limits = self._admission.setdefault(query.service, AdmissionLimits())
-        is_limited = self._limits_admission() and not query.sent_before
+        is_limited = self.limits_admission() and not query.sent_before
+        must_start_soon = is_limited and query.must_start_soon
         best, best_state, lowest_cost, least_excess = None, None, float("inf"), float("inf")
         for version, workers in by_version.items():
             state = self._cache_state(query, version, workers, engine, store)
             outdated = self._is_outdated(query.model, version)
             for worker in workers:
                 other_length = worker.info.id not in preferred_ids
+                most_wait = self._most_wait(worker, engine, is_long, other_length, is_separated)
+                if must_start_soon and most_wait is None:
+                    continue
                 cost = self._extra_cost(query, worker, other_length, outdated)
                 if worker is home:
                     cost -= OTHER_ZONE_SECONDS
                 if cost >= lowest_cost:
                     continue
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
-                longest = limits.longest_wait(
-                    query.priority, query.target_seconds, estimate.prefill_seconds
-                )
+                target_seconds = query.target_seconds - self._first_token_overhead(worker)
+                longest = self._longest_wait(query, target_seconds, estimate, engine, limits)
+                longest = min(longest, most_wait) if must_start_soon else longest
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
                 if not is_late and estimate.cost + cost < lowest_cost:
@@ -146,8 +283,11 @@
         self, query: PlacementQuery, engine: EngineProfile, workers: int, wait_seconds: float
     ) -> float:
         """Return after how long a refused request should be retried."""
-        work_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        work_seconds += self._request_seconds / max(1, engine.capacity)
+        if query.must_start_soon:
+            # The queue sets the retry times of its requests and tries them repeatedly.
+            return max(0.0, wait_seconds)
+        work_seconds = query.prompt_tokens / self._service_rate(query.service)
+        work_seconds += self._mean_request_seconds(query.service) / max(1, engine.capacity)
         return self._retry_schedule.retry_seconds(
             self._clock(), wait_seconds, work_seconds / workers
         )
@@ -203,16 +343,18 @@
         cached = state.cached_tokens[worker.info.id]
         fetched, fetch_seconds = self._fetch_estimate(worker, state, cached, engine, now)
         prefill = max(0, query.prompt_tokens - cached - fetched)
-        prefill_seconds = prefill / PREFILL_TOKENS_PER_SECOND
-        backlog_seconds = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        rate = self.prefill_rate(worker)
+        prefill_seconds = prefill / rate
+        backlog_seconds = load.prefill_tokens / rate
         cost = backlog_seconds + prefill_seconds * (1.0 + delayed_requests)
+        cost += self._first_token_overhead(worker)
         cost += RECOMPUTE_SECONDS_PER_TOKEN * state.recomputed_tokens(cached + fetched)
         cost += (
             load.running * (RUNNING_REQUEST_SECONDS + PREFILL_INTERFERENCE * prefill_seconds)
             + fetch_seconds
         )
         held = load.held_tokens + query.prompt_tokens + query.output_tokens
-        slot_wait_seconds = self._slot_wait_seconds(load.running, held, engine)
+        slot_wait_seconds = self._slot_wait_seconds(worker, load.running, held, engine)
         return WorkerEstimate(
             cost + slot_wait_seconds,
             worker,
@@ -264,6 +406,7 @@
             CachePlan(query.salt(version), fetch_from, save_to) if state.chain else None,
             estimate.fetched_tokens,
             uncached_keys,
+            priority=query.priority,
         )
 
     def _fetch_from(
@@ -285,7 +428,12 @@
         so recomputing a part costs more the longer the backlogs are.
         """
         self._record_arrival(now)
-        pending = sum(self.load(worker.info.id).prefill_tokens for worker in candidates)
+        # In tokens at the assumed rate, so that the sum is exact while speeds are not learned.
+        pending = sum(
+            self.load(worker.info.id).prefill_tokens
+            * (PREFILL_TOKENS_PER_SECOND / self.prefill_rate(worker))
+            for worker in candidates
+        )
         count = max(1, len(candidates))
         backlog_seconds = pending / PREFILL_TOKENS_PER_SECOND / count
         rate = self._arrivals / ARRIVAL_MEMORY_SECONDS / count
@@ -347,9 +495,15 @@
             source = worker_endpoint(placement.worker, engine)
             self._transfers.add(source, store_endpoint(store), size, self._clock())
 
-    def end(self, placement: Placement, began_at: float, had_first_token: bool) -> None:
+    def end(
+        self,
+        placement: Placement,
+        began_at: float,
+        had_first_token: bool,
+        completed: bool = False,
+    ) -> None:
         """Record that a request has left its worker; a prompt without a token is not cached."""
-        super().end(placement, began_at, had_first_token)
+        super().end(placement, began_at, had_first_token, completed)
         is_registered = self._is_registered(placement.worker.info.id)
         if not had_first_token and placement.chain and is_registered:
             self._cache_index.abandon(placement)
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -23,6 +23,7 @@
     :ivar sent_before: the request was sent to a worker before, so admission control admits it.
     :ivar tenant: tenant whose limit the request is charged to; empty without a limit.
     :ivar limit_units: units to charge; 0 when they were charged before.
+    :ivar must_start_soon: only a worker that can start the request soon may be selected.
     """
 
     service: str
@@ -41,6 +42,7 @@
     sent_before: bool = False
     tenant: str = ""
     limit_units: float = 0.0
+    must_start_soon: bool = False
 
     @property
     def shared_part(self) -> PromptPart | None:
@@ -70,6 +72,8 @@
     :ivar fetched_tokens: tokens that are transferred to the worker before the prefill.
     :ivar uncached_keys: keys of the parts that the worker does not have cached yet.
     :ivar rate_limit_charged: the request was charged to the rate limit that the worker announces.
+    :ivar priority: priority of the request, ``None`` for a request that was sent before this node
+        knew of it, from which no speed is learned.
     """
 
     worker: Worker
@@ -82,6 +86,7 @@
     fetched_tokens: int = 0
     uncached_keys: tuple[int, ...] = ()
     rate_limit_charged: bool = False
+    priority: int | None = None
 
     @property
     def shared_tokens(self) -> int:
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -19,12 +19,12 @@
 from wheelslip.routing import rendezvous
 from wheelslip.routing.holdings import Chain
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.separation import PromptSeparation
 from wheelslip.routing.worker_records import WorkerRecords
-
-PREFILL_TOKENS_PER_SECOND = 30_000.0
-"""Assumed prefill rate of a worker."""
+from wheelslip.routing.worker_room import WorkerRoom
+from wheelslip.routing.worker_speed import SpeedEstimates
 
 LONG_PROMPT_PAUSE_SHARE = 0.125
 """A prompt is long when its prefill exceeds this share of the longest pause that the route
@@ -94,6 +94,10 @@
     """Selects workers from this node's own records and the loads that other nodes report.
 
     :param table: loads reported by other nodes, and prompts saved to cache stores.
+    :param speeds: learned speeds; ``None`` to use constants.
+    :param learn_speeds: returns whether speeds are learned and used.
+    :param limits_load: returns whether workers that are at their capacity are passed over.
+    :ivar room: decides which workers are at their capacity.
     """
 
     def __init__(
@@ -102,8 +106,13 @@
         clock: Callable[[], float],
         random_source: random.Random,
         table: LoadTable | None = None,
+        speeds: SpeedEstimates | None = None,
+        learn_speeds: Callable[[], bool] = lambda: True,
+        limits_load: Callable[[], bool] = lambda: False,
     ):
-        super().__init__(clock, self._is_registered)
+        super().__init__(clock, self._is_registered, speeds, learn_speeds)
+        self.room = WorkerRoom()
+        self._limits_load = limits_load
         self._table = table or LoadTable()
         self._registry = registry
         self._random = random_source
@@ -123,21 +132,81 @@
             own.held_tokens + others.held_tokens,
         )
 
+    def _unseen_tokens(self, worker_id: Incarnation) -> int:
+        """Return the prompt tokens that a worker computes for the requests of other nodes."""
+        return self._table.at_worker(worker_id, self._clock()).prefill_tokens
+
     def choose(self, query: PlacementQuery) -> Placement | None:
-        """Return the best worker now, or ``None`` when no worker may take the request."""
-        candidates = [
-            worker
-            for worker in self._registry.workers_of(query.service)
-            if worker.info.id not in query.excluded
-        ]
+        """Return the best worker now, or ``None`` when no worker may take the request.
+
+        :raises Overloaded: if all workers are at their capacity.
+        """
+        candidates = self._usable_workers(query)
         engine = self._engine(query.service)
         if engine is None:
             return self._choose_without_engine(query, candidates)
         candidates = self._eligible(query, candidates)
         if not candidates:
             return None
+        candidates = self._with_room(query, candidates, engine)
         return self._choose_engine(query, candidates, engine)
 
+    def may_queue(self, service: str) -> bool:
+        """Return whether requests of a service may wait until a worker can start them.
+
+        Model engines get only what they can start within some 60 ms. Engines that need longer for
+        a typical prompt would idle between two prompts, so their speeds must be known, and fast.
+        """
+        if self._engine(service) is None or self.speeds is None:
+            return True
+        return self.engine_speeds(service) is not None
+
+    def require_room(self, query: PlacementQuery) -> None:
+        """Check that some worker is below its capacity, before the request is charged to a tenant.
+
+        :raises Overloaded: if all workers are at their capacity.
+        """
+        if not self._limits_load():
+            return
+        candidates = self._usable_workers(query)
+        engine = self._engine(query.service)
+        if engine is None:
+            candidates = self._prefer_reachable(candidates)
+        else:
+            candidates = self._eligible(query, candidates)
+        if candidates:
+            self._with_room(query, candidates, engine)
+
+    def _usable_workers(self, query: PlacementQuery) -> list[Worker]:
+        return [
+            worker
+            for worker in self._registry.workers_of(query.service)
+            if worker.info.id not in query.excluded
+        ]
+
+    def _with_room(
+        self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile | None
+    ) -> list[Worker]:
+        """Leave out workers at their capacity; requests that were sent before go to any worker.
+
+        :raises Overloaded: if all workers are at their capacity.
+        """
+        if query.sent_before or not self._limits_load() or not self.may_queue(query.service):
+            return candidates
+        with_room = [
+            worker
+            for worker in candidates
+            if self.room.has_room(worker, self.total_load(worker.info.id), query, engine)
+        ]
+        if with_room:
+            return with_room
+        own_running = {worker.info.id: self.load(worker.info.id).running for worker in candidates}
+        raise Overloaded(self.room.retry_seconds(query.service, own_running, self._clock()))
+
+    def record_served(self, placement: Placement, began_at: float) -> None:
+        """Record that a worker has served a request."""
+        self.room.record_duration(placement.worker.info.service, self._clock() - began_at)
+
     def _engine(self, service: str) -> EngineProfile | None:
         """Return the profile of a service's model engines, ``None`` for other services."""
         cfg = self._registry.configuration
@@ -176,16 +245,19 @@
         candidates = self._prefer_reachable(candidates)
         if not candidates:
             return None
-        return Placement(min(candidates, key=lambda worker: self._load_cost(query, worker)))
+        candidates = self._with_room(query, candidates, None)
+        best = min(candidates, key=lambda worker: self._load_cost(query, worker))
+        return Placement(best, priority=query.priority)
 
     def _load_cost(self, query: PlacementQuery, worker: Worker) -> tuple[float, float]:
         """Return the cost of a worker without a model engine, as a share of its capacity.
 
+        The share counts in proportion to the mean duration of requests at the worker.
         The second element breaks ties at random.
         """
         load = self.load(worker.info.id)
         running = self.total_load(worker.info.id).running
-        share = (running + 1) / max(1, worker.info.capacity)
+        share = (running + 1) / max(1, worker.info.capacity) * self._duration_factor(worker)
         other_zone = worker.info.zone != query.zone
         cost = share + 2 * load.recent_failure_rate(self._clock()) + 0.05 * other_zone
         cost += CONNECT_CAPACITY_SHARE * (worker.info.id not in query.connected)
@@ -264,17 +336,25 @@
     def _preferred(self, query: PlacementQuery, candidates: list[Worker]) -> list[Worker]:
         """Return the workers that are set aside for requests of this length."""
         separation = self._separation.setdefault(query.stream_group, PromptSeparation())
-        prefill_seconds = query.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        is_long = prefill_seconds > LONG_PROMPT_PAUSE_SHARE * query.pause_seconds
-        separation.record(prefill_seconds, is_long, self._clock())
+        is_long = self._is_long(query)
+        prefill_seconds = query.prompt_tokens / self._service_rate(query.service)
+        engine = self._engine(query.service)
+        slot_seconds = self._priority_seconds(query.service, query.priority)
+        separation.record(prefill_seconds, is_long, self._clock(), slot_seconds)
         # Streams of short requests last longest and delay the loading of new weights at their
         # worker, so short requests start on the newest weights.
         outdated = self._with_outdated_weights(query.model, candidates)
-        short = separation.short_workers([worker.info.id for worker in candidates], outdated)
+        workers = [worker.info.id for worker in candidates]
+        short = separation.short_workers(workers, outdated, engine.capacity)
         if not short:
             return candidates
         return [worker for worker in candidates if (worker.info.id in short) != is_long]
 
+    def _is_long(self, query: PlacementQuery) -> bool:
+        """Return whether the prefill of a prompt stalls streams for a good part of a pause."""
+        prefill_seconds = query.prompt_tokens / self._service_rate(query.service)
+        return prefill_seconds > LONG_PROMPT_PAUSE_SHARE * query.pause_seconds
+
     def _with_outdated_weights(self, model: str, workers: list[Worker]) -> frozenset[Incarnation]:
         """Return the workers for whose weights a newer version has been announced."""
         versions = {worker.weights.get(model) for worker in workers}
@@ -323,7 +403,7 @@
             cached = max(cached, int(HOME_CACHED_SHARE * shared_tokens))
         prefill = max(0, query.prompt_tokens - max(cached, shared_tokens))
         held = query.prompt_tokens + query.output_tokens
-        return Placement(worker, version, chain, prefill, cached, held)
+        return Placement(worker, version, chain, prefill, cached, held, priority=query.priority)
 
     def _has_shared_parts(self, worker: Worker, engine: EngineProfile, chain: Chain) -> bool:
         """Return whether this node has recorded all shared parts of a prompt at a worker."""
@@ -340,17 +420,20 @@
         worker = placement.worker
         transferred = max(0, placement.shared_tokens - placement.cached_tokens)
         load = self.total_load(worker.info.id)
-        prefill_seconds = placement.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-        cost = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND + prefill_seconds
+        rate = self.prefill_rate(worker)
+        prefill_seconds = placement.prefill_tokens / rate
+        cost = load.prefill_tokens / rate + prefill_seconds + self._first_token_overhead(worker)
         cost += load.running * (RUNNING_REQUEST_SECONDS + PREFILL_INTERFERENCE * prefill_seconds)
         held = load.held_tokens + placement.held_tokens
-        cost += self._slot_wait_seconds(load.running, held, engine)
+        cost += self._slot_wait_seconds(worker, load.running, held, engine)
         cost += 2 * transferred * engine.token_bytes / max(1.0, engine.link_bytes_per_second)
         if worker is home:
             cost -= OTHER_ZONE_SECONDS
         return cost
 
-    def _slot_wait_seconds(self, running: int, held_tokens: int, engine: EngineProfile) -> float:
+    def _slot_wait_seconds(
+        self, worker: Worker, running: int, held_tokens: int, engine: EngineProfile
+    ) -> float:
         """Return how long a request waits for a slot and for memory at a full worker.
 
         Assumes that all running requests end within the mean duration of a request, so the wait
@@ -360,7 +443,9 @@
         """
         slots, memory = max(1, engine.capacity), max(1, engine.cache_tokens)
         excess = max((running + 1 - slots) / slots, (held_tokens - memory) / memory)
-        return excess * self._request_seconds if excess > 0.0 else 0.0
+        if excess <= 0.0:
+            return 0.0
+        return excess * self._mean_request_seconds(worker.info.service, worker)
 
     def _cache_plan(
         self,
