--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -9,10 +9,6 @@
 from wheelslip.routing.worker_load import WorkerLoad
 from wheelslip.routing.worker_speed import SpeedEstimates
 
-SLOW_WORKER_SHARE = 0.6
-"""Below this share of its service's rate a worker counts as slow even where the assumed rate is used;
-estimates of equal workers under load differ by up to a factor of two."""
-
 SUSPECT_SECONDS = 2.0
 """Time for which an unreachable worker is avoided."""
 
@@ -95,13 +91,9 @@
         """Return the prefill rate of a worker in tokens per second."""
         info = worker.info
         speeds = self.engine_speeds(info.service)
-        if speeds is not None:
-            return speeds.prefill_rate(info.id, info.service)
-        if self.speeds is None:
+        if speeds is None:
             return PREFILL_TOKENS_PER_SECOND
-        relative = self.speeds.prefill_rate(info.id, info.service)
-        relative /= self.speeds.service_rate(info.service)
-        return PREFILL_TOKENS_PER_SECOND * (relative if relative < SLOW_WORKER_SHARE else 1.0)
+        return speeds.prefill_rate(info.id, info.service)
 
     def _service_rate(self, service: str) -> float:
         speeds = self.engine_speeds(service)
--- a/src/wheelslip/routing/worker_speed.py
+++ b/src/wheelslip/routing/worker_speed.py
@@ -23,7 +23,7 @@
 MIN_MEDIAN_SAMPLES = 2.0
 """Recent samples from which a worker counts among those whose median is the service's speed."""
 
-DIFFERENCE_FACTORS = (1.6, 1.3)
+DIFFERENCE_FACTORS = (2.5, 2.0)
 """A service's rate differs from an assumed one from the first factor on, until it is within the
 second, so that estimates near the limit do not switch with every sample."""
 
--- a/tests/unit/forwarding/test_speed_replay.py
+++ b/tests/unit/forwarding/test_speed_replay.py
@@ -19,6 +19,7 @@
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.routing.worker_records import PREFILL_TOKENS_PER_SECOND
+from wheelslip.routing import worker_speed
 from wheelslip.routing.worker_speed import SpeedEstimates
 
 BASE_RATE = 60_000.0
@@ -53,6 +54,12 @@
         return seconds is not None and seconds <= self.target_seconds
 
 
+@pytest.fixture(autouse=True)
+def learned_speeds_replace_the_assumed_one(monkeypatch):
+    """Use the estimates however near they are to the assumed rate; the choice has its own test."""
+    monkeypatch.setattr(worker_speed, "DIFFERENCE_FACTORS", (1.0, 1.0))
+
+
 class Replay:
     """Sends requests of two classes to a dispatcher that chooses among four workers."""
 
--- a/tests/unit/forwarding/test_worker_speed.py
+++ b/tests/unit/forwarding/test_worker_speed.py
@@ -229,3 +229,15 @@
     ratio = speeds.duration_factor("slow", "s") / speeds.duration_factor("fast", "s")
     assert ratio > 2.5
     assert speeds.request_seconds("slow", "s") > 2.5 * speeds.request_seconds("fast", "s")
+
+
+@pytest.mark.parametrize(("rate", "is_used"), [(40_000, False), (157_000, True), (8_000, True)])
+def test_learned_rate_replaces_the_assumed_one_only_far_from_it(rate, is_used):
+    """Estimates near the assumed rate vary more than it is wrong, and mixed long and short prompts."""
+    clock = Clock()
+    speeds = SpeedEstimates(clock)
+    for _ in range(30):
+        clock.now += 0.2
+        speeds.record_first_token("w", "s", 9000, 0.02 + 9000 / rate, clock.now)
+    assert speeds.differs_from(30_000.0, "s") is is_used
+    assert not SpeedEstimates(clock).differs_from(30_000.0, "s")
