Learned rates replace the assumed one only for services that are far faster

Cause: an overloaded service's measured rate falls below 0.4 of the assumed one, so learned speeds and the queue switched on just under overload.

--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -79,11 +79,11 @@
     def engine_speeds(self, service: str) -> SpeedEstimates | None:
         """Return the learned speeds of model engines if they replace the assumed ones.
 
-        Estimates vary with the streams beside a prefill. Where the engines of a service are about
-        as fast as assumed, that variation would move requests more than the true differences do.
+        Estimates vary with the streams beside a prefill. Unless the engines of a service are far
+        faster than assumed, that variation would move requests more than the true differences do.
         """
         speeds = self.speeds
-        if speeds is None or not speeds.differs_from(PREFILL_TOKENS_PER_SECOND, service):
+        if speeds is None or not speeds.is_faster(PREFILL_TOKENS_PER_SECOND, service):
             return None
         return speeds
 
--- a/src/wheelslip/routing/worker_speed.py
+++ b/src/wheelslip/routing/worker_speed.py
@@ -23,8 +23,8 @@
 MIN_MEDIAN_SAMPLES = 2.0
 """Recent samples from which a worker counts among those whose median is the service's speed."""
 
-DIFFERENCE_FACTORS = (2.5, 2.0)
-"""A service's rate differs from an assumed one from the first factor on, until it is within the
+FAST_FACTORS = (2.5, 2.0)
+"""A service counts as far faster than an assumed rate from the first factor on, until it is below the
 second, so that estimates near the limit do not switch with every sample."""
 
 REFRESH_SECONDS = 0.25
@@ -69,13 +69,13 @@
     """Workers of one service and the medians of their fits.
 
     :ivar speed: the medians, ``None`` before the first ones.
-    :ivar differs: the last answer of :meth:`SpeedEstimates.differs_from`.
+    :ivar is_faster: the last answer of :meth:`SpeedEstimates.is_faster`.
     """
 
     def __init__(self):
         self.workers: dict[Incarnation, _WorkerState] = {}
         self.speed: Speed | None = None
-        self.differs = False
+        self.is_faster = False
         self._refreshed_at = -math.inf
 
     def refresh(self, prior: Speed, now: float) -> None:
@@ -154,15 +154,18 @@
         """Return the rate of a worker of a service of which nothing else is known."""
         return 1.0 / self._service_speed(service).seconds_per_token
 
-    def differs_from(self, assumed_rate: float, service: str) -> bool:
-        """Return whether the rate of a service is far from an assumed one, in either direction."""
+    def is_faster(self, assumed_rate: float, service: str) -> bool:
+        """Return whether a service is far faster than an assumed rate.
+
+        A low rate shows overloaded engines as often as slow ones.
+        """
         state = self._services.get(service)
         if state is None or state.speed is None:
-            return self._initial is not None and self._initial.differs_from(assumed_rate, service)
-        ratio = self.service_rate(service) / assumed_rate
-        begins, ends = DIFFERENCE_FACTORS
-        state.differs = max(ratio, 1.0 / ratio) >= (ends if state.differs else begins)
-        return state.differs
+            return self._initial is not None and self._initial.is_faster(assumed_rate, service)
+        begins, ends = FAST_FACTORS
+        factor = ends if state.is_faster else begins
+        state.is_faster = self.service_rate(service) >= factor * assumed_rate
+        return state.is_faster
 
     def first_token_overhead(self, service: str, worker: Incarnation | None = None) -> float:
         """Return the part of the time to a first token that does not depend on the prompt.
