--- a/src/wheelslip/forwarding/content_trials.py
+++ b/src/wheelslip/forwarding/content_trials.py
@@ -16,10 +16,14 @@
 TRIALS_PREFIX = "wheelslip/trials/"
 
 LOCK_EXPIRY_SECONDS = 6.0
-"""A lock expires this long after its key last changed in the registry view."""
+"""A lock expires this long after its key last changed in the registry view, as its node may have
+died. An engine that ends under a request ends as it begins to run it, and evidence of that takes
+at most 4 s."""
 
 ACQUIRE_RETRY_SECONDS = 0.25
-"""Minimum interval between two attempts of a node to acquire a lock; limits the load on the store."""
+"""Minimum interval between two attempts of a node to acquire a lock: at most four calls of the store
+a second and node for a content that many request, as the view shows another node's lock 0.1 to
+0.3 s late."""
 
 
 class TrialLock(NamedTuple):
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -37,11 +37,13 @@
 are within the timeout margin of a watch."""
 
 PEER_POLLS = (1, 3)
-"""Range of the number of consecutive peer polls after a failed call."""
+"""Range of the number of consecutive peer polls after a failed call. Peers query the store as soon as
+they learn of the failure, within 0.2 s."""
 
 PEER_POLLS_TIMEOUT_SECONDS = 1.0
 """Timeout of all peer polls after one failed call, so that unresponsive peers do not delay the next
-call to the store."""
+call to the store: this node may be the only one in trouble. With 1.0 s for each of three peers, it
+did not know for 3.9 s that a worker had left."""
 
 PEER_POLL_PAUSE_SECONDS = (0.05, 0.15)
 """Range of the random pause after each peer poll, which spreads the calls of many nodes."""
@@ -55,7 +57,7 @@
 
 PROBE_MARGIN_SECONDS = 0.35
 """Time reserved for a probe before the drain time of a worker that may have departed since the view
-was current."""
+was current. With a longer one, views without trouble would be probed where the drain time is 2 s."""
 
 RELAY_STALE_SECONDS = 1.8
 """Age of the view from which a relay reads the store itself, since its zone depends on it."""
--- a/src/wheelslip/forwarding/worker_view.py
+++ b/src/wheelslip/forwarding/worker_view.py
@@ -19,7 +19,8 @@
 from the store, or it cancelled its departure."""
 
 MAX_DEPARTED_WORKERS = 4096
-"""Number of workers whose newest departed incarnation is recorded."""
+"""Number of workers whose newest departed incarnation is recorded; some times the 850 workers of the
+largest deployment planned for."""
 
 
 class _DeferredEntry(NamedTuple):
--- a/src/wheelslip/peers/datagrams.py
+++ b/src/wheelslip/peers/datagrams.py
@@ -17,7 +17,8 @@
 MessageT = TypeVar("MessageT")
 
 MAX_CACHED_ADDRESSES = 1024
-"""Maximum number of parsed addresses in the cache."""
+"""Maximum number of parsed addresses in the cache; a few times the 380 nodes of the largest deployment
+planned for."""
 
 
 @functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
--- a/src/wheelslip/routing/cost.py
+++ b/src/wheelslip/routing/cost.py
@@ -44,7 +44,8 @@
 """A prefill that started longer ago is not waited for."""
 
 RUNNING_REQUEST_SECONDS = 0.002
-"""Cost of each request of this node at an engine: it lengthens every step there."""
+"""Cost of each request of this node at an engine: it lengthens every step there. Without it, all
+requests of equal cost go to one engine."""
 
 PREFILL_INTERFERENCE = 0.05
 """Share by which each running request raises the cost of computing a prompt beside it."""
--- a/src/wheelslip/routing/crash_ledger.py
+++ b/src/wheelslip/routing/crash_ledger.py
@@ -24,18 +24,20 @@
 popular request would be refused after several workers fail at once for an unrelated reason."""
 
 ALONE_REFUSAL_THRESHOLD = 2
-"""Number of crashes while running alone that prove the cause, whatever else ran at the workers."""
+"""Number of crashes while running alone that prove the cause, whatever else ran at the workers. With 1,
+a harmless content that ran beside three deadly ones at two engines was refused."""
 
 BASE_REFUSAL_SECONDS = 60.0
 """Refusal period after the first crash while running alone, doubled by each further one. After it,
 trials are allowed again, since the workers may have been repaired."""
 
 MAX_REFUSAL_SECONDS = 600.0
-"""Upper bound of the refusal period."""
+"""Upper bound of the refusal period: workers that are not repaired crash once in this time."""
 
 REPORT_WAIT_SECONDS = 1.0
 """Time for which a refusal waits for other nodes to report what else ran at the crashed worker, if
-such a report could make another fingerprint a suspect."""
+such a report could make another fingerprint a suspect. Reports arrive through the store 0.1 to 0.3 s
+later; without the wait, a harmless content that shared an engine with a deadly one was refused."""
 
 RETENTION_SECONDS = 3600.0
 """Time after its last crash at which a fingerprint is deleted."""
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -28,7 +28,8 @@
 been issued after the list was made."""
 
 NODE_TIMEOUT_SECONDS = 4.0
-"""Time without a message after which the grants of a node are ended."""
+"""Time without a message after which the grants of a node are ended; nodes list their running requests
+every second."""
 
 SWEEP_INTERVAL_SECONDS = 0.5
 
--- a/src/wheelslip/routing/fingerprint.py
+++ b/src/wheelslip/routing/fingerprint.py
@@ -3,7 +3,8 @@
 import hashlib
 
 FINGERPRINT_BYTES = 12
-"""Digest size, large enough to make accidental collisions negligible."""
+"""Digest size, large enough to make accidental collisions negligible. A caller cannot cause a collision
+with another tenant, whose name is part of what is hashed."""
 
 
 def request_fingerprint(method: str, target: bytes, tenant: str, body: bytes) -> str:
--- a/src/wheelslip/routing/index.py
+++ b/src/wheelslip/routing/index.py
@@ -17,6 +17,7 @@
 _RESIDENCE_GROWTH = 1.5
 _RESIDENCE_SHRINK = 0.9
 DEFAULT_MAX_BLOCKS = 63_000
+"""Maximum number of blocks that a node records: 24 million over 380 nodes."""
 
 
 @dataclass
--- a/src/wheelslip/routing/overload.py
+++ b/src/wheelslip/routing/overload.py
@@ -5,14 +5,15 @@
 """
 
 MIN_ADMISSION_WAIT_SECONDS = 0.05
-"""Acceptable wait of a request whose target has passed: workers that are almost idle accept it."""
+"""Acceptable wait of a request whose target has passed: workers that are almost idle accept it. Half of
+the time in which one chunk of a prompt is computed."""
 
 MAX_PREFILL_SHARE = 0.5
 """Maximum share of the target that is reserved for the prefill. Without the limit, a prompt whose
 prefill exceeds its target would be refused whenever anything else waits."""
 
 MAX_RETRY_SECONDS = 10.0
-"""Maximum retry time given to a caller."""
+"""Maximum retry time given to a caller. Callers wait at most a third of the time that they have left."""
 
 
 class Overloaded(Exception):
--- a/src/wheelslip/routing/sharing.py
+++ b/src/wheelslip/routing/sharing.py
@@ -12,7 +12,8 @@
 )
 
 LONG_PREFILL_MIN_TOKENS = 2048
-"""Uncached tokens from which a prefill is coordinated with the prefix's home node."""
+"""Uncached tokens from which a prefill is coordinated with the prefix's home node. It costs control
+traffic, and a shorter prompt is computed in a quarter of a second."""
 
 HOME_LOOKUP_TIMEOUT_SECONDS = 0.05
 """Time after which requests stop waiting for the reply of a home node."""
--- a/src/wheelslip/routing/tenant_limits.py
+++ b/src/wheelslip/routing/tenant_limits.py
@@ -28,7 +28,8 @@
 
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 10.0
-"""Range of the retry time that a refused caller receives."""
+"""Range of the retry time that a refused caller receives. Callers wait at most a third of the time that
+they have left; a later time is told all the same, and not waited for."""
 
 MIN_METER_SHARE = 0.5
 """Smallest share of a regular meter. With less, the retry time of callers is the validity of a
--- a/src/wheelslip/routing/worker_notices.py
+++ b/src/wheelslip/routing/worker_notices.py
@@ -19,7 +19,8 @@
 """Maximum number of incarnations for which notices of one kind are stored."""
 
 MAX_BACKOFF_SECONDS = 600.0
-"""Upper bound of a backoff, so that a faulty worker is not excluded permanently."""
+"""Upper bound of a backoff, so that a faulty worker is not excluded permanently; one that needs longer
+asks again."""
 
 MIN_EXTENSION_SECONDS = 0.5
 """Smallest extension of a backoff that is reported. Requests in flight together are rejected one
