--- a/src/wheelslip/routing/worker_speed.py
+++ b/src/wheelslip/routing/worker_speed.py
@@ -27,6 +27,12 @@
 """A service counts as far faster than an assumed rate from the first factor on, until it is below the
 second, so that estimates near the limit do not switch with every sample."""
 
+MIN_PROVEN_SAMPLES = 5.0
+"""Recent samples of a worker whose rate may show that its service is far faster than assumed."""
+
+MIN_PROVEN_WORKERS = 2
+"""Number of such workers."""
+
 REFRESH_SECONDS = 0.25
 """Interval at which the medians of a service are computed again."""
 
@@ -69,6 +75,7 @@
     """Workers of one service and the medians of their fits.
 
     :ivar speed: the medians, ``None`` before the first ones.
+    :ivar proven_rate: median rate of the workers with many samples, ``None`` if too few have them.
     :ivar is_faster: the last answer of :meth:`SpeedEstimates.is_faster`.
     """
 
@@ -76,8 +83,18 @@
         self.workers: dict[Incarnation, _WorkerState] = {}
         self.speed: Speed | None = None
         self.is_faster = False
+        self.proven_rate: float | None = None
         self._refreshed_at = -math.inf
 
+    def _median_rate(self, prior: Speed, now: float, samples: float) -> float | None:
+        """Return the median rate of the workers with so many recent samples, ``None`` without two."""
+        rates = [
+            1.0 / worker.fit.speed(prior, now).seconds_per_token
+            for worker in self.workers.values()
+            if worker.fit.recent_samples(now) >= samples
+        ]
+        return median(rates) if len(rates) >= MIN_PROVEN_WORKERS else None
+
     def refresh(self, prior: Speed, now: float) -> None:
         """Compute the medians again; without recent samples the last ones stay."""
         if self.speed is not None and now - self._refreshed_at < REFRESH_SECONDS:
@@ -89,6 +106,7 @@
         ]
         if known:
             self._refreshed_at = now
+            self.proven_rate = self._median_rate(prior, now, MIN_PROVEN_SAMPLES)
             self.speed = Speed(
                 median(speed.seconds_per_token for speed in known),
                 median(speed.overhead_seconds for speed in known),
@@ -157,14 +175,17 @@
     def is_faster(self, assumed_rate: float, service: str) -> bool:
         """Return whether a service is far faster than an assumed rate.
 
-        A low rate shows overloaded engines as often as slow ones.
+        Decided by workers with many samples: a few prompts that were cached without the node's
+        knowledge look like a fast engine. A low rate shows overloaded engines as often as slow
+        ones.
         """
         state = self._services.get(service)
-        if state is None or state.speed is None:
-            return self._initial is not None and self._initial.is_faster(assumed_rate, service)
-        begins, ends = FAST_FACTORS
-        factor = ends if state.is_faster else begins
-        state.is_faster = self.service_rate(service) >= factor * assumed_rate
+        if state is None:
+            return False
+        if state.proven_rate is not None:
+            begins, ends = FAST_FACTORS
+            factor = ends if state.is_faster else begins
+            state.is_faster = state.proven_rate >= factor * assumed_rate
         return state.is_faster
 
     def first_token_overhead(self, service: str, worker: Incarnation | None = None) -> float:
--- a/tests/unit/forwarding/test_worker_speed.py
+++ b/tests/unit/forwarding/test_worker_speed.py
@@ -239,5 +239,17 @@
     assert not speeds.is_faster(INITIAL_PREFILL_RATE, "s")
     for _ in range(30):
         now[0] += 0.2
-        speeds.record_first_token("w", "s", 9000, 0.02 + 9000 / rate, now[0])
+        for worker in ("w0", "w1"):
+            speeds.record_first_token(worker, "s", 9000, 0.02 + 9000 / rate, now[0])
     assert speeds.is_faster(INITIAL_PREFILL_RATE, "s") is is_used
+
+
+def test_few_fast_first_tokens_do_not_prove_a_fast_service():
+    """Prompts that were cached without the node's knowledge switched learned rates on."""
+    now = [100.0]
+    speeds = SpeedEstimates(lambda: now[0])
+    for worker in ("w0", "w1", "w2"):
+        for _ in range(3):
+            now[0] += 0.3
+            speeds.record_first_token(worker, "s", 9000, 0.05, now[0])
+    assert not speeds.is_faster(INITIAL_PREFILL_RATE, "s")
