A refused query that is enqueued where nothing queues is decided once

Cause: a node enqueues each query that was refused for overload. A service that does not queue decided it again, which gave the caller a second, later turn in the schedule of returns, and counted the refusal twice. Evidence: the new test fails on the code before (the retry times differ).

--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from wheelslip.routing.dispatch_queues import Decision, DispatchQueues, NoWorker
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
@@ -65,6 +66,13 @@
     """Priority of a request granted while the queue was enabled."""
 
 
+class _Refusal(NamedTuple):
+    """Refusal of a query by a service that does not queue; its node may still enqueue it."""
+
+    retry_seconds: float
+    refused_at: float
+
+
 class Dispatcher:
     """Chooses workers for all nodes and tracks the active grants.
 
@@ -90,6 +98,7 @@
         self._choice = RateLimitedChoice(placement, allowance)
         self._clock = clock
         self._charged: dict[QueryId, float] = {}
+        self._refused: dict[QueryId, _Refusal] = {}
         self._grants: dict[QueryId, _Grant] = {}
         self._last_contact: dict[str, float] = {}
         self._swept_at = clock()
@@ -148,7 +157,11 @@
         except NoAuthority:
             # The querying node is about to follow another dispatcher.
             return None
-        placement = self._place(query, tenant_charge)
+        try:
+            placement = self._place(query, tenant_charge)
+        except Overloaded as exc:
+            self._refused[query_id] = _Refusal(exc.retry_seconds, self._clock())
+            raise
         if placement is not None:
             self._issue(query_id, placement, tenant_charge)
         return placement
@@ -177,6 +190,10 @@
         :raises NoWorker: when no worker may take the request now.
         """
         if not self._queues_requests(queued.query.service):
+            refusal = self._refused.pop(query_id, None)
+            if refusal is not None:
+                # Deciding twice would give each refused caller two turns, and the later one.
+                raise Overloaded(refusal.retry_seconds)
             placement = self.grant(query_id, queued.query)
             if placement is None:
                 raise NoWorker
@@ -379,6 +396,11 @@
         if now - self._swept_at < SWEEP_INTERVAL_SECONDS:
             return
         self._swept_at = now
+        self._refused = {
+            query_id: refusal
+            for query_id, refusal in self._refused.items()
+            if now - refusal.refused_at < CHARGE_DEDUPLICATION_SECONDS
+        }
         self._charged = {
             query_id: expires_at
             for query_id, expires_at in self._charged.items()
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Grants of one dispatcher to several nodes: placement, recovery, overload and rate limits."""
 
+import contextlib
 import json
 import random
 from collections import Counter
@@ -30,6 +31,7 @@
 )
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.tenant_limits import TenantLimited, TenantLimits
+from wheelslip.routing.waiting_request import QueuedQuery
 from wheelslip.routing.worker_allowance import WorkerAllowance
 from wheelslip.routing.worker_records import SUSPECT_SECONDS
 
@@ -328,3 +330,18 @@
         for number, new_query in enumerate(queries)
     ]
     assert sum(grant.worker.info.id == silent for grant in later_grants) > 1
+
+
+def test_refused_query_that_is_enqueued_where_nothing_queues_takes_one_turn():
+    """Each refused caller took two turns, so callers were told twice the time."""
+    clock = Clock()
+    dispatcher = make_dispatcher(clock)
+    for number in range(400):
+        with contextlib.suppress(Overloaded):
+            dispatcher.grant(QueryId("n", number), query(f"{number:04x}"))
+    with pytest.raises(Overloaded) as refused:
+        dispatcher.grant(QueryId("n", 1000), query("aaaa"))
+    with pytest.raises(Overloaded) as enqueued:
+        dispatcher.enqueue(QueryId("n", 1000), QueuedQuery(query("aaaa")))
+    assert enqueued.value.retry_seconds == refused.value.retry_seconds
+    assert dispatcher.overload_refusals == len(dispatcher._refused) + 1
