Callers of workers at their limit return at the whole rate while the fleet size is unknown

What callers saw: when a worker first named a limit, callers were told 0.4 or 10 s, all the same time, and would return together. Cause: nodes vote only while a limit is known.

--- a/src/wheelslip/routing/worker_allowance.py
+++ b/src/wheelslip/routing/worker_allowance.py
@@ -13,11 +13,12 @@
 from dataclasses import replace
 
 from wheelslip.deployment import Incarnation
-from wheelslip.routing.limit_authority import Authority
+from wheelslip.routing.limit_authority import VOTE_VALIDITY_SECONDS, Authority
 from wheelslip.routing.limits import TokenBucket
 from wheelslip.routing.named_limits import WorkerRateLimits
 from wheelslip.routing.overload import Overloaded, RetrySchedule
 from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.tenant_limits import MIN_METER_SHARE
 from wheelslip.routing.worker_choice import WorkerPlacement
 
 BURST_SECONDS = 0.25
@@ -88,16 +89,20 @@
         if share <= 0.0:
             return None
         buckets = [self._bucket(incarnation) for incarnation in incarnations]
-        return min((1.0 - bucket.level) / (bucket.rate * share) for bucket in buckets)
+        wait = min((1.0 - bucket.level) / bucket.rate for bucket in buckets)
+        return wait / share if share >= MIN_METER_SHARE else VOTE_VALIDITY_SECONDS + wait
 
     def rate(self, incarnations: Iterable[Incarnation]) -> float:
-        """Return the combined rate at which this node may send to some workers.
+        """Return the combined rate at which callers of some workers should return.
+
+        A node with a small share gets a regular one, or loses it, within the validity of a vote. By
+        the small share, all callers would be told the maximum time and return together.
 
         :return: requests per second.
         """
-        return self._authority.share() * sum(
-            self._bucket(incarnation).rate for incarnation in incarnations
-        )
+        share = self._authority.share()
+        rate = sum(self._bucket(incarnation).rate for incarnation in incarnations)
+        return rate * share if share >= MIN_METER_SHARE else rate
 
     def _trim(self) -> None:
         """Delete the buckets of workers whose limit has been lifted."""
--- a/tests/unit/forwarding/test_worker_allowance.py
+++ b/tests/unit/forwarding/test_worker_allowance.py
@@ -319,3 +319,25 @@
     limits.record_limit(LIMITED, 1000.0)
     clock.now += 100.0
     assert choice.choose(QUERY, clock.now) is None
+
+
+class _SmallShare:
+    """Authority of a node that does not know the fleet size yet."""
+
+    def share(self) -> float:
+        return 0.01
+
+    def weighted_seconds(self) -> float:
+        return 0.0
+
+
+class _OneLimit:
+    def rate(self, incarnation: str) -> float:
+        return 10.0
+
+
+def test_callers_return_at_the_whole_rate_while_the_share_is_small():
+    """By the small share, every caller was told the maximum time and returned with all others."""
+    allowance = WorkerAllowance(_OneLimit(), _SmallShare())
+    assert allowance.rate(["w"]) == 10.0
+    assert allowance.wait_seconds(["w"]) <= VOTE_VALIDITY_SECONDS + 0.1
