Queue and learned speeds are switched on by a contract of the deployment

Change: the deploy template hands the platform's list of contracts to the settings; routing.overload_contract names the one whose presence switches both on (pressure).

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -102,7 +102,7 @@
             table,
             own_speeds,
             self._learns_speeds,
-            lambda: self.settings.routing.queue,
+            lambda: self.settings.queues_requests,
         )
         self._fleet = FleetPlacement(
             self._registry,
@@ -323,7 +323,7 @@
         return has_configuration and self._registry.age() < max_age and not self._callers.stopping
 
     def _learns_speeds(self) -> bool:
-        return self.settings.routing.learn_speeds
+        return self.settings.learns_speeds
 
     def _learned_rate(self) -> float:
         return self._speeds.mean_rate() if self._learns_speeds() else 0.0
@@ -345,7 +345,7 @@
         )
 
     def _uses_queue(self) -> bool:
-        return self.settings.routing.queue
+        return self.settings.queues_requests
 
     def _dispatchers_of(self, service: str) -> list[str]:
         return self._relay.dispatchers_of(service) if self._relay else []
--- a/src/wheelslip/forwarding/settings.py
+++ b/src/wheelslip/forwarding/settings.py
@@ -107,22 +107,42 @@
     :ivar queue: whether requests that no worker can start soon wait at the dispatcher.
     :ivar learn_speeds: whether the speeds of workers are learned from their requests, rather than
         assumed to be the same.
+    :ivar overload_contract: contract whose presence switches ``queue`` and ``learn_speeds`` on.
     """
 
     dispatch: bool = True
     limit_admission: bool = True
     queue: bool = False
+    overload_contract: str = ""
     learn_speeds: bool = False
 
 
 class ForwardingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """All settings of a forwarding node."""
+    """All settings of a forwarding node.
+
+    :ivar contracts: names of the contracts that the deployment has in force.
+    """
 
     node: NodeSection
     store: StoreSection
     limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
     routing: RoutingSection = msgspec.field(default_factory=RoutingSection)
+    contracts: dict[str, bool] = msgspec.field(default_factory=dict)
+
+    @property
+    def queues_requests(self) -> bool:
+        """Whether requests that no worker can start soon wait at the dispatcher."""
+        return self.routing.queue or self._has_overload_contract
+
+    @property
+    def learns_speeds(self) -> bool:
+        """Whether the speeds of workers are learned."""
+        return self.routing.learn_speeds or self._has_overload_contract
+
+    @property
+    def _has_overload_contract(self) -> bool:
+        return self.contracts.get(self.routing.overload_contract, False)
 
 
 def load_forwarding_settings(path: str) -> ForwardingSettings:
