Engine choice: the queue's limit is computed only for requests that must start soon

It was computed for each engine of each request, also where nothing queues. Decisions are the same; unit tests of dispatcher, queue and replays pass.

--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -259,8 +259,10 @@
             outdated = self._is_outdated(query.model, version)
             for worker in workers:
                 other_length = worker.info.id not in preferred_ids
-                most_wait = self._most_wait(worker, engine, is_long, other_length, is_separated)
-                if must_start_soon and most_wait is None:
+                most_wait = float("inf")
+                if must_start_soon:
+                    most_wait = self._most_wait(worker, engine, is_long, other_length, is_separated)
+                if most_wait is None:
                     continue
                 cost = self._extra_cost(query, worker, other_length, outdated)
                 if worker is home:
@@ -270,7 +272,7 @@
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
                 target_seconds = query.target_seconds - self._first_token_overhead(worker)
                 longest = self._longest_wait(query, target_seconds, estimate, engine, limits)
-                longest = min(longest, most_wait) if must_start_soon else longest
+                longest = min(longest, most_wait)
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
                 if not is_late and estimate.cost + cost < lowest_cost:
