Logs tell which workers a node can connect to, and whose reports make a dispatcher suspect one

Change: events 315 and 316 when a node loses and regains the path to a worker, 317 when a dispatcher suspects one, gauge engine_paths_lost. No decision changes; the unit tests pass.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -53,6 +53,7 @@
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.routing.worker_speed import SpeedEstimates
+from wheelslip.tunnels.direct_paths import DirectPaths
 
 LAME_DUCK_SECONDS = 2.6
 """Time between failing readiness and closing idle connections: two readiness probes a second apart
@@ -92,7 +93,8 @@
         control.on_response = self._registry.notices.record_response
         section = self.settings.node
         self._table = table = LoadTable()
-        self._pool = WorkerPool(clock)
+        self._paths = DirectPaths(clock)
+        self._pool = WorkerPool(clock, self._paths)
         own_speeds = SpeedEstimates(clock)
         self._speeds = SpeedEstimates(clock, own_speeds, log_speed_change)
         self._placement = WorkerPlacement(
@@ -403,6 +405,7 @@
             "engines_limited": lambda: float(self._registry.notices.limits.count()),
             "learned_prefill_rate": self._learned_rate,
             "worker_connections_opened": lambda: float(self._pool.opened),
+            "engine_paths_lost": lambda: float(self._paths.lost_count),
         }
         return metrics
 
@@ -412,6 +415,7 @@
 
     def _forget_worker(self, incarnation: Incarnation) -> None:
         self._pool.close_idle(incarnation)
+        self._paths.forget(incarnation)
         self._placement.forget(incarnation)
         self._fleet.forget(incarnation)
 
--- a/src/wheelslip/forwarding/worker_pool.py
+++ b/src/wheelslip/forwarding/worker_pool.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from wheelslip.deployment import Incarnation, ResponseMetadata, WorkerInfo
-from wheelslip.forwarding.http_client import HttpConnection, connect
+from wheelslip.forwarding.http_client import HttpConnection, PeerUnreachable, connect
+from wheelslip.tunnels.direct_paths import DirectPaths
 
 IDLE_MARGIN_SECONDS = 0.7
 """Idle connections are not used this long before their worker closes them, since a request that
@@ -19,10 +20,12 @@
 class WorkerPool:
     """Connections that are each acquired by one request at a time.
 
+    :param paths: records which workers this node reaches.
     :ivar opened: number of connections opened since this node started.
     """
 
-    def __init__(self, clock: Callable[[], float]):
+    def __init__(self, clock: Callable[[], float], paths: DirectPaths):
+        self._paths = paths
         self._clock = clock
         self._idle: dict[Incarnation, list[tuple[float, HttpConnection]]] = {}
         self.opened = 0
@@ -40,7 +43,16 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await connect(worker.address)
+        return await self._connect(worker)
+
+    async def _connect(self, worker: WorkerInfo) -> HttpConnection:
+        try:
+            connection = await connect(worker.address)
+        except PeerUnreachable as error:
+            self._paths.record_failed(worker, str(error))
+            raise
+        self._paths.record_connected(worker)
+        return connection
 
     def idle_workers(self) -> frozenset[Incarnation]:
         """Return the workers to which there is a usable idle connection."""
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -15,6 +15,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from wheelslip.events import LogBudget, LogEvent
 from wheelslip.routing.dispatch_queues import Decision, DispatchQueues, NoWorker
 from wheelslip.routing.fleet_choice import FleetPlacement, RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
@@ -34,6 +35,9 @@
 
 SWEEP_INTERVAL_SECONDS = 0.5
 
+SUSPICION_LOG_LINES_PER_SECOND = 10.0
+"""Average rate limit of log lines about suspected workers."""
+
 CHARGE_DEDUPLICATION_SECONDS = 2.0
 """How long a repeated charge-only query is recognized; longer than a node waits for a reply."""
 
@@ -102,6 +106,7 @@
         self._grants: dict[QueryId, _Grant] = {}
         self._last_contact: dict[str, float] = {}
         self._swept_at = clock()
+        self._log = LogBudget(SUSPICION_LOG_LINES_PER_SECOND, clock)
         self.grants_issued = 0
         self.overload_refusals = 0
         self._queues = DispatchQueues(placement, limits, clock, self._start_soon)
@@ -301,7 +306,7 @@
                 self.placement.record_rejected(grant.placement.worker)
             case Progress.SILENT:
                 self.placement.record_outcome(worker_id, failed=True)
-                self.placement.record_unreachable(worker_id, query_id.node)
+                self._record_unreachable(grant, query_id.node, progress)
                 self._end(query_id)
                 self.placement.record_rejected(grant.placement.worker)
             case Progress.NOT_RUN:
@@ -311,9 +316,21 @@
             case Progress.UNUSED:
                 self._end_unused(query_id)
             case Progress.UNREACHED:
-                self.placement.record_unreachable(worker_id, query_id.node)
+                self._record_unreachable(grant, query_id.node, progress)
                 self._end_unused(query_id)
 
+    def _record_unreachable(self, grant: _Grant, node: str, progress: Progress) -> None:
+        info = grant.placement.worker.info
+        if self.placement.record_unreachable(info.id, node):
+            self._log.log(
+                LogEvent.ENGINE_SUSPECTED,
+                engine=info.worker_id,
+                incarnation=info.id,
+                zone=info.zone,
+                reported_by=node,
+                reason=progress.value,
+            )
+
     def _end_unused(self, query_id: QueryId) -> None:
         placement = self._grants[query_id].placement
         if placement.rate_limit_charged:
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -535,12 +535,14 @@
         if self._is_registered(worker_id):
             self._last_contact[worker_id] = (node, self._clock())
 
-    def record_unreachable(self, worker_id: Incarnation, node: str) -> None:
+    def record_unreachable(self, worker_id: Incarnation, node: str) -> bool:
         """Record that a node cannot reach a worker.
 
-        The worker is suspected unless another node reached it within
-        :data:`RECENT_CONTACT_SECONDS`.
+        :return: whether the worker is suspected now. It is not if another node reached it within
+            :data:`RECENT_CONTACT_SECONDS`.
         """
         last_node, last_at = self._last_contact.get(worker_id, ("", float("-inf")))
-        if last_node == node or self._clock() - last_at > RECENT_CONTACT_SECONDS:
-            self.suspect(worker_id)
+        if last_node != node and self._clock() - last_at <= RECENT_CONTACT_SECONDS:
+            return False
+        self.suspect(worker_id)
+        return True
--- /dev/null
+++ b/src/wheelslip/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to workers: direct ones, and tunnels through other nodes where a path is missing."""
--- a/tests/unit/forwarding/test_worker_room.py
+++ b/tests/unit/forwarding/test_worker_room.py
@@ -13,6 +13,7 @@
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
+from wheelslip.tunnels.direct_paths import DirectPaths
 
 CAPACITY = 3
 ENGINE = {"capacity": 4, "kv_capacity": 1000, "kv_token_bytes": 1, "link_mbps": 1e6}
@@ -192,7 +193,7 @@
         "z",
         registry,
         records,
-        WorkerPool(clock),
+        WorkerPool(clock, DirectPaths(clock)),
         None,
         limits,
         None,
