Failing test: callers of nodes without a path to the workers get 503

Three nodes, one or two of them cut off from all workers while callers, store and nodes reach them; three ways of cutting, four kinds of routes.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import itertools
 import json
 import os
@@ -18,6 +19,7 @@
 
 import h11
 
+from standins.partitions import CURRENT_NODE, Partitions
 from standins.platform_store import PlatformStoreModel, PlatformStoreServer
 from standins.platform_worker import PlatformWorker, Run
 from wheelslip.forwarding.node import ForwardingNode
@@ -305,9 +307,15 @@
         self.readiness[name] = f"127.0.0.1:{free_port()}"
         self.write_settings(name, **bounds)
         self.nodes[name] = node = self._make_node(name)
-        await node.start()
+        await self._start_node(name, node)
         return node
 
+    async def _start_node(self, name: str, node: ForwardingNode) -> None:
+        """Start a node in a context that names it, which its tasks and sockets inherit."""
+        context = contextvars.copy_context()
+        context.run(CURRENT_NODE.set, name)
+        await asyncio.get_running_loop().create_task(node.start(), context=context)
+
     def _make_node(self, name: str) -> ForwardingNode:
         return ForwardingNode(
             str(self.folder / f"{name}.toml"),
@@ -321,7 +329,7 @@
         """Stop a node and start it again with the same settings file."""
         await self.nodes[name].stop()
         self.nodes[name] = node = self._make_node(name)
-        await node.start()
+        await self._start_node(name, node)
         return node
 
     async def add_relays(self, zones: tuple[str, ...], **bounds) -> None:
@@ -362,6 +370,10 @@
         node = self.nodes[name]
         await wait_until(lambda: node.is_ready() and expected <= node.worker_ids(), "node ready")
 
+    def partitions(self) -> Partitions:
+        """Return the partitions between nodes and workers; call it before nodes connect."""
+        return Partitions(lambda: {worker.server.address for worker in self.workers.values()})
+
     async def connect(self, name: str = "n1") -> Caller:
         """Open a connection to a node."""
         return await Caller.connect(self.addresses[name])
