Nodes without a path to workers send through tunnels of other nodes

Cause: a node used only its own links to workers, and took each failed connection for a failed worker: up to three workers were tried, then the request was rejected; what the node reported made dispatchers avoid sound workers. Class: the absence of a path is taken for the failure of a peer. Ruled out: failing workers (the same ones answered other nodes in the same seconds); the choice alone (all workers failed at the cut nodes). Change: package tunnels. A connection is opened directly, or through another node if that is faster or the direct path failed before; nothing is sent until one is open. What another node reaches and this one does not is a missing path: no suspicion, no failure, no evidence of a crash. Same cause elsewhere: refused connections as evidence of crashes (crash_evidence.py), the rollout's holder (holder.py); single and some workers are the same mechanism; a node without the store polls others already. The stub of WorkerPool.acquire in test_dispatch.py takes the request id that acquire now gets; the check is the same.

--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -44,6 +44,7 @@
         self._failed = False
         self._not_run = False
         self._silent = False
+        self._path_lost = False
         if grant is None:
             records.room.add_unsent(placement)
 
@@ -53,9 +54,9 @@
         return self._grant is not None
 
     @property
-    def silent(self) -> bool:
-        """Whether the worker did not acknowledge the data sent to it."""
-        return self._silent
+    def may_have_crashed(self) -> bool:
+        """Whether a lost response may be due to the end of the worker."""
+        return not self._silent and not self._path_lost
 
     def begin(self) -> None:
         """Record that the request is about to be sent."""
@@ -91,6 +92,10 @@
         self._silent = True
         self._records.suspect(self.placement.worker.info.id)
 
+    def record_path_lost(self) -> None:
+        """Record that the connection was lost because this node has no path to the worker."""
+        self._path_lost = True
+
     def record_unused(self) -> None:
         """Record that the request will not be sent to the worker."""
         self._finish_unsent(Progress.UNUSED)
@@ -117,6 +122,8 @@
     def _final_progress(self) -> Progress:
         if self._not_run:
             return Progress.NOT_RUN if self._failed else Progress.UNUSED
+        if self._path_lost:
+            return Progress.PATH_LOST
         if self._silent:
             return Progress.SILENT
         return Progress.FAILED if self._failed else Progress.ENDED
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -175,11 +175,18 @@
             return await self._relay_buffered(response, metadata)
         except PeerLost as error:
             job.failure_reason = str(error)
-            self._record_outcome(failed=True)
-            if error.silent:
-                self._assignment.record_silent()
+            self._record_lost(error)
             return AttemptOutcome.LOST
 
+    def _record_lost(self, error: PeerLost) -> None:
+        info = self._placement.worker.info
+        if self._services.pool.record_lost(info, self._connection, error):
+            self._assignment.record_path_lost()
+            return
+        self._record_outcome(failed=True)
+        if error.silent:
+            self._assignment.record_silent()
+
     def reserve_memory(self) -> None:
         """Register the attempt at the memory account of the node.
 
--- a/src/wheelslip/forwarding/crash_evidence.py
+++ b/src/wheelslip/forwarding/crash_evidence.py
@@ -8,6 +8,7 @@
 a later incarnation is registered           yes
 another process answers at the address      yes
 a connection is refused, in the probes      yes
+the same, but another node connects         no              a network that resets connections
 a connection is refused, later              no              a later end, under another request
 a connection is reset during connect        no              a network that resets connections
 a connection attempt times out              no              a network partition, a full backlog
@@ -18,7 +19,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wheelslip.clocks import steady_seconds
 from wheelslip.deployment import Incarnation, WorkerInfo
@@ -43,6 +44,7 @@
     """Checks whether workers that lost responses have crashed.
 
     :param on_crash: called for each fingerprint that lost a response at a crashed worker.
+    :param reached_by_peer: returns whether another node can connect to a worker.
     :param reported_ended_at: returns when this node recorded the end of an incarnation from crash
         reports, or None.
     """
@@ -53,7 +55,9 @@
         on_crash: Callable[[Crash], None],
         reported_ended_at: Callable[[Incarnation], float | None] = lambda incarnation: None,
         clock: Callable[[], float] = steady_seconds,
+        reached_by_peer: Callable[[WorkerInfo], Awaitable[bool]] | None = None,
     ):
+        self._reached_by_peer = reached_by_peer
         self._registry = registry
         self._on_crash = on_crash
         self._reported_ended_at = reported_ended_at
@@ -125,7 +129,7 @@
         try:
             conn = await connect(worker.address)
         except PeerRefused:
-            return True
+            return self._reached_by_peer is None or not await self._reached_by_peer(worker)
         except PeerUnreachable:
             return False
         conn.close()
--- a/src/wheelslip/forwarding/crash_guard.py
+++ b/src/wheelslip/forwarding/crash_guard.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wheelslip.deployment import Incarnation, WorkerInfo
 from wheelslip.errors import ErrorKind, WheelslipError
@@ -24,6 +24,7 @@
     """Admits, serializes or refuses requests by the crashes recorded for their fingerprints.
 
     :param node: name of this node, the same after a restart.
+    :param reached_by_peer: returns whether another node can connect to a worker.
     :ivar reports: exchange of crash reports with other nodes.
     """
 
@@ -34,12 +35,15 @@
         registry: Registry,
         clock: Callable[[], float],
         random_source: random.Random,
+        reached_by_peer: Callable[[WorkerInfo], Awaitable[bool]] | None = None,
     ):
         self._ledger = CrashLedger(clock)
         self.reports = CrashReports(node, store, registry, self._ledger, clock, random_source)
         self._trial_locks = TrialLocks(node, store, registry, clock)
         self._registry = registry
-        self._evidence = CrashEvidence(registry, self.reports.add, self._ledger.ended_at, clock)
+        self._evidence = CrashEvidence(
+            registry, self.reports.add, self._ledger.ended_at, clock, reached_by_peer
+        )
         self._pending_releases: set[asyncio.Task] = set()
 
     def entry_changed(self, key: str) -> None:
--- a/src/wheelslip/forwarding/feed.py
+++ b/src/wheelslip/forwarding/feed.py
@@ -17,6 +17,7 @@
 from wheelslip.forwarding.registry import Registry
 from wheelslip.keyvalue.model import WatchCompacted
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
+from wheelslip.tunnels.messages import is_tunnel_message
 from wheelslip.wire import FrameError, decode_payload, encode_frame, split_frame
 
 WAIT_SECONDS_PER_FOLLOWER = 0.008
@@ -134,12 +135,21 @@
 
         :raises FrameError: when the previous poll is still in flight.
         """
+        if self._server.accept_tunnel is not None and is_tunnel_message(payload):
+            self._hand_over(payload)
+            return
         poll = decode_payload(payload, FeedPoll)
         if self._response_task is not None and not self._response_task.done():
             raise FrameError("poll received before the previous one was answered")
         loop = asyncio.get_running_loop()
         self._response_task = loop.create_task(self._reply(poll))
 
+    def _hand_over(self, payload: bytes) -> None:
+        """Leave the connection to the tunnels."""
+        received, self._buffer = b"%d:%s," % (len(payload), payload) + self._buffer, b""
+        self._server.connections.discard(self)
+        self._server.accept_tunnel(self.transport, received)
+
     async def _reply(self, poll: FeedPoll) -> None:
         batch = await self._server.reply(poll)
         self.transport.write(encode_frame(batch))
@@ -149,6 +159,8 @@
     """Replies to the polls of other nodes from this node's view.
 
     :param own_loads: returns the loads of this node's requests at the workers.
+    :ivar accept_tunnel: takes over connections that are tunnels, with the bytes received so far;
+        ``None`` to refuse them.
     """
 
     def __init__(
@@ -158,6 +170,7 @@
         own_loads: Callable[[], list[LoadAtWorker]],
         clock: Callable[[], float],
     ):
+        self.accept_tunnel: Callable[[asyncio.Transport, bytes], None] | None = None
         self._registry = registry
         self._table = table
         self._own_loads = own_loads
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -34,6 +34,7 @@
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import WeightedRoundRobin
 from wheelslip.routing.tenant_limits import NoAuthority, TenantLimited
+from wheelslip.tunnels.connector import PathMissing
 
 WORKER_WAIT_SECONDS = 0.2
 """Longest time a request waits for a worker to become available; covers the propagation of store
@@ -166,6 +167,7 @@
             outcome=outcome.value,
             attempts=job.attempts_sent,
             engine=job.worker_id,
+            tunnel=job.via or None,
             weights_version=job.weights_version,
             delivered=job.last_delivered_id,
             configuration=self._registry.configuration.version,
@@ -308,6 +310,7 @@
             incarnation=info.id,
             weights_version=placement.weights_version,
             granted=assignment.granted,
+            tunnel=job.via or None,
             registry_age=round(self._registry.age(), 3),
             proven_not_run=outcome in _PROVEN_NOT_RUN,
             content=job.fingerprint if outcome is AttemptOutcome.LOST else None,
@@ -316,7 +319,7 @@
         if outcome is AttemptOutcome.WITHHELD:
             return
         job.excluded.add(info.id)
-        if outcome is AttemptOutcome.LOST and not assignment.silent:
+        if outcome is AttemptOutcome.LOST and assignment.may_have_crashed:
             self._crash_guard.record_lost_response(job, info)
 
     def _may_retry(self, job: Job, outcome: AttemptOutcome, budget: RetryWindow) -> bool:
@@ -349,7 +352,11 @@
         job.worker_id = worker.worker_id
         job.weights_version = assignment.placement.weights_version
         try:
-            connection = await self._pool.acquire(worker)
+            connection = await self._pool.acquire(worker, job.request.metadata.request_id or "")
+        except PathMissing as error:
+            job.failure_reason = str(error)
+            assignment.record_unused()
+            return AttemptOutcome.NOT_SENT
         except PeerUnreachable as error:
             job.failure_reason = str(error)
             assignment.record_unreachable()
@@ -358,6 +365,7 @@
             # The caller disconnected or the deadline passed while the connection was opened.
             assignment.record_unused()
             raise
+        job.via = connection.via
         if not self._registry.may_begin(worker.id, assignment.placement.rate_limit_charged):
             # The worker's state may have changed while the connection was opened. Nothing is
             # awaited between this check and the write of the request.
--- a/src/wheelslip/forwarding/holder.py
+++ b/src/wheelslip/forwarding/holder.py
@@ -23,7 +23,10 @@
 class HolderLease(LeasedKey):
     """Leased key of the holder.
 
+    A holder that reaches no worker cannot give orders, so it leaves the key to another node.
+
     :param is_relay: returns whether this node is the relay of its zone.
+    :param is_isolated: returns whether this node reaches no worker.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         clock: Callable[[], float],
         random_source: random.Random,
         is_relay: Callable[[], bool] = lambda: True,
+        is_isolated: Callable[[], bool] = lambda: False,
     ):
         self.identity = f"{name}/{random_source.getrandbits(64):016x}"
         super().__init__(
@@ -48,8 +52,17 @@
             random_source,
         )
         self._is_relay = is_relay
+        self._is_isolated = is_isolated
+
+    async def _step(self) -> None:
+        if self.token() is not None and self._is_isolated():
+            await self.release("isolated")
+            return
+        await super()._step()
 
     def _may_acquire(self) -> bool:
         # Only relays are candidates, which limits the calls to the store after a loss.
         relays = self._registry.system_entries(RELAY_PREFIX)
+        if self._is_isolated():
+            return False
         return super()._may_acquire() and (self._is_relay() or not relays)
--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/forwarding/http_client.py
@@ -40,9 +40,15 @@
     """Raised when a connection ends before the response is complete.
 
     :ivar silent: whether the peer stopped acknowledging data.
+    :ivar path_lost: whether a node between this one and the peer failed.
     """
 
     silent = False
+    path_lost = False
+
+
+class PeerReset(PeerLost):
+    """Raised when a connection is reset."""
 
 
 class PeerSilent(PeerLost):
@@ -89,8 +95,11 @@
     is in flight, or after a complete response.
 
     :ivar memory: account of the request in flight; ``None`` if its data is not counted.
+    :ivar via: address of the node through which the connection is tunneled; empty if it is direct.
     """
 
+    via = ""
+
     def __init__(self):
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
@@ -119,17 +128,20 @@
 
     def buffer_updated(self, count: int) -> None:
         """Process data of a response; close the connection if no request is in flight."""
+        self._receive(_read_buffer()[:count])
+
+    def _receive(self, data: memoryview) -> None:
         if not self._busy:
             self._has_unsolicited_data = True
             self.close()
             return
-        self._buffered += count
+        self._buffered += len(data)
         if self._buffered > MAX_BUFFERED_BYTES:
             self._buffer_full = True
             self._apply_pauses()
         if self.memory is not None:
-            self.memory.add_unread(self, count)
-        self._feed(_read_buffer()[:count])
+            self.memory.add_unread(self, len(data))
+        self._feed(data)
 
     def set_memory_pause(self, paused: bool) -> None:
         """Pause or resume reading because of the node's memory."""
@@ -159,7 +171,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed, and the error if the peer did not end it."""
         if not self._closed:
-            error_class = PeerSilent if isinstance(exc, TimeoutError) else PeerLost
+            error_class = PeerSilent if isinstance(exc, TimeoutError) else PeerReset
             self._error = error_class(f"connection reset: {exc!r}")
         self._closed = True
         self._notify_waiter()
@@ -222,13 +234,16 @@
         self._request = h11.Request(method=method, target=target, headers=headers)
         head = self._parser.send(self._request)
         if len(body) > SEPARATE_BODY_BYTES:
-            self._transport.write(head)
-            self._transport.write(self._body_bytes(body))
+            self._write(head, self._body_bytes(body))
         else:
-            self._transport.write(head + self._body_bytes(body))
+            self._write(head + self._body_bytes(body))
         if self.memory is not None:
             self.memory.set_unsent(self._transport.get_write_buffer_size())
 
+    def _write(self, *parts: bytes) -> None:
+        for part in parts:
+            self._transport.write(part)
+
     def _body_bytes(self, body: bytes) -> bytes:
         data = self._parser.send(h11.Data(data=body)) if body else b""
         return data + self._parser.send(h11.EndOfMessage())
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -53,7 +53,10 @@
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.routing.worker_speed import SpeedEstimates
+from wheelslip.tunnels.connector import WorkerConnector
 from wheelslip.tunnels.direct_paths import DirectPaths
+from wheelslip.tunnels.peers import TunnelPeers
+from wheelslip.tunnels.server import TunnelServer
 
 LAME_DUCK_SECONDS = 2.6
 """Time between failing readiness and closing idle connections: two readiness probes a second apart
@@ -64,6 +67,9 @@
 
 STOP_POLL_SECONDS = 0.05
 
+MAX_REFERRALS = 6
+"""Maximum number of other nodes that a reply about a tunnel names."""
+
 
 class ForwardingNode:
     """A node with all its roles, in one process.
@@ -87,14 +93,17 @@
     ):
         self._settings_file = SettingsFile(settings_path)
         self._clock = clock
-        random_source = random.Random()
+        self._random = random_source = random.Random()
         store = make_store(lambda: self.settings.store.address)
         self._registry = Registry(documents, self.bounds, clock)
         control.on_response = self._registry.notices.record_response
         section = self.settings.node
         self._table = table = LoadTable()
         self._paths = DirectPaths(clock)
-        self._pool = WorkerPool(clock, self._paths)
+        self._tunnel_peers = TunnelPeers(self._peer_addresses, section.peers, clock, random_source)
+        peers = self._tunnel_peers if section.peers else None
+        self._connector = WorkerConnector(self._paths, peers, clock)
+        self._pool = WorkerPool(clock, self._paths, self._connector)
         own_speeds = SpeedEstimates(clock)
         self._speeds = SpeedEstimates(clock, own_speeds, log_speed_change)
         self._placement = WorkerPlacement(
@@ -118,7 +127,14 @@
         own_loads = self._placement.own_loads
         self._registry.view.on_removed = self._forget_worker
         self._rollout_view = RolloutView(self._registry, clock)
-        self._crash_guard = CrashGuard(section.name, store, self._registry, clock, random_source)
+        self._crash_guard = CrashGuard(
+            section.name,
+            store,
+            self._registry,
+            clock,
+            random_source,
+            self._connector.reached_by_peer if section.peers else None,
+        )
         self._registry.on_system_entry = self._system_entry_changed
         self._relay = self._make_relay(store, random_source) if section.peers else None
         self._feed = FeedServer(self._registry, table, own_loads, clock)
@@ -158,6 +174,10 @@
         self._memory = NodeMemory(
             lambda: account_bytes(self.settings.limits.memory_megabytes), clock
         )
+        self._tunnel_server = TunnelServer(
+            self._registry, self._paths, self._memory, self._referrals, clock
+        )
+        self._feed.accept_tunnel = self._tunnel_server.accept
         self._metrics = self._make_metrics()
         incarnation = f"{random_source.getrandbits(48):012x}"
         queue_server = QueueServer(
@@ -240,6 +260,7 @@
             clock,
             random_source,
             self._is_relay,
+            lambda: self._paths.isolated,
         )
         self._rollout = WeightsRollout(
             store,
@@ -252,6 +273,7 @@
             self._queue_link.has_waited,
             clock,
         )
+        self._rollout.on_unreachable = self._connector.check_path
         self._callers = CallerServer(
             self._forwarder,
             self._registry,
@@ -306,6 +328,14 @@
         """Close the datagram socket, as in a network partition."""
         self._datagrams.close()
 
+    def close_tunnels(self) -> None:
+        """Close the tunnels that this node serves, as its end would."""
+        self._tunnel_server.close()
+
+    def refuse_tunnels(self) -> None:
+        """Close connections that ask for tunnels, as builds without tunnels do."""
+        self._feed.accept_tunnel = None
+
     def relay_addresses(self) -> list[str]:
         """Return the addresses of the relays in the view, the longest-serving first."""
         return self._relay.addresses_by_tenure()
@@ -367,6 +397,11 @@
         }
         return sorted(others - {section.peers})
 
+    def _referrals(self) -> list[str]:
+        """Return some other nodes that may serve tunnels."""
+        addresses = self._peer_addresses()
+        return self._random.sample(addresses, min(MAX_REFERRALS, len(addresses)))
+
     def _make_metrics(self) -> ForwardingMetrics:
         metrics = ForwardingMetrics()
         metrics.gauges = {
@@ -404,7 +439,12 @@
             "engines_resting": lambda: float(self._registry.notices.backing_off_count),
             "engines_limited": lambda: float(self._registry.notices.limits.count()),
             "learned_prefill_rate": self._learned_rate,
-            "worker_connections_opened": lambda: float(self._pool.opened),
+            "worker_connections_opened": lambda: float(self._connector.opened),
+            "isolated_from_workers": lambda: float(self._paths.isolated),
+            "tunnels_open": lambda: float(self._tunnel_peers.open_tunnels),
+            "tunneled_requests_served": lambda: float(self._tunnel_server.served),
+            "tunneled_requests_refused": lambda: float(self._tunnel_server.refused),
+            "tunnels_served": lambda: float(len(self._tunnel_server.tunnels)),
             "engine_paths_lost": lambda: float(self._paths.lost_count),
         }
         return metrics
@@ -469,16 +509,18 @@
         stop_deadline = began_at + self.bounds().stop_grace_seconds - STOP_MARGIN_SECONDS
         log_event(LogEvent.NODE_STOP_REQUESTED, running=self._callers.busy)
         self._callers.stopping = True
+        self._tunnel_server.stopping = True
         releasing = asyncio.get_running_loop().create_task(self._release_leases())
         closes_at = min(began_at + LAME_DUCK_SECONDS, stop_deadline)
-        while self._clock() < closes_at or self._callers.busy:
+        while self._clock() < closes_at or self._running_requests():
             if self._clock() >= stop_deadline:
-                log_event(LogEvent.NODE_STOP_CUT, cut=self._callers.busy)
+                log_event(LogEvent.NODE_STOP_CUT, cut=self._running_requests())
                 break
             if self._clock() >= closes_at:
                 # New requests might exceed the grace time: refuse them as not executed.
                 self._callers.refuses_new = True
                 self._callers.close_idle()
+                self._tunnel_server.close_idle()
             await asyncio.sleep(STOP_POLL_SECONDS)
         # Requests that still arrive on open connections would be cut off.
         self._callers.refuses_new = True
@@ -489,9 +531,15 @@
         self._metrics_server.close()
         self._datagrams.close()
         self._feed.close()
+        self._tunnel_server.close()
+        self._connector.close()
         await asyncio.sleep(STOP_POLL_SECONDS)
         log_event(LogEvent.NODE_STOPPED)
 
+    def _running_requests(self) -> int:
+        """Return the number of in-flight requests of callers and of other nodes' tunnels."""
+        return self._callers.busy + self._tunnel_server.busy
+
     async def _release_leases(self) -> None:
         await self._lease.stop()
         if self._relay is not None:
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -91,6 +91,7 @@
     :param view: the rollout records of all holders as seen by this node.
     :param requests_wait: returns whether requests of this node to a service have had to wait for a
         worker recently. Each node sees a sample of all requests.
+    :ivar on_unreachable: called with each worker that sends no usable report.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self._published: RolloutRecord | None = None
         self._order_allowed_at: dict[str, float] = {}
         self._last_order_at: dict[str, float] = {}
+        self.on_unreachable: Callable[[WorkerInfo], None] = lambda worker: None
 
     async def run(self) -> None:
         """Reconcile periodically until cancelled; each step uses only the current state."""
@@ -312,6 +314,7 @@
                 await asyncio.sleep(REPORT_INTERVAL_SECONDS)
         except WorkerUnreachable as error:
             self._back_off(info.id)
+            self.on_unreachable(info)
             log_event(LogEvent.ORDER_REFUSED, engine=info.worker_id, reason=str(error))
         finally:
             self._loads.pop(info.id, None)
--- a/src/wheelslip/forwarding/worker_pool.py
+++ b/src/wheelslip/forwarding/worker_pool.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from wheelslip.deployment import Incarnation, ResponseMetadata, WorkerInfo
-from wheelslip.forwarding.http_client import HttpConnection, PeerUnreachable, connect
+from wheelslip.forwarding.http_client import HttpConnection, PeerLost, PeerReset, PeerSilent
+from wheelslip.tunnels.connector import WorkerConnector
 from wheelslip.tunnels.direct_paths import DirectPaths
 
 IDLE_MARGIN_SECONDS = 0.7
@@ -21,38 +22,47 @@
     """Connections that are each acquired by one request at a time.
 
     :param paths: records which workers this node reaches.
-    :ivar opened: number of connections opened since this node started.
+    :param connector: opens new connections.
     """
 
-    def __init__(self, clock: Callable[[], float], paths: DirectPaths):
+    def __init__(self, clock: Callable[[], float], paths: DirectPaths, connector: WorkerConnector):
         self._paths = paths
+        self._connector = connector
         self._clock = clock
         self._idle: dict[Incarnation, list[tuple[float, HttpConnection]]] = {}
-        self.opened = 0
 
-    async def acquire(self, worker: WorkerInfo) -> HttpConnection:
+    async def acquire(self, worker: WorkerInfo, request_id: str = "") -> HttpConnection:
         """Return an idle connection to a worker, or a new one.
 
         :raises PeerUnreachable: if a new connection cannot be established.
         """
         idle = self._idle.get(worker.id, [])
-        now = self._clock()
         while idle:
             usable_until, connection = idle.pop()
-            if connection.open and now < usable_until:
+            if not self._is_usable(worker, connection) or self._clock() >= usable_until:
+                connection.close()
+            elif await self._connector.reopen(connection, worker, request_id):
                 return connection
-            connection.close()
-        self.opened += 1
-        return await self._connect(worker)
-
-    async def _connect(self, worker: WorkerInfo) -> HttpConnection:
-        try:
-            connection = await connect(worker.address)
-        except PeerUnreachable as error:
-            self._paths.record_failed(worker, str(error))
-            raise
-        self._paths.record_connected(worker)
-        return connection
+        return await self._connector.connect(worker, request_id)
+
+    def _is_usable(self, worker: WorkerInfo, connection: HttpConnection) -> bool:
+        """Return whether an idle connection is open and the preferred way to its worker."""
+        if not connection.open:
+            return False
+        if connection.via:
+            return self._paths.lacks(worker.id)
+        return not self._paths.distrusts_open_connections(worker.id)
+
+    def record_lost(self, worker: WorkerInfo, connection: HttpConnection, error: PeerLost) -> bool:
+        """Record that a connection was lost during a request.
+
+        :return: whether the path of this node is the cause, as far as is known, and not the worker.
+        """
+        if connection.via:
+            return error.path_lost
+        if isinstance(error, PeerSilent):
+            self._paths.record_failed(worker, str(error), hangs=True)
+        return isinstance(error, (PeerSilent, PeerReset)) and self._paths.lacks(worker.id)
 
     def idle_workers(self) -> frozenset[Incarnation]:
         """Return the workers to which there is a usable idle connection."""
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -48,7 +48,9 @@
     ``FAILED`` means that the worker failed the request, ``SILENT`` that it did not acknowledge
     it, ``NOT_RUN`` that it rejected it because of a fault and proved not to have run it.
     ``UNUSED`` means that the request was not sent, or was rejected without a fault.
-    ``UNREACHED`` means that the worker could not be connected to.
+    ``UNREACHED`` means that the worker could not be connected to. ``PATH_LOST`` means that the
+    response was lost because the node has no path to the worker; builds that do not know it end the
+    grant when the node no longer lists the request.
     """
 
     FIRST_TOKEN = "first"
@@ -58,6 +60,7 @@
     NOT_RUN = "not_run"
     UNUSED = "unused"
     UNREACHED = "unreached"
+    PATH_LOST = "path_lost"
 
 
 @dataclass
@@ -300,25 +303,27 @@
                     self.placement.record_contact(worker_id, query_id.node)
                     self._record_served(grant)
                 self._end(query_id, completed=True)
-            case Progress.FAILED:
-                self.placement.record_outcome(worker_id, failed=True)
+            case Progress.FAILED | Progress.SILENT | Progress.NOT_RUN:
+                self._record_worker_failure(query_id, grant, progress)
+            case Progress.PATH_LOST:
                 self._end(query_id)
-                self.placement.record_rejected(grant.placement.worker)
-            case Progress.SILENT:
-                self.placement.record_outcome(worker_id, failed=True)
-                self._record_unreachable(grant, query_id.node, progress)
-                self._end(query_id)
-                self.placement.record_rejected(grant.placement.worker)
-            case Progress.NOT_RUN:
-                self.placement.record_outcome(worker_id, failed=True)
-                self._end_not_run(query_id)
-                self.placement.record_rejected(grant.placement.worker)
             case Progress.UNUSED:
                 self._end_unused(query_id)
             case Progress.UNREACHED:
                 self._record_unreachable(grant, query_id.node, progress)
                 self._end_unused(query_id)
 
+    def _record_worker_failure(self, query_id: QueryId, grant: _Grant, progress: Progress) -> None:
+        worker = grant.placement.worker
+        self.placement.record_outcome(worker.info.id, failed=True)
+        if progress is Progress.NOT_RUN:
+            self._end_not_run(query_id)
+        else:
+            if progress is Progress.SILENT:
+                self._record_unreachable(grant, query_id.node, progress)
+            self._end(query_id)
+        self.placement.record_rejected(worker)
+
     def _record_unreachable(self, grant: _Grant, node: str, progress: Progress) -> None:
         info = grant.placement.worker.info
         if self.placement.record_unreachable(info.id, node):
--- a/standins/partitions.py
+++ b/standins/partitions.py
@@ -22,12 +22,13 @@
 class Cut(enum.Enum):
     """How connections between a node and a worker behave.
 
-    ``HANG``: neither open nor new connections carry data. ``RESET``: all are reset. ``REFUSE_NEW``:
-    open ones continue, new ones are refused.
+    ``HANG``: neither open nor new connections carry data. ``RESET``: all are reset. ``REFUSE``: open
+    ones are reset, new ones are refused. ``REFUSE_NEW``: open ones continue, new ones are refused.
     """
 
     HANG = "hang"
     RESET = "reset"
+    REFUSE = "refuse"
     REFUSE_NEW = "refuse_new"
 
 
@@ -186,7 +187,7 @@
             if link.address in workers:
                 if how is Cut.HANG:
                     link.hang()
-                elif how is Cut.RESET:
+                elif how in (Cut.RESET, Cut.REFUSE):
                     link.reset()
 
     def heal(self, node: str) -> None:
@@ -204,7 +205,7 @@
                 await self._wait_until_healed(node, address)
             case Cut.RESET:
                 raise ConnectionResetError(104, "Connection reset by peer")
-            case Cut.REFUSE_NEW:
+            case Cut.REFUSE | Cut.REFUSE_NEW:
                 raise ConnectionRefusedError(111, "Connection refused")
         protocol = factory()
         link = _Link(protocol, address)
--- a/tests/probe/forwarding/test_dispatch.py
+++ b/tests/probe/forwarding/test_dispatch.py
@@ -105,7 +105,7 @@
 async def test_caller_disconnect_during_connect_releases_grant(site, monkeypatch):
     await start_fleet(site, workers=1)
 
-    async def never_connect(self, worker):
+    async def never_connect(self, worker, request_id):
         await asyncio.Event().wait()
 
     monkeypatch.setattr(WorkerPool, "acquire", never_connect)
--- a/tests/unit/forwarding/test_worker_room.py
+++ b/tests/unit/forwarding/test_worker_room.py
@@ -13,6 +13,7 @@
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
+from wheelslip.tunnels.connector import WorkerConnector
 from wheelslip.tunnels.direct_paths import DirectPaths
 
 CAPACITY = 3
@@ -187,13 +188,14 @@
     """A rejected caller returns as a new request and would be charged twice."""
     add_workers(registry, "a")
     records, limits = placement_of(registry, clock), _Limits()
+    paths = DirectPaths(clock)
     for _ in range(CAPACITY):
         send(records, PLAIN)
     assigner = WorkerAssigner(
         "z",
         registry,
         records,
-        WorkerPool(clock, DirectPaths(clock)),
+        WorkerPool(clock, paths, WorkerConnector(paths, None, clock)),
         None,
         limits,
         None,
