--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
+import h11
 import msgspec
 
 from wheelslip.deployment import Headers
+from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.http_client import (
     HttpConnection,
     PeerLost,
@@ -74,6 +76,10 @@
     lease: int
 
 
+ERA_HEADER = "Store-Era"
+"""Rises each time the store returns from an older copy."""
+
+
 class PlatformStore:
     """Asynchronous client of one store.
 
@@ -82,6 +88,7 @@
 
     def __init__(self, address: Callable[[], str]):
         self._address = address
+        self._era = 0
         self._idle: list[tuple[str, HttpConnection]] = []
 
     async def range(self, prefix: str) -> RangeResult:
@@ -187,8 +194,15 @@
                 self._idle.append((address, connection))
             else:
                 connection.close()
+        self._record_era(response)
         return response.status_code, response_body
 
+    def _record_era(self, response: h11.Response) -> None:
+        era = _era_of(response)
+        if era is not None and era != self._era:
+            log_event(LogEvent.KEY_VALUE_ERA, era=era, previous=self._era)
+            self._era = era
+
     async def _connection(self, address: str) -> HttpConnection:
         while self._idle:
             idle_address, connection = self._idle.pop()
@@ -201,6 +215,13 @@
             raise KeyValueUnavailable(str(error)) from error
 
 
+def _era_of(response: h11.Response) -> int | None:
+    for name, value in response.headers:
+        if name == ERA_HEADER.lower().encode() and value.isdigit():
+            return int(value)
+    return None
+
+
 def _headers(address: str, body: bytes) -> Headers:
     headers = [(b"Host", address.encode())]
     if body:
