--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -20,7 +20,7 @@
 import h11
 
 from standins.partitions import CURRENT_NODE, Partitions
-from standins.platform_store import PlatformStoreModel, PlatformStoreServer
+from standins.platform_store import PlatformStoreModel, PlatformStoreServer, StoreCopy
 from standins.platform_worker import PlatformWorker, Run
 from wheelslip.forwarding.node import ForwardingNode
 from wheelslip.platform.headers import PlatformHeaders
@@ -228,6 +228,14 @@
         text = json.dumps(document or configuration())
         self.model.put("op/config", text.encode())
 
+    async def return_from_copy(self, copy: StoreCopy, away_seconds: float = 0.3) -> None:
+        """Take the store away for a while and let it return from a copy."""
+        self.store.error_status = 503
+        self.store.server.reset_all()
+        await asyncio.sleep(away_seconds)
+        self.model.restore(copy)
+        self.store.error_status = 0
+
     async def configure_and_wait(self, version: int, name: str = "n1") -> None:
         """Write a configuration with a new version and wait until a node has it in force.
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -11,6 +11,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from standins.asyncio_http import ServerConnection, StandInRequest, StandInServer
 
@@ -50,6 +51,14 @@
     expires_at: float
 
 
+class StoreCopy(NamedTuple):
+    """Copy of a store's state, to return from."""
+
+    items: dict[str, StoredItem]
+    revision: int
+    leases: dict[int, float]
+
+
 class HistoryCompacted(Exception):
     """Raised when changes are requested that have been removed by compaction."""
 
@@ -61,11 +70,13 @@
     :ivar clock: returns monotonic seconds.
     :ivar items: by key.
     :ivar revision: of the latest change.
+    :ivar era: rises each time the store returns from a copy.
     """
 
     clock: Callable[[], float]
     items: dict[str, StoredItem] = field(default_factory=dict)
     revision: int = 0
+    era: int = 1
 
     def __post_init__(self):
         self._history: list[dict] = []
@@ -73,6 +84,20 @@
         self._leases: dict[int, _Lease] = {}
         self._lease_ids = itertools.count(1)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of items, revision and leases."""
+        leases = {lease: state.ttl_seconds for lease, state in self._leases.items()}
+        return StoreCopy(dict(self.items), self.revision, leases)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return from a copy: what was written since is gone, and its revisions are free again."""
+        self.era += 1
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self._history = [row for row in self._history if row["revision"] <= copy.revision]
+        now = self.clock()
+        self._leases = {lease: _Lease(ttl, now + ttl) for lease, ttl in copy.leases.items()}
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write one key without the checks of a transaction, as operators and workers do.
 
@@ -98,7 +123,7 @@
         :raises HistoryCompacted: if the history since this revision is incomplete.
         """
         self.expire_leases()
-        if after < self._compacted_revision:
+        if after < self._compacted_revision or after > self.revision:
             raise HistoryCompacted
         return [
             change
@@ -244,5 +269,5 @@
             await asyncio.sleep(0.005)
 
     def _send(self, connection: ServerConnection, status: int, document: dict) -> None:
-        headers = [("Content-Type", "application/json")]
+        headers = [("Content-Type", "application/json"), ("Store-Era", str(self.model.era))]
         connection.send_response(status, headers, json.dumps(document).encode())
