Revisions contain the store's era, so a store that returns from an older copy is followed

Cause: views, watches, feeds and fencing tokens compare the store's revisions, which go back when it returns from a copy and are given out again. What has a revision that a view knows already was ignored. Class: an order that holds in one life of a peer is used across lives. Change: keyvalue/eras.py puts the era above the revision, in all revisions of a node.

--- a/src/wheelslip/forwarding/crash_reports.py
+++ b/src/wheelslip/forwarding/crash_reports.py
@@ -121,6 +121,9 @@
         if not key.startswith(CRASHES_PREFIX):
             return
         report = self._registry.system_record(key, CrashReport)
+        if key == self._key and self._lacks_crashes(report):
+            # The store has returned from a copy without the last report.
+            self._mark_changed()
         if report is None:
             return
         if key == self._key:
@@ -130,6 +133,10 @@
             self._trim()
         self._apply_report(report)
 
+    def _lacks_crashes(self, report: CrashReport | None) -> bool:
+        stored = [] if report is None else report.crashes
+        return bool(self._crashes.keys() - {crash[:2] for crash in stored})
+
     def _apply_report(self, report: CrashReport) -> None:
         for crash in report.crashes:
             self._record_crash(crash)
--- a/src/wheelslip/forwarding/interface.py
+++ b/src/wheelslip/forwarding/interface.py
@@ -54,7 +54,13 @@
 
 
 class KeyValueStore(Protocol):
-    """Asynchronous client of a key-value store."""
+    """Asynchronous client of a key-value store.
+
+    :ivar era: rises each time the store returns from an older copy, which it then continues with
+        revisions that it has given out before; ``None`` before the first response.
+    """
+
+    era: int | None
 
     async def range(self, prefix: str) -> RangeResult:
         """Return all keys under a prefix.
--- a/src/wheelslip/forwarding/leased_key.py
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -12,7 +12,7 @@
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.registry import Registry
-from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
+from wheelslip.keyvalue.model import KeyValueError, Put, Transaction, era_of
 
 RENEWALS_PER_LEASE = 3
 """A renewal that is not answered within one interval is sent again in parallel, so that a single
@@ -59,9 +59,13 @@
     def token(self) -> int | None:
         """Return the fencing token, ``None`` unless the key is certainly held."""
         if self._token and self._clock() < self._valid_until:
-            return self._token
+            return None if self._is_of_earlier_era() else self._token
         return None
 
+    def _is_of_earlier_era(self) -> bool:
+        """Return whether the store has returned from a copy that may lack the key."""
+        return self._registry.era > era_of(self._token)
+
     async def run(self) -> None:
         """Acquire the key whenever it is free and renew its lease, until stopped."""
         while not self._stopped:
@@ -75,7 +79,7 @@
 
     async def _step(self) -> None:
         if self._token:
-            await self._renew()
+            await (self._confirm() if self._is_of_earlier_era() else self._renew())
             return
         if not self._may_acquire():
             await asyncio.sleep(POLL_SECONDS)
@@ -109,6 +113,21 @@
     def _on_acquired(self) -> None:
         """Hook for subclasses, called when a new token has been set."""
 
+    async def _confirm(self) -> None:
+        """Keep the key with a new token if the copy of the store has it and its lease."""
+        entry = self._registry.system_entry(self._key)
+        if entry is None or entry[0] != self._value:
+            await self.release("store restored")
+            return
+        seconds = self._lease_seconds()
+        sent_at, exists = await self._send_renewal(seconds / RENEWALS_PER_LEASE)
+        if not exists:
+            self.mark_lost("store restored")
+            return
+        self._token = entry[1]
+        self._set_validity(sent_at, seconds)
+        log_event(LogEvent.LEASE_GAINED, duty=self._key, fencing_token=self._token)
+
     async def _renew(self) -> None:
         seconds = self._lease_seconds()
         await asyncio.sleep(max(0.0, self._renew_at - self._clock()))
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -41,6 +41,7 @@
 from wheelslip.forwarding.settings_file import SettingsFile
 from wheelslip.forwarding.speed_notices import log_speed_change
 from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.keyvalue.eras import OrderedStore
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_server import DispatchServer
@@ -94,7 +95,7 @@
         self._settings_file = SettingsFile(settings_path)
         self._clock = clock
         self._random = random_source = random.Random()
-        store = make_store(lambda: self.settings.store.address)
+        store = OrderedStore(make_store(lambda: self.settings.store.address))
         self._registry = Registry(documents, self.bounds, clock)
         control.on_response = self._registry.notices.record_response
         section = self.settings.node
--- a/src/wheelslip/forwarding/registry.py
+++ b/src/wheelslip/forwarding/registry.py
@@ -26,6 +26,7 @@
 from wheelslip.forwarding.settings import BoundsSection
 from wheelslip.forwarding.store_health import StoreHealth
 from wheelslip.forwarding.worker_view import WorkerView
+from wheelslip.keyvalue.model import era_of
 from wheelslip.routing.named_limits import WorkerRateLimits
 
 RecordT = TypeVar("RecordT", bound=msgspec.Struct)
@@ -88,6 +89,7 @@
         self._system_entries: dict[str, tuple[bytes, int]] = {}
         self._named: dict[str, list[_NamedVersion]] = {}
         self.health = StoreHealth()
+        self.restored_at: float | None = None
         self._changed = asyncio.Event()
         self._log_budget = LogBudget(REFUSAL_LOGS_PER_SECOND, clock)
         self._refused: dict[str, UnusableEntry] = {}
@@ -150,18 +152,50 @@
 
         :return: a time on the node's clock; ``None`` when the worker is to be removed at once.
         """
-        suspected_outage_at = self.health.suspected_outage_at
-        if suspected_outage_at is None:
+        outage_at = self._outage_at()
+        if outage_at is None:
             return None
         bounds = self._bounds()
         ends = (
-            suspected_outage_at + bounds.contact_ms / 1000 - DOUBTFUL_MARGIN_SECONDS,
-            self._clock() + self.drain_seconds() - DOUBTFUL_MARGIN_SECONDS,
+            outage_at + bounds.contact_ms / 1000 - DOUBTFUL_MARGIN_SECONDS,
+            self._earliest_removal() + self.drain_seconds() - DOUBTFUL_MARGIN_SECONDS,
         )
         return min(ends) if self._clock() < min(ends) else None
 
+    def _outage_at(self) -> float | None:
+        """Return when the store was last away, as far as this node knows."""
+        outages = (self.health.suspected_outage_at, self.restored_at)
+        return max((at for at in outages if at is not None), default=None)
+
+    def _earliest_removal(self) -> float:
+        """Return the earliest time at which an entry that is now missing can have been removed.
+
+        After the return of the store from a copy, removals become known late and all at once.
+        """
+        now, restored_at = self._clock(), self.restored_at
+        if restored_at is None or now - restored_at > self.drain_seconds():
+            return now
+        confirmed_at = self.health.confirmed_at
+        return now if confirmed_at is None else max(confirmed_at, self.health.failed_sent_at)
+
     # Changes of the store
 
+    @property
+    def era(self) -> int:
+        """Era of the store of which this view is."""
+        return era_of(self.entry_log.revision)
+
+    def begin_update(self, revision: int) -> None:
+        """Prepare for changes up to a revision, which may be the first of a new era.
+
+        The store has returned from an older copy then: leases and late entries may be missing, and
+        entries of workers that departed since may be there again.
+        """
+        if self.entry_log.revision and era_of(revision) > self.era:
+            self.restored_at = self._clock()
+            self.view.record_restored()
+            log_event(LogEvent.REGISTRY_RESTORED, era=era_of(revision), revision=revision)
+
     async def changed(self) -> None:
         """Wait until the view changes."""
         await self._changed.wait()
@@ -261,7 +295,7 @@
             engine=info.worker_id,
             incarnation=info.id,
             zone=info.zone,
-            trouble_age=round(self._clock() - self.health.suspected_outage_at, 3),
+            trouble_age=round(self._clock() - self._outage_at(), 3),
         )
 
     def apply_expirations(self) -> None:
--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -153,6 +153,7 @@
 
     def _apply_listing(self, listing: RangeResult) -> None:
         entries = {entry.key: (entry.value, entry.mod_revision) for entry in listing.entries}
+        self._registry.begin_update(listing.revision)
         self._registry.replace_all(entries, listing.revision)
         self._advance(listing.revision)
 
@@ -278,6 +279,7 @@
 
     def _apply_batch(self, batch: FeedBatch, sent_at: float) -> None:
         self._source_failing = batch.failing_age is not None
+        self._registry.begin_update(batch.revision)
         if batch.is_snapshot:
             entries = {change.key: (change.value, change.revision) for change in batch.changes}
             self._registry.replace_all(entries, batch.revision)
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -229,6 +229,10 @@
         return not self._is_order_allowed(worker.info.worker_id)
 
     def _is_order_allowed(self, worker_id: str) -> bool:
+        restored_at = self._registry.restored_at
+        if restored_at is not None and self._clock() < restored_at + self._handover_seconds():
+            # The copy of the store may lack the record of a previous holder.
+            return False
         return self._clock() >= self._order_allowed_at.get(worker_id, float("-inf"))
 
     def _back_off(self, incarnation: Incarnation) -> None:
--- a/src/wheelslip/forwarding/rollout_record.py
+++ b/src/wheelslip/forwarding/rollout_record.py
@@ -79,7 +79,8 @@
 
     def _update_record(self) -> None:
         record = self._registry.system_record(ROLLOUT_KEY, RolloutRecord)
-        if record is None:
+        if record is None or record.fencing_token < self.record.fencing_token:
+            # A copy of the store may hold the record of an earlier holder.
             return
         self.record = record
         self._record_seen_at = self._clock()
--- a/src/wheelslip/forwarding/store_health.py
+++ b/src/wheelslip/forwarding/store_health.py
@@ -30,12 +30,14 @@
     :ivar suspected_outage_at: when the latest call was sent that failed, or was answered late, in
         a suspected outage.
     :ivar outage_at: when the latest call was sent that failed in an outage.
+    :ivar failed_sent_at: when the latest call was sent that failed.
     """
 
     def __init__(self):
         self.confirmed_at: float | None = None
         self.suspected_outage_at: float | None = None
         self.outage_at: float | None = None
+        self.failed_sent_at = float("-inf")
         self._previous_suspected_outage_at: float | None = None
         self._failed_at: float | None = None
         self._first_failure_sent_at: float | None = None
@@ -64,6 +66,7 @@
 
     def record_failed(self, sent_at: float, now: float) -> None:
         """Record that a call of this node failed."""
+        self.failed_sent_at = sent_at
         self._failed_at = now
         if self._first_failure_sent_at is None:
             self._first_failure_sent_at = sent_at
--- a/src/wheelslip/forwarding/worker_view.py
+++ b/src/wheelslip/forwarding/worker_view.py
@@ -52,6 +52,7 @@
         self._current: dict[str, Incarnation] = {}
         self._deferred: dict[str, _DeferredEntry] = {}
         self._departed: dict[str, int] = {}
+        self._restored_at = float("-inf")
         self.workers: dict[Incarnation, Worker] = {}
         self.on_removed: Callable[[Incarnation], None] = lambda incarnation: None
 
@@ -62,6 +63,10 @@
 
     # Entries of the store
 
+    def record_restored(self) -> None:
+        """Record that the store has returned from an older copy."""
+        self._restored_at = self._clock()
+
     def apply(self, info: WorkerInfo) -> None:
         """Apply a worker's entry, or defer it if it may be stale."""
         deferred = self._deferred.pop(info.worker_id, None)
@@ -100,8 +105,11 @@
         :param deferred: the worker's previous deferred entry; one of the same incarnation keeps
             its time.
         """
-        wait = DEFERRAL_HEARTBEATS * self._bounds().heartbeat_ms / 1000
-        apply_at = self._clock() + wait
+        heartbeat = self._bounds().heartbeat_ms / 1000
+        apply_at = self._clock() + DEFERRAL_HEARTBEATS * heartbeat
+        if self._clock() - self._restored_at < DEFERRAL_HEARTBEATS * heartbeat:
+            # The entry lapses as long after the return of the store.
+            apply_at += heartbeat
         if deferred is not None and deferred.info.id == info.id:
             apply_at = deferred.apply_at
         self._deferred[info.worker_id] = _DeferredEntry(info, apply_at)
--- a/src/wheelslip/keyvalue/model.py
+++ b/src/wheelslip/keyvalue/model.py
@@ -6,6 +6,24 @@
 
 from dataclasses import dataclass, field
 
+ERA_BITS = 40
+"""Position of the era of a store in a revision: the store's own revisions stay below 2 ** 40."""
+
+
+def ordered_revision(era: int, revision: int) -> int:
+    """Return a revision that is higher than all revisions of earlier eras."""
+    return (era << ERA_BITS) | revision
+
+
+def era_of(revision: int) -> int:
+    """Return the era of an ordered revision."""
+    return revision >> ERA_BITS
+
+
+def store_revision(revision: int) -> int:
+    """Return the store's own revision of an ordered one."""
+    return revision & ((1 << ERA_BITS) - 1)
+
 
 class KeyValueError(Exception):
     """Base class of failed calls to the key-value service."""
--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -5,11 +5,9 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-import h11
 import msgspec
 
 from wheelslip.deployment import Headers
-from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.http_client import (
     HttpConnection,
     PeerLost,
@@ -76,19 +74,19 @@
     lease: int
 
 
-ERA_HEADER = "Store-Era"
-"""Rises each time the store returns from an older copy."""
+ERA_HEADER = b"store-era"
 
 
 class PlatformStore:
     """Asynchronous client of one store.
 
     :param address: returns the current ``IP:PORT`` of the store.
+    :ivar era: as named by the latest response; ``None`` before the first one.
     """
 
     def __init__(self, address: Callable[[], str]):
         self._address = address
-        self._era = 0
+        self.era: int | None = None
         self._idle: list[tuple[str, HttpConnection]] = []
 
     async def range(self, prefix: str) -> RangeResult:
@@ -194,15 +192,9 @@
                 self._idle.append((address, connection))
             else:
                 connection.close()
-        self._record_era(response)
+        self.era = int(dict(response.headers).get(ERA_HEADER, 0))
         return response.status_code, response_body
 
-    def _record_era(self, response: h11.Response) -> None:
-        era = _era_of(response)
-        if era is not None and era != self._era:
-            log_event(LogEvent.KEY_VALUE_ERA, era=era, previous=self._era)
-            self._era = era
-
     async def _connection(self, address: str) -> HttpConnection:
         while self._idle:
             idle_address, connection = self._idle.pop()
@@ -215,13 +207,6 @@
             raise KeyValueUnavailable(str(error)) from error
 
 
-def _era_of(response: h11.Response) -> int | None:
-    for name, value in response.headers:
-        if name == ERA_HEADER.lower().encode() and value.isdigit():
-            return int(value)
-    return None
-
-
 def _headers(address: str, body: bytes) -> Headers:
     headers = [(b"Host", address.encode())]
     if body:
