Brittle workers get no more requests at once than their capacity

What callers would see: workers that say Server-Brittle fall over again and again under more load than they can take. Cause: workers are sent more than they can run, since they queue; when they let fewer wait, they reject many requests in a second, and each node learns it on its own.

--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -362,6 +362,8 @@
     :ivar retry_seconds: backoff that the worker requests; ``None`` if missing or invalid.
     :ivar rate_limit: requests per second that the worker accepts from all nodes together; ``None``
         if missing or invalid.
+    :ivar max_rejections: rejections in a second for want of room above which the worker crashes;
+        ``None`` if it does not name a number.
     :ivar unreadable_limit: beginning of an invalid rate limit, for the log; empty otherwise.
     """
 
@@ -376,3 +378,4 @@
     retry_seconds: float | None = None
     rate_limit: float | None = None
     unreadable_limit: str = ""
+    max_rejections: int | None = None
--- a/src/wheelslip/forwarding/answer_notices.py
+++ b/src/wheelslip/forwarding/answer_notices.py
@@ -5,6 +5,7 @@
 
 from wheelslip.deployment import Incarnation, ResponseMetadata, WorkerInfo, worker_id_of
 from wheelslip.events import LogEvent, log_event
+from wheelslip.routing.brittle_services import BrittleServices
 from wheelslip.routing.named_limits import LimitReport, WorkerRateLimits
 from wheelslip.routing.worker_notices import RecoverySlot, WorkerNotices
 
@@ -20,6 +21,10 @@
 """Maximum number of incarnations recorded for a logged unreadable limit; the oldest are evicted."""
 
 
+BRITTLE_BACKOFF_SECONDS = 1.0
+"""Backoff from a brittle worker that has rejected a request; its rejections in a second count."""
+
+
 class ResponseSource(enum.Enum):
     """The call by which a node received a notice."""
 
@@ -35,6 +40,7 @@
     :param announce: called when the choice of workers may change.
     :ivar limits: rate limits announced by workers.
     :ivar report_limit: called with each limit report for other nodes.
+    :ivar brittle: services whose workers say that rejections make them crash.
     :ivar leaving_notices: number of incarnations that announced to leave since this node started.
     :ivar backoffs_begun: number of backoffs that workers requested since then.
     """
@@ -45,6 +51,7 @@
         self._unreadable_limits: dict[Incarnation, None] = {}
         self.limits = WorkerRateLimits(clock)
         self.report_limit: Callable[[LimitReport], None] = lambda report: None
+        self.brittle = BrittleServices(clock)
         self.leaving_notices = 0
         self.backoffs_begun = 0
 
@@ -65,11 +72,16 @@
             self.leaving_notices += 1
             _log(LogEvent.ENGINE_SAID_LEAVING, info, source=source.value)
             self._announce()
-        if status != SERVICE_UNAVAILABLE or answer.retry_seconds is None:
+        if answer.max_rejections is not None and self.brittle.record(info.service):
+            _log(LogEvent.ENGINE_BRITTLE, info, workload=info.service, rate=answer.max_rejections)
+        retry_seconds = answer.retry_seconds
+        if answer.max_rejections is not None:
+            retry_seconds = max(BRITTLE_BACKOFF_SECONDS, retry_seconds or 0.0)
+        if status != SERVICE_UNAVAILABLE or retry_seconds is None:
             return
-        if self.record_backoff(info.id, answer.retry_seconds):
+        if self.record_backoff(info.id, retry_seconds):
             self.backoffs_begun += 1
-            seconds = round(min(answer.retry_seconds, 1e6), 3)
+            seconds = round(min(retry_seconds, 1e6), 3)
             _log(LogEvent.ENGINE_REST_BEGAN, info, source=source.value, seconds=seconds)
 
     def _record_limit(
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -125,6 +125,7 @@
             self._speeds,
             self._learns_speeds,
         )
+        self._placement.brittle = self._fleet.brittle = self._registry.notices.brittle
         own_loads = self._placement.own_loads
         self._registry.view.on_removed = self._forget_worker
         self._rollout_view = RolloutView(self._registry, clock)
--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -35,6 +35,7 @@
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _RATE_LIMIT = b"server-limit"
+_BRITTLE = b"server-brittle"
 
 _SECONDS_PATTERN = re.compile(r"\d+(\.\d+)?", re.ASCII)
 """Decimal number of seconds in ``Retry-After``. Dates and other formats are ignored."""
@@ -150,6 +151,7 @@
             leaving=values.get(_LEAVING, "").strip() == "1",
             retry_seconds=_decode_seconds(values.get(_RETRY_AFTER, "")),
             rate_limit=rate,
+            max_rejections=_decode_event_id(values.get(_BRITTLE)),
             unreadable_limit=limit[:MAX_LOGGED_CHARACTERS] if limit and rate is None else "",
         )
 
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -11,7 +11,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import replace
 from typing import Protocol
 
@@ -98,6 +98,7 @@
     :param learn_speeds: returns whether speeds are learned and used.
     :param limits_load: returns whether workers that are at their capacity are passed over.
     :ivar room: decides which workers are at their capacity.
+    :ivar brittle: services whose workers get no more requests at once than their capacity.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
     ):
         super().__init__(clock, self._is_registered, speeds, learn_speeds)
         self.room = WorkerRoom()
+        self.brittle: Container[str] = frozenset()
         self._limits_load = limits_load
         self._table = table or LoadTable()
         self._registry = registry
@@ -178,11 +180,19 @@
             self._with_room(query, candidates, engine)
 
     def _usable_workers(self, query: PlacementQuery) -> list[Worker]:
-        return [
+        workers = [
             worker
             for worker in self._registry.workers_of(query.service)
             if worker.info.id not in query.excluded
         ]
+        if query.service not in self.brittle:
+            return workers
+        return [worker for worker in workers if self._has_free_capacity(worker)]
+
+    def _has_free_capacity(self, worker: Worker) -> bool:
+        engine = self._engine(worker.info.service)
+        capacity = worker.info.capacity if engine is None else engine.capacity
+        return self.total_load(worker.info.id).running < capacity
 
     def _with_room(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile | None
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -35,6 +35,8 @@
     :ivar retry_after: value of the ``Retry-After`` header of rejections; empty to omit it.
     :ivar omit_not_executed: omit the header that reports a rejected request as not executed.
     :ivar max_running: reject requests while this many are running; 0 for no limit.
+    :ivar brittle: announce that more rejections in a second than this make the worker crash, and
+        do so; ``None`` for a worker that is not brittle.
     """
 
     shed: int = 0
@@ -52,6 +54,7 @@
     retry_after: str = ""
     omit_not_executed: bool = False
     max_running: int = 0
+    brittle: int | None = None
 
 
 def worker_entry(
@@ -142,6 +145,7 @@
     :ivar arrivals: ID and time (monotonic seconds) of each request, processed or rejected;
         without reports, orders and requests for another worker or weights version.
     :ivar backoff_requests: the rejections that requested a backoff.
+    :ivar breakdowns: number of crashes because of too many rejections.
     :ivar running: number of requests being processed.
     :ivar orders: the orders that passed all checks.
     :ivar order_times: time of each of these orders, in monotonic seconds.
@@ -173,6 +177,8 @@
         self.crashes: list[Run] = []
         self.arrivals: list[tuple[str, float]] = []
         self.backoff_requests: list[BackoffRequest] = []
+        self._rejected_at: list[float] = []
+        self.breakdowns = 0
         self.running = 0
         self.orders: list[dict] = []
         self.order_times: list[float] = []
@@ -212,6 +218,9 @@
         if self.faults.shed or self.busy or self._is_full():
             self.faults.shed = max(0, self.faults.shed - 1)
             self._reject(request, connection)
+            if self._breaks():
+                self.breakdowns += 1
+                await self.terminate()
             return
         self.running += 1
         try:
@@ -222,6 +231,12 @@
     def _is_full(self) -> bool:
         return 0 < self.faults.max_running <= self.running
 
+    def _breaks(self) -> bool:
+        """Return whether a brittle worker has rejected too many requests within a second."""
+        now = time.monotonic()
+        self._rejected_at = [at for at in self._rejected_at if now - at < 1.0] + [now]
+        return self.faults.brittle is not None and len(self._rejected_at) > self.faults.brittle
+
     def _reject(self, request: StandInRequest, connection: ServerConnection) -> None:
         headers = [] if self.faults.omit_not_executed else [("Wheelslip-Not-Executed", "1")]
         if self.faults.retry_after:
@@ -235,6 +250,8 @@
     def _announcement_headers(self) -> list[tuple[str, str]]:
         """Return the headers that announce departure and rate limit in every response."""
         headers = [("Server-Leaving", "1")] if self.announces_leaving else []
+        if self.faults.brittle is not None:
+            headers.append(("Server-Brittle", str(self.faults.brittle)))
         if self.announced_limit:
             headers.append(("Server-Limit", self.announced_limit))
         return headers
