Connections to workers that are silent for more than a second are kept

Cause: TCP_USER_TIMEOUT of 1.5 s also ends keep-alive, at the second probe: a worker whose silence of a second began just before the first probe lost its idle connections and those that waited for a response, and unacknowledged requests after 1.5 s. Sound workers may be silent for a second or so; that is no disruption. Change: 2.2 s, so that keep-alive gives up at 3 s, which is the contact time. The price: a request to a worker that has lost power is given up 0.7 s later.

--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/forwarding/http_client.py
@@ -14,11 +14,14 @@
 CONNECT_TIMEOUT_SECONDS = 0.6
 """Shorter than the first retransmission of a lost SYN packet, which takes 1 s."""
 
-TCP_USER_TIMEOUT_MILLISECONDS = 1500
-"""Time after which the kernel closes a connection whose peer acknowledges no data."""
+TCP_USER_TIMEOUT_MILLISECONDS = 2200
+"""Time after which the kernel closes a connection whose peer acknowledges no data. It also decides
+when keep-alive probes give up, whatever their number: at the first one due after this time. Sound
+workers may be silent for more than a second."""
 
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_PROBES = 2
+"""Applies only where the system has no ``TCP_USER_TIMEOUT``."""
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BUFFERED_BYTES = 256 * 1024
