--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -455,7 +455,7 @@
     _single_edit(
         "crash reports never written",
         FORWARDING,
-        "forwarding/crash_reports.py",
+        "crashes/reports.py",
         "            await asyncio.sleep(COALESCE_SECONDS)\n",
         "            await asyncio.Event().wait()\n",
         "forwarding/test_crashing_requests.py::test_restarted_nodes_still_refuse_crashing_request",
@@ -463,7 +463,7 @@
     _single_edit(
         "lost response recorded as a crash",
         FORWARDING,
-        "forwarding/crash_evidence.py",
+        "crashes/evidence.py",
         "        conn.close()\n        return False",
         "        conn.close()\n        return True",
         "forwarding/test_crashing_requests.py::test_lost_responses_of_live_workers_are_not_crashes",
@@ -471,7 +471,7 @@
     _single_edit(
         "completed run does not clear crashes",
         FORWARDING,
-        "forwarding/crash_reports.py",
+        "crashes/reports.py",
         "        self._ledger.clear(crashes)\n        for crash in crashes:",
         "        for crash in ():",
         "../unit/forwarding/test_crash_reports.py"
@@ -480,7 +480,7 @@
     _single_edit(
         "trial lock granted while held by another request",
         FORWARDING,
-        "forwarding/content_trials.py",
+        "crashes/trials.py",
         "        return TrialLock(key, result.revision) if result.succeeded else None",
         "        return TrialLock(key, result.revision)",
         "../unit/forwarding/test_content_trials.py::test_trial_lock_is_exclusive_until_released",
@@ -585,7 +585,7 @@
     _single_edit(
         "refusal not delayed for reports of other nodes",
         FORWARDING,
-        "routing/crash_ledger.py",
+        "crashes/ledger.py",
         "REPORT_WAIT_SECONDS = 1.0\n",
         "REPORT_WAIT_SECONDS = 0.0\n",
         "../unit/forwarding/test_crash_ledger.py::test_refusal_waits_for_reports_of_other_nodes",
--- a/src/wheelslip/forwarding/control_calls.py
+++ b/src/wheelslip/connections/control_calls.py
@@ -5,14 +5,14 @@
 
 import h11
 
-from wheelslip.deployment import Headers, WorkerInfo
-from wheelslip.forwarding.http_client import (
+from wheelslip.connections.http_client import (
     HttpConnection,
     PeerLost,
     PeerUnreachable,
     connect,
     read_response,
 )
+from wheelslip.deployment import Headers, WorkerInfo
 from wheelslip.forwarding.interface import RequestDialect, WorkerUnreachable
 
 CALL_TIMEOUT_SECONDS = 1.0
--- a/src/wheelslip/forwarding/http_client.py
+++ b/src/wheelslip/connections/http_client.py
@@ -8,8 +8,8 @@
 import h11
 
 from wheelslip.deployment import Headers
-from wheelslip.forwarding.connection_memory import ConnectionMemory
-from wheelslip.forwarding.memory_account import READ_BYTES
+from wheelslip.memory.account import READ_BYTES
+from wheelslip.memory.connection_memory import ConnectionMemory
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 """Shorter than the first retransmission of a lost SYN packet, which takes 1 s."""
--- a/src/wheelslip/forwarding/worker_pool.py
+++ b/src/wheelslip/connections/worker_pool.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from wheelslip.connections.http_client import HttpConnection, PeerLost, PeerReset, PeerSilent
 from wheelslip.deployment import Incarnation, ResponseMetadata, WorkerInfo
-from wheelslip.forwarding.http_client import HttpConnection, PeerLost, PeerReset, PeerSilent
 from wheelslip.tunnels.connector import WorkerConnector
 from wheelslip.tunnels.direct_paths import DirectPaths
 
--- /dev/null
+++ b/src/wheelslip/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Protection of workers against requests that crash them."""
--- a/src/wheelslip/forwarding/crash_evidence.py
+++ b/src/wheelslip/crashes/evidence.py
@@ -22,11 +22,11 @@
 from collections.abc import Awaitable, Callable
 
 from wheelslip.clocks import steady_seconds
+from wheelslip.connections.http_client import PeerRefused, PeerUnreachable, connect
+from wheelslip.crashes.ledger import Crash
 from wheelslip.deployment import Incarnation, WorkerInfo
 from wheelslip.events import LogEvent, log_event
-from wheelslip.forwarding.http_client import PeerRefused, PeerUnreachable, connect
 from wheelslip.forwarding.registry import Registry
-from wheelslip.routing.crash_ledger import Crash
 
 PROBE_DELAYS_SECONDS = (0.03, 0.5)
 """Delay before each probe of a worker's address after a lost response. A process that ends breaks
--- a/src/wheelslip/forwarding/crash_guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -1,7 +1,7 @@
 """Protection of workers against requests that crash them.
 
 A caller may repeat such a request under new ids and at any node, which the retry limits of a single
-request do not prevent. See :mod:`wheelslip.routing.crash_ledger` for when a request fingerprint is
+request do not prevent. See :mod:`wheelslip.crashes.ledger` for when a request fingerprint is
 suspected, refused and accepted again.
 """
 
@@ -9,15 +9,15 @@
 import random
 from collections.abc import Awaitable, Callable
 
+from wheelslip.crashes.evidence import CrashEvidence
+from wheelslip.crashes.ledger import CrashLedger, FingerprintStatus
+from wheelslip.crashes.reports import CrashReports
+from wheelslip.crashes.trials import TrialLock, TrialLocks
 from wheelslip.deployment import Incarnation, WorkerInfo
 from wheelslip.errors import ErrorKind, WheelslipError
-from wheelslip.forwarding.content_trials import TrialLock, TrialLocks
-from wheelslip.forwarding.crash_evidence import CrashEvidence
-from wheelslip.forwarding.crash_reports import CrashReports
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.registry import Registry
-from wheelslip.routing.crash_ledger import CrashLedger, FingerprintStatus
 
 
 class CrashGuard:
--- a/src/wheelslip/forwarding/crash_reports.py
+++ b/src/wheelslip/crashes/reports.py
@@ -11,12 +11,12 @@
 
 import msgspec
 
+from wheelslip.crashes.ledger import MAX_FINGERPRINTS, Crash, CrashLedger, FingerprintStatus
 from wheelslip.deployment import Incarnation
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.registry import Registry
 from wheelslip.keyvalue.model import KeyValueError, Put, Transaction, TransactionResult
-from wheelslip.routing.crash_ledger import MAX_FINGERPRINTS, Crash, CrashLedger, FingerprintStatus
 
 CRASHES_PREFIX = "wheelslip/crashes/"
 
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
+from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.registry import Registry
-from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.peers.dispatch_link import DispatchLink, Grant
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
 from wheelslip.peers.queue_link import QueueTerms
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from wheelslip.connections.http_client import HttpConnection, PeerLost
+from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.deployment import (
     Dispatch,
     ResponseMetadata,
@@ -17,12 +19,10 @@
 from wheelslip.forwarding.assignment import Assignment
 from wheelslip.forwarding.caller_connection import CallerConnection
 from wheelslip.forwarding.event_stream import EventSplitter, StreamEvent
-from wheelslip.forwarding.http_client import HttpConnection, PeerLost
 from wheelslip.forwarding.interface import RequestDialect
 from wheelslip.forwarding.job import BufferedResponse, Job
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
-from wheelslip.forwarding.worker_pool import WorkerPool
 
 START_DEADLINE_MARGIN_SECONDS = 0.2
 """A request without a first token is cancelled this long before the start deadline of its weights
--- a/src/wheelslip/forwarding/caller_connection.py
+++ b/src/wheelslip/forwarding/caller_connection.py
@@ -14,8 +14,8 @@
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.answers import error_response, reason_phrase
-from wheelslip.forwarding.connection_memory import ConnectionMemory
-from wheelslip.forwarding.memory_account import MemoryUse
+from wheelslip.memory.account import MemoryUse
+from wheelslip.memory.connection_memory import ConnectionMemory
 
 DEFAULT_LIMITS = CallerLimits()
 
--- a/src/wheelslip/forwarding/feed.py
+++ b/src/wheelslip/forwarding/feed.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from wheelslip.connections.http_client import set_liveness_options
 from wheelslip.forwarding.entry_log import EntryChange
-from wheelslip.forwarding.http_client import set_liveness_options
 from wheelslip.forwarding.registry import Registry
 from wheelslip.keyvalue.model import WatchCompacted
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -9,6 +9,9 @@
 import contextlib
 from collections.abc import Callable
 
+from wheelslip.connections.http_client import HttpConnection, PeerUnreachable
+from wheelslip.connections.worker_pool import WorkerPool
+from wheelslip.crashes.guard import CrashGuard
 from wheelslip.deployment import SplitPart
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogBudget, LogEvent, log_event
@@ -22,14 +25,11 @@
     write_buffered_response,
 )
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
-from wheelslip.forwarding.crash_guard import CrashGuard
-from wheelslip.forwarding.http_client import HttpConnection, PeerUnreachable
 from wheelslip.forwarding.interface import RequestDialect
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
-from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.routing.overload import Overloaded, RetrySchedule
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import WeightedRoundRobin
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 
 from wheelslip.clocks import steady_seconds
+from wheelslip.connections.worker_pool import WorkerPool
+from wheelslip.crashes.guard import CrashGuard
 from wheelslip.deployment import Incarnation
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
 from wheelslip.forwarding.assignment import WorkerAssigner
-from wheelslip.forwarding.crash_guard import CrashGuard
 from wheelslip.forwarding.feed import FeedServer
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.holder import HolderLease
@@ -22,9 +23,7 @@
 )
 from wheelslip.forwarding.limit_meter import LimitMeter
 from wheelslip.forwarding.long_tasks import BackgroundTasks
-from wheelslip.forwarding.memory_account import MemoryUse, account_bytes
 from wheelslip.forwarding.metrics import ForwardingMetrics
-from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.relay import RelayLease
@@ -40,8 +39,9 @@
 from wheelslip.forwarding.settings import BoundsSection, ForwardingSettings, parse_address
 from wheelslip.forwarding.settings_file import SettingsFile
 from wheelslip.forwarding.speed_notices import log_speed_change
-from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.keyvalue.eras import OrderedStore
+from wheelslip.memory.account import MemoryUse, account_bytes
+from wheelslip.memory.node_memory import NodeMemory
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_server import DispatchServer
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -7,11 +7,11 @@
 from wheelslip.deployment import CallerLimits
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding.caller_connection import CallerConnection, ReceivedRequest
-from wheelslip.forwarding.connection_memory import ConnectionMemory
 from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.forwarding.metrics import ForwardingMetrics
-from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
+from wheelslip.memory.connection_memory import ConnectionMemory
+from wheelslip.memory.node_memory import NodeMemory
 
 BACKLOG = 512
 SWEEP_SECONDS = 1.0
--- a/src/wheelslip/forwarding/connection_memory.py
+++ b/src/wheelslip/memory/connection_memory.py
@@ -1,11 +1,9 @@
 """Bytes held for one connection of a caller, and how its request changes them."""
 
-from typing import TYPE_CHECKING, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
-from wheelslip.forwarding.memory_account import MemoryHolder, MemoryUse
-
-if TYPE_CHECKING:
-    from wheelslip.forwarding.node_memory import NodeMemory
+from wheelslip.memory.account import MemoryAccount, MemoryHolder, MemoryUse
 
 
 class CallerHandle(Protocol):
@@ -28,6 +26,46 @@
         """Pause or resume reading."""
 
 
+class MemoryOwner(Protocol):
+    """Memory of the node that a connection is part of.
+
+    :ivar account: counts the bytes of all connections.
+    :ivar clock: steady clock in seconds.
+    :ivar requests_rejected: number of requests rejected because their bodies did not fit.
+    """
+
+    account: MemoryAccount
+    clock: Callable[[], float]
+    requests_rejected: int
+
+    def add(self, holder: "ConnectionMemory", use: MemoryUse, count: int) -> bool:
+        """Add bytes; return ``False`` if they do not fit or the connection is closed."""
+
+    def add_or_close(self, holder: "ConnectionMemory", use: MemoryUse, count: int) -> bool:
+        """Add bytes that are already in memory; close the connection if they do not fit."""
+
+    def make_body_room(self, holder: "ConnectionMemory", count: int, body_bytes: int) -> bool:
+        """Make room for bytes of a request body; return ``False`` if that is not possible."""
+
+    def attach(self, holder: "ConnectionMemory", reader: WorkerReader) -> None:
+        """Register a worker connection on which a request is about to be sent."""
+
+    def detach(self, reader: WorkerReader) -> None:
+        """Unregister a worker connection."""
+
+    def pause_if_full(self, holder: "ConnectionMemory", reader: WorkerReader) -> None:
+        """Pause a worker connection if the holder may read no further."""
+
+    def watch(self, holder: "ConnectionMemory") -> None:
+        """Check periodically how much of its data the caller has taken."""
+
+    def resume_soon(self) -> None:
+        """Check paused worker connections soon, as a caller has taken all its data."""
+
+    def forget(self, holder: "ConnectionMemory") -> None:
+        """Remove a closed connection."""
+
+
 class ConnectionMemory(MemoryHolder):
     """Bytes held for one connection of a caller, and their changes.
 
@@ -38,7 +76,7 @@
 
     __slots__ = ("handle", "request_id", "closed", "_node")
 
-    def __init__(self, node: "NodeMemory", handle: CallerHandle):
+    def __init__(self, node: MemoryOwner, handle: CallerHandle):
         super().__init__()
         self.handle = handle
         self.request_id: str | None = None
--- a/src/wheelslip/forwarding/node_memory.py
+++ b/src/wheelslip/memory/node_memory.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable
 
 from wheelslip.events import LogBudget, LogEvent
-from wheelslip.forwarding.connection_memory import CallerHandle, ConnectionMemory, WorkerReader
-from wheelslip.forwarding.memory_account import (
+from wheelslip.memory.account import (
     BODY_USES,
     LIGHT_HOLDER_BYTES,
     READ_BYTES,
@@ -18,6 +17,7 @@
     MemoryUse,
     choose_closures,
 )
+from wheelslip.memory.connection_memory import CallerHandle, ConnectionMemory, WorkerReader
 
 STALLED_SECONDS = 0.25
 """A caller that takes nothing for this time may be closed when others need room. A lost packet is
--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from wheelslip.deployment import Headers
-from wheelslip.forwarding.http_client import (
+from wheelslip.connections.http_client import (
     HttpConnection,
     PeerLost,
     PeerUnreachable,
     connect,
     read_response,
 )
+from wheelslip.deployment import Headers
 from wheelslip.keyvalue.model import (
     Delete,
     KeyValue,
--- a/src/wheelslip/platform/workers.py
+++ b/src/wheelslip/platform/workers.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from wheelslip.connections.control_calls import ControlCalls, ControlResponse
 from wheelslip.deployment import ResponseMetadata, WorkerInfo
 from wheelslip.forwarding.answer_notices import ResponseSource
-from wheelslip.forwarding.control_calls import ControlCalls, ControlResponse
 from wheelslip.forwarding.interface import WeightsOrder, WorkerReport, WorkerUnreachable
 from wheelslip.platform.headers import EXPECT_INSTANCE, PlatformHeaders
 
--- a/src/wheelslip/tunnels/client.py
+++ b/src/wheelslip/tunnels/client.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from wheelslip.connections.http_client import HttpConnection, PeerLost
 from wheelslip.deployment import WorkerInfo
-from wheelslip.forwarding.http_client import HttpConnection, PeerLost
 from wheelslip.tunnels.frames import FrameDecoder, TunnelControl, TunnelData, TunnelEnd, encode_data
 from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
 from wheelslip.tunnels.peers import PeerFailure
--- a/src/wheelslip/tunnels/connector.py
+++ b/src/wheelslip/tunnels/connector.py
@@ -10,15 +10,15 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from wheelslip.deployment import WorkerInfo
-from wheelslip.events import LogBudget, LogEvent
-from wheelslip.forwarding.http_client import (
+from wheelslip.connections.http_client import (
     CONNECT_TIMEOUT_SECONDS,
     HttpConnection,
     PeerRefused,
     PeerUnreachable,
     connect,
 )
+from wheelslip.deployment import WorkerInfo
+from wheelslip.events import LogBudget, LogEvent
 from wheelslip.tunnels.client import TunnelConnection, TunnelRefused, connect_to_peer
 from wheelslip.tunnels.direct_paths import DirectPaths
 from wheelslip.tunnels.messages import TunnelStatus
--- a/src/wheelslip/tunnels/server.py
+++ b/src/wheelslip/tunnels/server.py
@@ -6,12 +6,12 @@
 import asyncio
 from collections.abc import Callable
 
+from wheelslip.connections.http_client import set_liveness_options
 from wheelslip.deployment import WorkerInfo
 from wheelslip.events import LogBudget, LogEvent
-from wheelslip.forwarding.http_client import set_liveness_options
-from wheelslip.forwarding.memory_account import READ_BYTES
-from wheelslip.forwarding.node_memory import NodeMemory
 from wheelslip.forwarding.registry import Registry
+from wheelslip.memory.account import READ_BYTES
+from wheelslip.memory.node_memory import NodeMemory
 from wheelslip.tunnels.direct_paths import DirectPaths
 from wheelslip.tunnels.frames import (
     CLOSED_FRAME,
--- a/tests/probe/forwarding/test_dispatch.py
+++ b/tests/probe/forwarding/test_dispatch.py
@@ -4,7 +4,7 @@
 
 from standins.platform_site import Site, wait_until
 from standins.platform_worker import PlatformWorker
-from wheelslip.forwarding.worker_pool import WorkerPool
+from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.peers.dispatch_server import DispatchServer
 from wheelslip.peers.dispatcher_health import DispatcherHealth
 
--- a/tests/probe/forwarding/test_path.py
+++ b/tests/probe/forwarding/test_path.py
@@ -4,7 +4,7 @@
 
 from standins.platform_site import configuration, wait_until
 from standins.platform_worker import PlatformWorker, WorkerFaults
-from wheelslip.forwarding.memory_account import account_bytes
+from wheelslip.memory.account import account_bytes
 
 LLM = {"Wheelslip_Model_Id": "m", "Wheelslip_Token_Usage": "300,20"}
 PROMPT = LLM | {"Wheelslip_Prefix_Hash": "aa:100,bb:100,cc:100"}
--- a/tests/probe/forwarding/test_slow_readers.py
+++ b/tests/probe/forwarding/test_slow_readers.py
@@ -8,8 +8,8 @@
 from standins.bulk_worker import LARGE_BODY_BYTES, BulkWorker
 from standins.platform_site import HOST, KEY, Caller, configuration, wait_until
 from standins.platform_worker import worker_entry
-from wheelslip.forwarding.memory_account import BODY_SHARE, MemoryUse, account_bytes
-from wheelslip.forwarding.node_memory import STALLED_SECONDS
+from wheelslip.memory.account import BODY_SHARE, MemoryUse, account_bytes
+from wheelslip.memory.node_memory import STALLED_SECONDS
 
 ROUTES = [
     {"host": HOST, "path_prefix": "/stream/", "kind": "streaming", "service": "plain"},
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
+from wheelslip.crashes.ledger import Crash
+from wheelslip.crashes.reports import CrashReport
 from wheelslip.deployment import Incarnation, PromptPart
-from wheelslip.forwarding.crash_reports import CrashReport
 from wheelslip.forwarding.entry_log import EntryChange
 from wheelslip.forwarding.feed import FeedBatch, FeedPoll
 from wheelslip.forwarding.rollout_record import RolloutRecord
@@ -31,7 +32,6 @@
     WorkerQuery,
 )
 from wheelslip.peers.limit_reports import LimitReportBatch
-from wheelslip.routing.crash_ledger import Crash
 from wheelslip.routing.dispatcher import Progress, QueryId
 from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.fleet_memory import CachedPrompt
--- a/tests/unit/forwarding/test_caller_abort.py
+++ b/tests/unit/forwarding/test_caller_abort.py
@@ -8,7 +8,7 @@
 
 from wheelslip.deployment import CallerLimits
 from wheelslip.forwarding.caller_connection import CallerConnection
-from wheelslip.forwarding.node_memory import NodeMemory
+from wheelslip.memory.node_memory import NodeMemory
 
 
 class BreakingOwner(SimpleNamespace):
--- a/tests/unit/forwarding/test_content_trials.py
+++ b/tests/unit/forwarding/test_content_trials.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wheelslip.forwarding.content_trials import (
+from wheelslip.crashes.trials import (
     ACQUIRE_RETRY_SECONDS,
     LOCK_EXPIRY_SECONDS,
     TRIALS_PREFIX,
--- a/tests/unit/forwarding/test_crash_evidence.py
+++ b/tests/unit/forwarding/test_crash_evidence.py
@@ -9,11 +9,11 @@
 
 from standins.fault_proxy import Fault, FaultProxy
 from standins.platform_site import free_port
+from wheelslip.connections.http_client import PeerRefused, PeerUnreachable
+from wheelslip.crashes import evidence as crash_evidence
+from wheelslip.crashes.evidence import CrashEvidence
+from wheelslip.crashes.ledger import Crash
 from wheelslip.deployment import Incarnation
-from wheelslip.forwarding import crash_evidence
-from wheelslip.forwarding.crash_evidence import CrashEvidence
-from wheelslip.forwarding.http_client import PeerRefused, PeerUnreachable
-from wheelslip.routing.crash_ledger import Crash
 
 INCARNATION = Incarnation("e1-1/7")
 NODES = 40
--- a/tests/unit/forwarding/test_crash_ledger.py
+++ b/tests/unit/forwarding/test_crash_ledger.py
@@ -5,9 +5,8 @@
 from hypothesis import strategies as st
 
 from tests.unit.forwarding.conftest import Clock
-from wheelslip.deployment import Incarnation
-from wheelslip.routing import crash_ledger
-from wheelslip.routing.crash_ledger import (
+from wheelslip.crashes import ledger as crash_ledger
+from wheelslip.crashes.ledger import (
     BASE_REFUSAL_SECONDS,
     MAX_REFUSAL_SECONDS,
     REPORT_WAIT_SECONDS,
@@ -16,6 +15,7 @@
     CrashLedger,
     FingerprintStatus,
 )
+from wheelslip.deployment import Incarnation
 
 
 @pytest.fixture
--- a/tests/unit/forwarding/test_crash_reports.py
+++ b/tests/unit/forwarding/test_crash_reports.py
@@ -6,17 +6,17 @@
 import msgspec
 import pytest
 
+from wheelslip.crashes import reports as crash_reports
+from wheelslip.crashes.ledger import Crash, CrashLedger, FingerprintStatus
+from wheelslip.crashes.reports import CRASHES_PREFIX, CrashReport, CrashReports
 from wheelslip.deployment import Incarnation
 from wheelslip.events import LogEvent
-from wheelslip.forwarding import crash_reports
-from wheelslip.forwarding.crash_reports import CRASHES_PREFIX, CrashReport, CrashReports
 from wheelslip.keyvalue.model import (
     KeyValue,
     KeyValueOutcomeUnknown,
     Transaction,
     TransactionResult,
 )
-from wheelslip.routing.crash_ledger import Crash, CrashLedger, FingerprintStatus
 
 KEY = CRASHES_PREFIX + "n1"
 
--- a/tests/unit/forwarding/test_liveness_options.py
+++ b/tests/unit/forwarding/test_liveness_options.py
@@ -3,7 +3,7 @@
 import itertools
 import socket
 
-from wheelslip.forwarding.http_client import (
+from wheelslip.connections.http_client import (
     KEEPALIVE_IDLE_SECONDS,
     TCP_USER_TIMEOUT_MILLISECONDS,
     set_liveness_options,
--- a/tests/unit/forwarding/test_memory_account.py
+++ b/tests/unit/forwarding/test_memory_account.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheelslip.forwarding.memory_account import (
+from wheelslip.memory.account import (
     LARGE_BODY_BYTES,
     LIGHT_HOLDER_BYTES,
     RECEIVE_SECONDS,
--- a/tests/unit/forwarding/test_node_memory.py
+++ b/tests/unit/forwarding/test_node_memory.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from wheelslip.forwarding.memory_account import READ_BYTES, MemoryUse
-from wheelslip.forwarding.node_memory import (
+from wheelslip.memory.account import READ_BYTES, MemoryUse
+from wheelslip.memory.node_memory import (
     DEADLOCK_SECONDS,
     STALLED_SECONDS,
     TICK_SECONDS,
--- a/tests/unit/forwarding/test_recorded_messages.py
+++ b/tests/unit/forwarding/test_recorded_messages.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.unit.forwarding.messages import encoded, samples
-from wheelslip.forwarding.crash_reports import CrashReport
+from wheelslip.crashes.reports import CrashReport
 from wheelslip.forwarding.rollout_record import RolloutRecord
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import PROGRESS, ProgressReport, WorkerGrant
--- a/tests/unit/forwarding/test_request_without_memory.py
+++ b/tests/unit/forwarding/test_request_without_memory.py
@@ -11,8 +11,8 @@
 from wheelslip.forwarding.assignment import Assignment
 from wheelslip.forwarding.attempt import Attempt, AttemptServices
 from wheelslip.forwarding.forwarder import Forwarder
-from wheelslip.forwarding.memory_account import MemoryUse
-from wheelslip.forwarding.node_memory import NodeMemory
+from wheelslip.memory.account import MemoryUse
+from wheelslip.memory.node_memory import NodeMemory
 from wheelslip.routing.dispatcher import Progress
 from wheelslip.routing.placement import Placement
 
--- a/tests/unit/forwarding/test_worker_room.py
+++ b/tests/unit/forwarding/test_worker_room.py
@@ -7,8 +7,8 @@
 import pytest
 
 from standins.platform_worker import worker_entry
+from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.forwarding.assignment import Assignment, WorkerAssigner
-from wheelslip.forwarding.worker_pool import WorkerPool
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import PlacementQuery
