Soak: nodes lose their paths to workers, and the store returns from older copies

Checked besides: calls at nodes without paths are served at least two thirds as often as those at others, from the contact time on. Brittle workers and workers that are silent for a second are not in the soak yet.

--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -27,6 +27,7 @@
 from bench.forwarding_judge import RunChecker
 from bench.forwarding_limits import LimitChecker, LimitFaults
 from bench.forwarding_notices import NoticeChecker, NoticeFaults
+from bench.forwarding_paths import PathChecker, PathFaults
 from bench.forwarding_record import Record
 from bench.forwarding_world import World
 
@@ -66,6 +67,7 @@
     :param older_checkout: path of a checkout of an older build that all nodes run at first.
     :param limits: whether workers announce rate limits in responses.
     :param crests: whether callers send bursts above the capacity of the workers.
+    :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
     :ivar longest_lag: longest delay of this process's event loop, in seconds.
     :ivar longest_lag_at: when it was observed, in seconds since the start of the run.
     """
@@ -81,13 +83,14 @@
         older_checkout: pathlib.Path | None = None,
         limits: bool = False,
         crests: bool = False,
+        paths: bool = False,
     ):
         if crests and older_checkout is not None:
             raise ValueError("older builds refuse the setting for the queue")
         rng = random.Random(seed)
         drawn_count, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
         self.record = Record()
-        self.world = World(folder, self.record, nodes or drawn_count, zones, crests)
+        self.world = World(folder, self.record, nodes or drawn_count, zones, crests, paths)
         self.checker = RunChecker(self.record)
         restart_rng = random.Random(f"{seed} restarts") if restarts else None
         self.faults = FaultInjector(self.world, rng, restart_rng)
@@ -113,6 +116,8 @@
         )
         crest_rng = random.Random(f"{seed} crests")
         self.crests = CrestCallers(self.world, self.callers, crest_rng) if crests else None
+        path_rng = random.Random(f"{seed} paths")
+        self.paths = PathFaults(self.world, path_rng) if paths else None
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -134,6 +139,8 @@
             activities.append(self.limits.run(ends_at))
         if self.crests is not None:
             activities.append(self.crests.run(ends_at))
+        if self.paths is not None:
+            activities.append(self.paths.run(ends_at))
         if self.upgrade is not None:
             activities.append(self.upgrade.run(ends_at))
         await asyncio.gather(*activities)
@@ -151,6 +158,11 @@
             crest_checker.check()
             self.checker.checked += crest_checker.checked
 
+        if self.paths is not None:
+            path_checker = PathChecker(self.record, self.checker, self.paths.cuts)
+            path_checker.check()
+            self.checker.checked += path_checker.checked
+
     async def _measure_lag(self) -> None:
         """Measure the lag of the event loop, which store, workers and callers share."""
         while True:
@@ -236,6 +248,7 @@
     older: str = "",
     limits: bool = False,
     crests: bool = False,
+    paths: bool = False,
 ) -> Soak:
     """Perform one run and check it.
 
@@ -244,7 +257,7 @@
     """
     checkout = check_out(older, folder) if older else None
     try:
-        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout, limits, crests)
+        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout, limits, crests, paths)
         try:
             await soak.run(seconds)
         finally:
@@ -266,6 +279,7 @@
     older: str = "",
     limits: bool = False,
     crests: bool = False,
+    paths: bool = False,
 ) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
@@ -280,13 +294,16 @@
         the run, and some are rolled back in between.
     :param limits: whether workers announce rate limits in responses.
     :param crests: whether callers send bursts above the capacity of the workers.
+    :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
     older = str(older)
     soak = asyncio.run(
-        run_seed(seed, seconds, logs, nodes, restarts, deadly, notices, older, limits, crests)
+        run_seed(
+            seed, seconds, logs, nodes, restarts, deadly, notices, older, limits, crests, paths
+        )
     )
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
@@ -302,6 +319,8 @@
     if soak.crests is not None:
         print("crests:", dict(soak.crests.counts))
         print("served:", soak.crests.summary())
+    if soak.paths is not None:
+        print("paths:", dict(soak.paths.counts))
     print("history:", *soak.history(), sep="\n  ")
     if soak.crashing_caller is not None:
         print("crashes:", dict(soak.crashing_caller.crashes))
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -56,6 +56,9 @@
 LOADABLE_VERSIONS = range(1, 1000)
 """Weights versions that a worker is able to load by default."""
 
+CUTS_VARIABLE = "WHEELSLIP_SOAK_CUTS"
+"""Variable that names the file with the cuts of a node; see :mod:`bench.partitioned_node`."""
+
 FIRST_PORT = 20_000
 """First port to assign, below the range of ephemeral ports."""
 
@@ -122,6 +125,7 @@
     :param nodes: number of nodes.
     :param zones: number of zones over which nodes are distributed.
     :param crests: whether workers have little capacity and nodes queue requests.
+    :param cuts: whether the nodes of this build can be cut off from workers.
     :ivar weights: desired weights version.
     :ivar checkout_of: the checkout from which each node's process is started.
     :ivar crashing_body: new workers crash when they start a request with this in its body; empty
@@ -138,6 +142,7 @@
         nodes: int = 3,
         zones: int = 1,
         crests: bool = False,
+        cuts: bool = False,
     ):
         if not 1 <= nodes <= MAX_NODES:
             raise ValueError(f"{nodes} nodes; 1 to {MAX_NODES} are allowed")
@@ -154,6 +159,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._zones = zones
         self._crests = crests
+        self._cuts = cuts
+        self._cut_nodes: dict[str, str] = {}
         if crests:
             self.site.routing["queue"] = True
         self._capacity = CREST_CAPACITY if crests else DEFAULT_CAPACITY
@@ -266,6 +273,8 @@
         incarnation = f"{name}/{worker.born}" if name in self.record.workers else name
         self._incarnation_names[name] = incarnation
         self.site.workers[name] = self.record.workers[incarnation] = worker
+        for node, how in self._cut_nodes.items():
+            self.cut_paths(node, how)
         self.write_entry(name, "ready")
 
     def incarnation_name(self, name: str) -> str:
@@ -389,7 +398,40 @@
         )
         settings = path.read_text().replace(site.store.server.address, proxy.address)
         path.write_text(settings)
-        self._environment[name] = os.environ | {"WHEELSLIP_NODE_FILE": str(path)}
+        self._environment[name] = os.environ | {
+            "WHEELSLIP_NODE_FILE": str(path),
+            CUTS_VARIABLE: str(self._cuts_path(name)),
+        }
+        self.cut_paths(name, "")
+
+    def _cuts_path(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.cuts.json"
+
+    def cut_paths(self, name: str, how: str) -> None:
+        """Cut a node off from all workers.
+
+        :param how: value of a :class:`standins.partitions.Cut`; empty to end the cut.
+        """
+        self._cut_nodes[name] = how
+        proxies = [*self.worker_proxies.values(), *(previous.proxy for previous in self._previous)]
+        document = {"workers": sorted(proxy.address for proxy in proxies), "how": how}
+        path = self._cuts_path(name)
+        new_path = path.with_suffix(".new")
+        new_path.write_text(json.dumps(document))
+        new_path.replace(path)
+
+    def reject_store_calls(self, status: int) -> None:
+        """Answer all calls to the store with an HTTP status; 0 to serve them."""
+        for frontend in self.store_frontends.values():
+            frontend.error_status = status
+            if status:
+                frontend.server.reset_all()
+
+    def _node_program(self, name: str) -> pathlib.Path:
+        checkout = self.checkout_of[name]
+        if self._cuts and checkout == ROOT:
+            return ROOT / "bench" / "partitioned_node.py"
+        return checkout / "deploy" / "node.py"
 
     async def start_node(self, name: str, planned: bool = False) -> None:
         """Start a node's process."""
@@ -403,7 +445,7 @@
         ):
             self.processes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(self.checkout_of[name] / "deploy" / "node.py"),
+                str(self._node_program(name)),
                 env=self._environment[name],
                 stdout=log,
                 stderr=log,
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -64,3 +64,11 @@
     assert soak.checker.checked["rejected calls"] > 0
     assert soak.checker.checked["calls with a deadline"] > 0
     assert soak.crests.counts["bursts"] > 0
+
+
+def test_lost_paths_to_workers_and_returns_from_copies_break_no_guarantee(tmp_path):
+    """Guards against unserved callers of cut-off nodes and against views of an earlier era."""
+    soak = asyncio.run(run_seed(5, SECONDS, tmp_path, paths=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.checker.checked["calls at nodes without paths"] > 0
+    assert soak.paths.counts["return from copy"] > 0
