Nodes with steady traffic leave tunnels when their paths have returned

Cause: an idle tunnel was taken before a direct connection was tried, so with steady traffic a direct one was never tried again. No request failed by it. Change: when a direct attempt is due, the idle tunnel stays where it is. Evidence: test_worker_pool.py fails without the change; the whole file of tunnel tests passes three times. The stand-in store begins with era 0, as the users' store does; three tests of test_weights.py that compare tokens with its revisions pass again.

--- a/src/wheelslip/connections/worker_pool.py
+++ b/src/wheelslip/connections/worker_pool.py
@@ -39,12 +39,19 @@
         idle = self._idle.get(worker.id, [])
         while idle:
             usable_until, connection = idle.pop()
+            if connection.via and self._is_retry_due(worker):
+                # The tunnel stays idle while a direct connection is tried again.
+                idle.append((usable_until, connection))
+                break
             if not self._is_usable(worker, connection) or self._clock() >= usable_until:
                 connection.close()
             elif await self._connector.reopen(connection, worker, request_id):
                 return connection
         return await self._connector.connect(worker, request_id)
 
+    def _is_retry_due(self, worker: WorkerInfo) -> bool:
+        return self._paths.lacks(worker.id) and self._paths.may_retry(worker.id)
+
     def _is_usable(self, worker: WorkerInfo, connection: HttpConnection) -> bool:
         """Return whether an idle connection is open and the preferred way to its worker."""
         if not connection.open:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -76,7 +76,7 @@
     clock: Callable[[], float]
     items: dict[str, StoredItem] = field(default_factory=dict)
     revision: int = 0
-    era: int = 1
+    era: int = 0
 
     def __post_init__(self):
         self._history: list[dict] = []
