--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -39,6 +39,7 @@
 from wheelslip.routing.named_limits import LimitReport
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.request_queue import QueuedQuery
+from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
 
 INCARNATION = Incarnation("i-1/1764700000000")
 CHAIN = ((2**64 - 1, 800), (17, 410))
@@ -110,6 +111,12 @@
             "rollout record", RolloutRecord(12, [INCARNATION], {INCARNATION: {"m": 3}}, ["i-2"])
         ),
         Sample("crash report", CrashReport([crash], [crash])),
+        Sample("tunnel", TunnelOpen(INCARNATION, "r1")),
+        *(
+            Sample(f"tunnel {status.value}", TunnelReply(status, ["10.0.0.4:7300"]))
+            for status in TunnelStatus
+        ),
+        Sample("tunnel idle", TunnelIdle()),
     ]
 
 
