A tunnel that is reset is not taken for a worker that reset its connection

Cause: the reset of the connection to the node between overwrote the error that names the tunnel, so the lost response counted as a failure of the worker.

--- a/src/wheelslip/tunnels/client.py
+++ b/src/wheelslip/tunnels/client.py
@@ -51,8 +51,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the tunnel has ended."""
         if not self._closed:
-            self._error = TunnelLost(f"tunnel through {self.via} ended: {exc!r}")
-        super().connection_lost(None if self._error is not None else exc)
+            self._end(TunnelLost(f"tunnel through {self.via} ended: {exc!r}"))
+        super().connection_lost(exc)
         self._fail_reply()
         self._on_closed()
 
