One function opens connections: to workers, through tunnels and for other nodes' tunnels

Read anew: http_client.connect, the tunnel's client and its server each had the same loop of parsing an address, connecting with a timeout and translating errors, and connector and server recorded the result in the paths, differently: the connector took a reset attempt to connect for a path that hangs, and dropped open connections that live on; the server did not. Now open_connection and connect_directly serve all, and only an attempt without a reply counts as hanging; test_worker_pool.py has both cases. Tunnels read into the buffer that all connections of a thread share, instead of two of 64 KB for each tunnel, which the memory account did not count beside what is buffered.

--- a/src/wheelslip/connections/http_client.py
+++ b/src/wheelslip/connections/http_client.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 import threading
+from collections.abc import Callable
+from typing import TypeVar
 
 import h11
 
@@ -11,6 +13,8 @@
 from wheelslip.memory.account import READ_BYTES
 from wheelslip.memory.connection_memory import ConnectionMemory
 
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
+
 CONNECT_TIMEOUT_SECONDS = 0.6
 """Shorter than the first retransmission of a lost SYN packet, which takes 1 s."""
 
@@ -39,6 +43,10 @@
     """Raised when a connection is refused because nothing listens at the address."""
 
 
+class PeerUnanswered(PeerUnreachable):
+    """Raised when there is no reply to an attempt to connect."""
+
+
 class PeerLost(Exception):
     """Raised when a connection ends before the response is complete.
 
@@ -83,7 +91,8 @@
 """Receive buffer of each thread. The parser copies the data before the next read."""
 
 
-def _read_buffer() -> memoryview:
+def read_buffer() -> memoryview:
+    """Return the receive buffer of this thread; its content is valid until the next read."""
     try:
         return _read_buffers.view
     except AttributeError:
@@ -127,11 +136,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which limits its size."""
-        return _read_buffer()
+        return read_buffer()
 
     def buffer_updated(self, count: int) -> None:
         """Process data of a response; close the connection if no request is in flight."""
-        self._receive(_read_buffer()[:count])
+        self._receive(read_buffer()[:count])
 
     def _receive(self, data: memoryview) -> None:
         if not self._busy:
@@ -316,23 +325,33 @@
             self._transport.abort()
 
 
-async def connect(address: str, timeout_seconds: float = CONNECT_TIMEOUT_SECONDS) -> HttpConnection:
-    """Open a connection.
+async def open_connection(
+    address: str, factory: Callable[[], ProtocolT], timeout_seconds: float
+) -> ProtocolT:
+    """Open a connection and return its protocol.
 
     :param address: ``IP:PORT``.
     :raises PeerRefused: if the connection is refused.
-    :raises PeerUnreachable: if it cannot be established within the timeout.
+    :raises PeerUnanswered: if there is no reply within the timeout.
+    :raises PeerUnreachable: if it cannot be established.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_seconds):
-            _, connection = await loop.create_connection(HttpConnection, host, int(port))
+            _, protocol = await loop.create_connection(factory, host, int(port))
     except ConnectionRefusedError as error:
         raise PeerRefused(f"{address}: {error!r}") from error
-    except (OSError, TimeoutError) as error:
+    except TimeoutError as error:
+        raise PeerUnanswered(f"{address}: {error!r}") from error
+    except OSError as error:
         raise PeerUnreachable(f"{address}: {error!r}") from error
-    return connection
+    return protocol
+
+
+async def connect(address: str, timeout_seconds: float = CONNECT_TIMEOUT_SECONDS) -> HttpConnection:
+    """Open an HTTP connection; see :func:`open_connection`."""
+    return await open_connection(address, HttpConnection, timeout_seconds)
 
 
 async def read_response(connection: HttpConnection) -> tuple[h11.Response, bytes]:
--- a/src/wheelslip/tunnels/client.py
+++ b/src/wheelslip/tunnels/client.py
@@ -3,7 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
-from wheelslip.connections.http_client import HttpConnection, PeerLost
+from wheelslip.connections.http_client import (
+    HttpConnection,
+    PeerLost,
+    PeerUnreachable,
+    open_connection,
+    read_buffer,
+)
 from wheelslip.deployment import WorkerInfo
 from wheelslip.tunnels.frames import FrameDecoder, TunnelControl, TunnelData, TunnelEnd, encode_data
 from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
@@ -64,9 +70,8 @@
 
     def buffer_updated(self, count: int) -> None:
         """Process frames received through the tunnel."""
-        data = self.get_buffer(count)[:count]
         try:
-            for event in self._decoder.feed(data):
+            for event in self._decoder.feed(read_buffer()[:count]):
                 match event:
                     case TunnelData(data=piece):
                         self._receive(piece)
@@ -137,13 +142,9 @@
 
     :raises TunnelRefused: if that is not possible.
     """
-    host, _, port = via.rpartition(":")
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(PEER_CONNECT_SECONDS):
-            _, connection = await loop.create_connection(
-                lambda: TunnelConnection(via, on_closed), host, int(port)
-            )
-    except (OSError, ValueError, TimeoutError) as error:
-        raise TunnelRefused(PeerFailure.SILENT, None, f"{via}: {error!r}") from error
-    return connection
+        return await open_connection(
+            via, lambda: TunnelConnection(via, on_closed), PEER_CONNECT_SECONDS
+        )
+    except (PeerUnreachable, ValueError) as error:
+        raise TunnelRefused(PeerFailure.SILENT, None, str(error)) from error
--- a/src/wheelslip/tunnels/connector.py
+++ b/src/wheelslip/tunnels/connector.py
@@ -6,20 +6,18 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from wheelslip.connections.http_client import (
     CONNECT_TIMEOUT_SECONDS,
     HttpConnection,
-    PeerRefused,
     PeerUnreachable,
-    connect,
 )
 from wheelslip.deployment import WorkerInfo
 from wheelslip.events import LogBudget, LogEvent
 from wheelslip.tunnels.client import TunnelConnection, TunnelRefused, connect_to_peer
+from wheelslip.tunnels.direct_connection import connect_directly
 from wheelslip.tunnels.direct_paths import DirectPaths
 from wheelslip.tunnels.messages import TunnelStatus
 from wheelslip.tunnels.peers import PeerFailure, TunnelPeers
@@ -192,13 +190,12 @@
     async def _open_directly(self, race: _Race) -> HttpConnection | None:
         worker = race.worker
         try:
-            connection = await connect(worker.address)
+            return await connect_directly(
+                self._paths, worker, HttpConnection, CONNECT_TIMEOUT_SECONDS
+            )
         except PeerUnreachable as error:
             race.errors.append(str(error))
-            self._paths.record_failed(worker, str(error), not isinstance(error, PeerRefused))
             return None
-        self._paths.record_connected(worker)
-        return connection
 
     async def _open_tunnel(self, race: _Race, via: str) -> HttpConnection | None:
         worker, peers = race.worker, self._peers
@@ -265,5 +262,4 @@
     def close(self) -> None:
         """Cancel the attempts that are still running."""
         for task in list(self._background):
-            with contextlib.suppress(RuntimeError):
-                task.cancel()
+            task.cancel()
--- a/src/wheelslip/tunnels/server.py
+++ b/src/wheelslip/tunnels/server.py
@@ -6,12 +6,17 @@
 import asyncio
 from collections.abc import Callable
 
-from wheelslip.connections.http_client import set_liveness_options
+from wheelslip.connections.http_client import (
+    PeerUnreachable,
+    read_buffer,
+    set_liveness_options,
+)
 from wheelslip.deployment import WorkerInfo
 from wheelslip.events import LogBudget, LogEvent
 from wheelslip.forwarding.registry import Registry
 from wheelslip.memory.account import READ_BYTES
 from wheelslip.memory.node_memory import NodeMemory
+from wheelslip.tunnels.direct_connection import connect_directly
 from wheelslip.tunnels.direct_paths import DirectPaths
 from wheelslip.tunnels.frames import (
     CLOSED_FRAME,
@@ -106,7 +111,6 @@
     def __init__(self, server: TunnelServer):
         self._server = server
         self._decoder = FrameDecoder()
-        self._buffer = bytearray(READ_BYTES)
         self._transport: asyncio.Transport | None = None
         self._worker: _WorkerSide | None = None
         self._opening: asyncio.Task | None = None
@@ -122,11 +126,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return memoryview(self._buffer)
+        return read_buffer()
 
     def buffer_updated(self, count: int) -> None:
         """Process received frames."""
-        self._process(memoryview(self._buffer)[:count])
+        self._process(read_buffer()[:count])
 
     def receive(self, data: bytes) -> None:
         """Process frames that were received before this protocol was set."""
@@ -189,18 +193,12 @@
         paths = self._server.paths
         if paths.lacks(worker.id):
             paths.begin_retry(worker.id)
-        host, _, port = worker.address.rpartition(":")
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(WORKER_CONNECT_SECONDS):
-                _, side = await loop.create_connection(
-                    lambda: _WorkerSide(self, worker), host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
-            paths.record_failed(worker, repr(error), isinstance(error, TimeoutError))
+            self._worker = await connect_directly(
+                paths, worker, lambda: _WorkerSide(self, worker), WORKER_CONNECT_SECONDS
+            )
+        except PeerUnreachable:
             return TunnelStatus.UNREACHABLE
-        paths.record_connected(worker)
-        self._worker = side
         return TunnelStatus.OPEN
 
     # Called by the side of the worker
@@ -281,7 +279,6 @@
         self.incarnation = worker.id
         self.open = False
         self._tunnel = tunnel
-        self._buffer = bytearray(READ_BYTES)
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -293,11 +290,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return memoryview(self._buffer)
+        return read_buffer()
 
     def buffer_updated(self, count: int) -> None:
         """Pass data on to the node."""
-        self._tunnel.write_data(memoryview(self._buffer)[:count])
+        self._tunnel.write_data(read_buffer()[:count])
 
     def write(self, data: bytes) -> None:
         """Write data of the node."""
--- a/tests/unit/forwarding/test_worker_pool.py
+++ b/tests/unit/forwarding/test_worker_pool.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from wheelslip.connections.http_client import PeerUnreachable
 from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.deployment import Incarnation, ResponseMetadata, WorkerInfo, WorkerState
+from wheelslip.tunnels.direct_connection import connect_directly
 from wheelslip.tunnels.direct_paths import RETRY_SECONDS, DirectPaths
 
 WORKER = WorkerInfo(Incarnation("w"), "s", "127.0.0.1:1", "z", WorkerState.READY, 8)
@@ -97,3 +99,21 @@
     paths.record_connected(WORKER)
     assert asyncio.run(pool.acquire(WORKER)) is connector.opened[0]
     assert not tunnel.open
+
+
+@pytest.mark.parametrize(
+    ("error", "hangs"), [(ConnectionResetError(), False), (TimeoutError(), True)]
+)
+def test_only_a_path_without_replies_makes_open_connections_suspect(paths, error, hangs):
+    """Where new connections are reset, open ones may continue."""
+
+    async def connect() -> None:
+        async def fail(*arguments):
+            raise error
+
+        asyncio.get_running_loop().create_connection = fail
+        with pytest.raises(PeerUnreachable):
+            await connect_directly(paths, WORKER, asyncio.Protocol, 1.0)
+
+    asyncio.run(connect())
+    assert paths.distrusts_open_connections(WORKER.id) is hangs
