Logs name the software version of workers and the request that a stream resumes

Cause: none of the logs could tell whether a stream went on at another version, or whose stream it was. Change: entries' versions and the header Resumes are decoded; request_finished, attempt_failed and the events of workers name them. Stand-in workers have a software version, which their events carry. No decision depends on them.

--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -206,6 +206,7 @@
 
     :ivar weights: version of the weights by model.
     :ivar born: start time in Unix milliseconds; 0 if not reported.
+    :ivar software_version: of the worker's program; empty if not known.
     """
 
     id: Incarnation
@@ -216,6 +217,7 @@
     capacity: int
     weights: dict[str, int] = field(default_factory=dict)
     born: int = 0
+    software_version: str = ""
 
     @property
     def worker_id(self) -> str:
@@ -279,6 +281,8 @@
     :ivar deadline_seconds: how long the caller waits; ``None`` if not given.
     :ivar api_key: ``None`` if not given.
     :ivar last_event_id: event after which a stream is to continue; ``None`` to start at the first.
+    :ivar resumed_id: id of the request that brought the first event of a stream that this request
+        continues; empty for none.
     """
 
     request_id: str
@@ -289,6 +293,7 @@
     output_tokens: int
     prompt: tuple[PromptPart, ...]
     last_event_id: int | None
+    resumed_id: str = ""
 
 
 Headers = list[tuple[bytes, bytes]]
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -167,6 +167,8 @@
             outcome=outcome.value,
             attempts=job.attempts_sent,
             engine=job.worker_id,
+            software_version=job.software_version,
+            resumes=job.request.metadata.resumed_id or None,
             tunnel=job.via or None,
             weights_version=job.weights_version,
             delivered=job.last_delivered_id,
@@ -308,6 +310,7 @@
             attempt=job.request.metadata.request_id,
             engine=info.worker_id,
             incarnation=info.id,
+            software_version=info.software_version,
             weights_version=placement.weights_version,
             granted=assignment.granted,
             tunnel=job.via or None,
@@ -350,6 +353,7 @@
     ) -> AttemptOutcome:
         worker = assignment.placement.worker.info
         job.worker_id = worker.worker_id
+        job.software_version = worker.software_version
         job.weights_version = assignment.placement.weights_version
         try:
             connection = await self._pool.acquire(worker, job.request.metadata.request_id or "")
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -34,6 +34,7 @@
     :ivar quota_charged: the request was charged to the tenant's quota without a grant.
     :ivar failure_reason: why the last attempt failed, for logs and error messages.
     :ivar worker_id: worker of the last attempt.
+    :ivar software_version: of that worker.
     :ivar via: address of the node through which the last attempt was tunneled; empty for none.
     :ivar last_incarnation: worker incarnation that the request was last sent to.
     :ivar last_sent_at: when it was sent there, in seconds of the steady clock.
@@ -56,6 +57,7 @@
     quota_charged: bool = False
     failure_reason: str = ""
     worker_id: str = ""
+    software_version: str = ""
     via: str = ""
     last_incarnation: Incarnation | None = None
     last_sent_at: float = 0.0
--- a/src/wheelslip/forwarding/worker_view.py
+++ b/src/wheelslip/forwarding/worker_view.py
@@ -264,4 +264,10 @@
 
 
 def _log(event: LogEvent, info: WorkerInfo) -> None:
-    log_event(event, engine=info.worker_id, incarnation=info.id, zone=info.zone)
+    log_event(
+        event,
+        engine=info.worker_id,
+        incarnation=info.id,
+        zone=info.zone,
+        software_version=info.software_version,
+    )
--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from wheelslip.deployment import (
+    CachePlan,
     Dispatch,
     ForwardedRequest,
     Headers,
@@ -22,6 +23,7 @@
 KV_FETCH = b"Wheelslip-Kv-Fetch"
 KV_SAVE = b"Wheelslip-Kv-Save"
 LAST_EVENT_ID = b"Last-Event-Id"
+RESUMES = b"Resumes"
 AUTHORIZATION = b"Authorization"
 AUTHORIZATION_SCHEME = "token "
 
@@ -93,7 +95,6 @@
         values = {name.lower(): value.decode("latin-1") for name, value in headers}
         prompt_tokens, output_tokens = _decode_token_usage(values.get(_TOKENS, ""))
         deadline = values.get(DEADLINE.lower())
-        last_event = values.get(LAST_EVENT_ID.lower())
         authorization = values.get(AUTHORIZATION.lower(), "")
         has_key = authorization.lower().startswith(AUTHORIZATION_SCHEME)
         return RequestMetadata(
@@ -104,7 +105,8 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             prompt=_decode_prompt(values.get(_PREFIX, "")),
-            last_event_id=_decode_event_id(last_event),
+            last_event_id=_decode_event_id(values.get(LAST_EVENT_ID.lower())),
+            resumed_id=values.get(RESUMES.lower(), "").strip(),
         )
 
     def worker_headers(self, request: ForwardedRequest, dispatch: Dispatch) -> Headers:
@@ -119,19 +121,17 @@
         ]
         headers.append((DEADLINE, b"%d" % max(1, int(dispatch.remaining_seconds * 1000))))
         headers.append((EXPECT_INSTANCE, dispatch.worker.worker_id.encode()))
+        cache = dispatch.cache or CachePlan("")
         optional = (
             (TENANT, dispatch.tenant),
             (PRIORITY, dispatch.priority),
             (EXPECT_VERSION, dispatch.weights_version),
             (LAST_EVENT_ID, dispatch.last_event_id),
+            (CACHE_SALT, cache.salt or None),
+            (KV_FETCH, cache.fetch_from or None),
+            (KV_SAVE, cache.save_to or None),
         )
         headers += [(name, str(value).encode()) for name, value in optional if value is not None]
-        if dispatch.cache is not None:
-            headers.append((CACHE_SALT, dispatch.cache.salt.encode()))
-            if dispatch.cache.fetch_from:
-                headers.append((KV_FETCH, dispatch.cache.fetch_from.encode()))
-            if dispatch.cache.save_to:
-                headers.append((KV_SAVE, dispatch.cache.save_to.encode()))
         return headers
 
     def decode_response(self, headers: Iterable[tuple[bytes, bytes]]) -> ResponseMetadata:
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -192,6 +192,7 @@
         capacity=document.capacity,
         weights={model.name: model.version for model in document.model_ids},
         born=document.born,
+        software_version=document.version,
     )
 
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -66,6 +66,7 @@
     model: str = "",
     version: int = 1,
     born: int | None = None,
+    software_version: str = "v1",
 ) -> bytes:
     """Return the value that a worker writes to its key in the store.
 
@@ -76,7 +77,7 @@
         "service": service,
         "address": address,
         "zone": zone,
-        "version": "v1",
+        "version": software_version,
         "capacity": capacity,
         "state": state,
         "cold_left_ms": 0,
@@ -126,6 +127,8 @@
     :ivar model: empty for a worker without a model, which does not stream.
     :ivar version: of the loaded weights.
     :ivar events: number of events in a complete stream.
+    :ivar software_version: of its program, also named in each event of a stream; empty for the
+        default ``v1``, which events do not name.
     :ivar seconds: processing time of a request, or the delay before each event of a stream.
     :ivar capacity: number of concurrent requests in its entry; it runs more if they are sent.
     :ivar release: requests wait for this event before their processing time begins; ``None`` for
@@ -169,6 +172,7 @@
     announced_limit: str = ""
     capacity: int = 8
     release: asyncio.Event | None = None
+    software_version: str = ""
     on_crash: Callable[["PlatformWorker"], None] = lambda worker: None
 
     def __post_init__(self):
@@ -199,6 +203,7 @@
             self.model,
             self.version,
             self.born,
+            self.software_version or "v1",
         )
 
     async def _handle(self, request: StandInRequest, connection: ServerConnection) -> None:
@@ -342,9 +347,13 @@
                 await asyncio.sleep(0.02)
                 await self._crash(run)
                 return
-            connection.send_body(f"id: {number}\ndata: token {number}\n\n".encode())
+            connection.send_body(self._event(number))
         connection.end_response()
 
+    def _event(self, number: int) -> bytes:
+        version = f": {self.software_version}\n" if self.software_version else ""
+        return f"id: {number}\ndata: token {number}\n{version}\n".encode()
+
     def _respond(
         self,
         connection: ServerConnection,
