--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -111,14 +111,8 @@
 
     def worker_headers(self, request: ForwardedRequest, dispatch: Dispatch) -> Headers:
         """Return the headers of a request to a worker, without those that frame its body."""
-        connection_names = _connection_names(request.headers)
-        headers = [
-            (name, value)
-            for name, value in request.headers
-            if name.lower() not in _SYSTEM_HEADERS
-            and name.lower() not in _HOP_BY_HOP_HEADERS
-            and name.lower() not in connection_names
-        ]
+        removed = _SYSTEM_HEADERS | _HOP_BY_HOP_HEADERS | _connection_names(request.headers)
+        headers = [header for header in request.headers if header[0].lower() not in removed]
         headers.append((DEADLINE, b"%d" % max(1, int(dispatch.remaining_seconds * 1000))))
         headers.append((EXPECT_INSTANCE, dispatch.worker.worker_id.encode()))
         cache = dispatch.cache or CachePlan("")
