--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -527,6 +527,16 @@
         # Requests that still arrive on open connections would be cut off.
         self._callers.refuses_new = True
         releasing.cancel()
+        self._close()
+        await asyncio.sleep(STOP_POLL_SECONDS)
+        log_event(LogEvent.NODE_STOPPED)
+
+    def terminate(self) -> None:
+        """Abort all requests and close all sockets, as when the process is killed; for tests."""
+        self._callers.abort()
+        self._close()
+
+    def _close(self) -> None:
         self._tasks.cancel()
         self._callers.close()
         self._readiness.close()
@@ -535,8 +545,6 @@
         self._feed.close()
         self._tunnel_server.close()
         self._connector.close()
-        await asyncio.sleep(STOP_POLL_SECONDS)
-        log_event(LogEvent.NODE_STOPPED)
 
     def _running_requests(self) -> int:
         """Return the number of in-flight requests of callers and of other nodes' tunnels."""
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -105,6 +105,11 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def abort(self) -> None:
+        """Abort all connections, also those with a request in progress."""
+        for connection in list(self._connections):
+            connection.abort()
+
     def close(self) -> None:
         """Stop accepting connections and close idle ones."""
         if self._server is not None:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -340,6 +340,14 @@
         await self._start_node(name, node)
         return node
 
+    async def kill_and_start_node(self, name: str) -> ForwardingNode:
+        """End a node like a killed process and start it again with the same settings file."""
+        self.nodes[name].terminate()
+        await asyncio.sleep(0)
+        self.nodes[name] = node = self._make_node(name)
+        await self._start_node(name, node)
+        return node
+
     async def add_relays(self, zones: tuple[str, ...], **bounds) -> None:
         """Start a node per zone, named like the zone, and wait until it is the zone's relay."""
         seed = f"127.0.0.1:{free_port()}"
