Streams go on only at workers of the software version that began them

What callers saw: events of two versions in one stream, inside one answer or over their requests. Cause: the choice of a worker did not see software versions; the entry's version and the header Resumes were not used. Change: a stream requires its version from the first event; nodes record the origin of streams by request id, send it to two backups and ask each other for missing ones; choice, dispatcher and queue take only workers of that version; without one, or where nobody knows it while versions differ, the request is refused at once (503, two new error kinds). A worker that may have restarted under its id is asked for its report first.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -337,7 +337,7 @@
         "connections to a removed incarnation kept open",
         FORWARDING,
         "forwarding/worker_view.py",
-        "self.on_removed(info.id)",
+        "self.on_removed(info)",
         "pass",
         "../unit/forwarding/test_view_histories.py::"
         "test_nodes_send_only_what_the_newest_received_entry_allows",
--- a/src/wheelslip/errors.py
+++ b/src/wheelslip/errors.py
@@ -40,6 +40,8 @@
     NO_ENGINE = "no_engine"
     REQUEST_CRASHES_ENGINES = "request_crashes_engines"
     REQUEST_SUSPECTED = "request_suspected"
+    STREAM_VERSION_GONE = "stream_version_gone"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     CLAIM_STORE_UNAVAILABLE = "claim_store_unavailable"
     CLAIM_UNRESOLVED = "claim_unresolved"
@@ -141,6 +143,22 @@
         1,
         "Engines ended while they ran the same content; such requests run one at a time.",
     ),
+    ErrorKind.STREAM_VERSION_GONE: ErrorDefinition(
+        503,
+        _NOT_RUN,
+        False,
+        10,
+        "No worker of the software version that began the stream is in use; only a new stream can "
+        "be served.",
+    ),
+    ErrorKind.STREAM_VERSION_UNKNOWN: ErrorDefinition(
+        503,
+        _NOT_RUN,
+        True,
+        1,
+        "Workers of several software versions serve, and no node that replied knows which one "
+        "began the stream.",
+    ),
     ErrorKind.ATTEMPTS_EXHAUSTED: ErrorDefinition(
         503, _NOT_RUN, True, 2, "Every attempt was proven not run and the retry budget is spent."
     ),
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from wheelslip.connections.worker_pool import WorkerPool
+from wheelslip.deployment import Incarnation
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.registry import Registry
 from wheelslip.peers.dispatch_link import DispatchLink, Grant
@@ -255,8 +256,22 @@
             self._zone,
             self._pool.idle_workers(),
             # Reported to this node only; the dispatcher may still grant these workers to others.
-            self._registry.withheld(service) | job.excluded,
+            self._registry.withheld(service) | job.excluded | self._other_versions(job, service),
             job.attempts_sent > 0,
             job.tenant.name if limit else "",
             units,
+            software_version=job.required_version,
+        )
+
+    def _other_versions(self, job: Job, service: str) -> frozenset[Incarnation]:
+        """Return the workers of other software versions than the one that a stream requires.
+
+        They are excluded by name as well, as dispatchers receive no required version.
+        """
+        if not job.required_version:
+            return frozenset()
+        return frozenset(
+            worker.info.id
+            for worker in self._registry.workers_of(service)
+            if worker.info.software_version != job.required_version
         )
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -366,6 +366,7 @@
             return
         if not self.had_first_token:
             self.had_first_token = True
+            self._job.required_version = self._placement.worker.info.software_version
             self._record_first_token()
         self._start_stream(response)
         self._caller.write_body(b"".join(event.raw for event in new_events))
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.registry import Registry
 from wheelslip.forwarding.settings import BoundsSection
+from wheelslip.forwarding.stream_continuation import StreamContinuation
 from wheelslip.routing.overload import Overloaded, RetrySchedule
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import WeightedRoundRobin
@@ -81,11 +82,13 @@
         assigner: WorkerAssigner,
         pool: WorkerPool,
         crash_guard: CrashGuard,
+        streams: StreamContinuation,
         bounds: Callable[[], BoundsSection],
         clock: Callable[[], float],
         metrics: ForwardingMetrics,
     ):
         self._crash_guard = crash_guard
+        self._streams = streams
         self._metrics = metrics
         self._log = LogBudget(REQUEST_LOG_LINES_PER_SECOND, clock)
         self._dialect = dialect
@@ -178,7 +181,7 @@
         )
 
     async def _serve(self, job: Job, caller: CallerConnection) -> None:
-        service = self._choose_service(job)
+        service = await self._streams.prepare(job, self._choose_service(job))
         trial_lock = await self._crash_guard.admit(job, service)
         if trial_lock is None:
             await self._attempt_until_answered(job, service, caller)
@@ -231,6 +234,7 @@
         """
         wait_deadline = self._clock() + WORKER_WAIT_SECONDS
         while True:
+            self._streams.require_version_in_use(job, service)
             reason = "no worker is available"
             try:
                 assignment = await self._assigner.assign(job, service)
@@ -370,6 +374,11 @@
             assignment.record_unused()
             raise
         job.via = connection.via
+        if await self._streams.is_restarted(job, worker):
+            connection.close()
+            assignment.record_unused()
+            job.failure_reason = "the engine has restarted"
+            return AttemptOutcome.NOT_SENT
         if not self._registry.may_begin(worker.id, assignment.placement.rate_limit_charged):
             # The worker's state may have changed while the connection was opened. Nothing is
             # awaited between this check and the write of the request.
@@ -389,6 +398,7 @@
             connection.close()
             assignment.record_unused()
             raise
+        self._streams.record_attempt(job, assignment.placement.worker.info)
         incarnation = job.last_incarnation = assignment.placement.worker.info.id
         job.last_sent_at = self._clock()
         notices = self._registry.notices
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -35,6 +35,7 @@
     :ivar failure_reason: why the last attempt failed, for logs and error messages.
     :ivar worker_id: worker of the last attempt.
     :ivar software_version: of that worker.
+    :ivar required_version: software version that may continue the stream; empty for any.
     :ivar via: address of the node through which the last attempt was tunneled; empty for none.
     :ivar last_incarnation: worker incarnation that the request was last sent to.
     :ivar last_sent_at: when it was sent there, in seconds of the steady clock.
@@ -58,6 +59,7 @@
     failure_reason: str = ""
     worker_id: str = ""
     software_version: str = ""
+    required_version: str = ""
     via: str = ""
     last_incarnation: Incarnation | None = None
     last_sent_at: float = 0.0
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -9,7 +9,7 @@
 from wheelslip.clocks import steady_seconds
 from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.crashes.guard import CrashGuard
-from wheelslip.deployment import Incarnation
+from wheelslip.deployment import WorkerInfo
 from wheelslip.events import LogEvent, NonBlockingHandler, configure_logging, log_event
 from wheelslip.forwarding.assignment import WorkerAssigner
 from wheelslip.forwarding.feed import FeedServer
@@ -39,6 +39,7 @@
 from wheelslip.forwarding.settings import BoundsSection, ForwardingSettings, parse_address
 from wheelslip.forwarding.settings_file import SettingsFile
 from wheelslip.forwarding.speed_notices import log_speed_change
+from wheelslip.forwarding.stream_continuation import StreamContinuation
 from wheelslip.keyvalue.eras import OrderedStore
 from wheelslip.memory.account import MemoryUse, account_bytes
 from wheelslip.memory.node_memory import NodeMemory
@@ -54,6 +55,8 @@
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.routing.worker_speed import SpeedEstimates
+from wheelslip.streams.version_link import StreamVersionLink
+from wheelslip.streams.version_records import StreamRecords, VersionHistory
 from wheelslip.tunnels.connector import WorkerConnector
 from wheelslip.tunnels.direct_paths import DirectPaths
 from wheelslip.tunnels.peers import TunnelPeers
@@ -128,6 +131,7 @@
         self._placement.brittle = self._fleet.brittle = self._registry.notices.brittle
         own_loads = self._placement.own_loads
         self._registry.view.on_removed = self._forget_worker
+        self._version_history = VersionHistory(self._registry.view.software_versions, clock)
         self._rollout_view = RolloutView(self._registry, clock)
         self._crash_guard = CrashGuard(
             section.name,
@@ -243,12 +247,25 @@
             self._uses_queue,
             clock,
         )
+        self._stream_versions = StreamVersionLink(
+            section.peers,
+            self._datagrams,
+            StreamRecords(clock),
+            self._version_history,
+            self._peer_addresses,
+            lambda: self._relay.addresses_by_tenure() if self._relay else [],
+            self._feed.recent_followers,
+            clock,
+            random_source,
+        )
+        self._streams = StreamContinuation(self._stream_versions, self._registry, control, clock)
         self._forwarder = Forwarder(
             requests,
             self._registry,
             assigner,
             self._pool,
             self._crash_guard,
+            self._streams,
             self.bounds,
             clock,
             self._metrics,
@@ -447,6 +464,11 @@
             "tunneled_requests_served": lambda: float(self._tunnel_server.served),
             "tunneled_requests_refused": lambda: float(self._tunnel_server.refused),
             "tunnels_served": lambda: float(len(self._tunnel_server.tunnels)),
+            "streams_taken_up": lambda: float(self._streams.taken_up),
+            "streams_refused": lambda: float(self._streams.refused),
+            "stream_records": lambda: float(len(self._stream_versions.records)),
+            "stream_origins_queried": lambda: float(self._stream_versions.queried),
+            "stream_origins_unknown": lambda: float(self._stream_versions.unknown),
             "engine_paths_lost": lambda: float(self._paths.lost_count),
         }
         return metrics
@@ -455,7 +477,9 @@
         self._rollout_view.entry_changed(key)
         self._crash_guard.entry_changed(key)
 
-    def _forget_worker(self, incarnation: Incarnation) -> None:
+    def _forget_worker(self, info: WorkerInfo) -> None:
+        incarnation = info.id
+        self._version_history.record_left(info.service, info.software_version)
         self._pool.close_idle(incarnation)
         self._paths.forget(incarnation)
         self._placement.forget(incarnation)
@@ -491,6 +515,7 @@
                 ("dispatch", self._dispatch_link.run),
                 ("votes", self._meter.votes.run),
                 ("limits", self._limit_reports.run),
+                ("streams", self._stream_versions.run),
             ):
                 self._tasks.start(name, work)
         for name, work in (
--- a/src/wheelslip/forwarding/worker_view.py
+++ b/src/wheelslip/forwarding/worker_view.py
@@ -37,7 +37,7 @@
     :param clock: steady clock in seconds.
     :param notices: what workers reported in their responses; kept independently of their entries.
     :ivar workers: workers by incarnation.
-    :ivar on_removed: called with each incarnation that is removed.
+    :ivar on_removed: called with the last entry of each incarnation that is removed.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         self._departed: dict[str, int] = {}
         self._restored_at = float("-inf")
         self.workers: dict[Incarnation, Worker] = {}
-        self.on_removed: Callable[[Incarnation], None] = lambda incarnation: None
+        self.on_removed: Callable[[WorkerInfo], None] = lambda info: None
 
     def by_id(self, worker_id: str) -> Worker | None:
         """Return the current incarnation of a worker; ``None`` when it is not in the view."""
@@ -205,7 +205,7 @@
         """Discard all state of one incarnation."""
         del self.workers[info.id]
         del self._current[info.worker_id]
-        self.on_removed(info.id)
+        self.on_removed(info)
 
     # Observations beside the entries
 
@@ -247,6 +247,11 @@
             if worker.info.service == service and self.accepts_requests(worker)
         ]
 
+    def software_versions(self, service: str) -> set[str]:
+        """Return the software versions of the workers of a service."""
+        infos = [worker.info for worker in self.workers.values()]
+        return {info.software_version for info in infos if info.service == service}
+
     def accepts_requests(self, worker: Worker) -> bool:
         """Return whether a worker accepts new requests."""
         until = worker.doubtful_until
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -21,6 +21,7 @@
     CACHED_PROMPTS,
     GRANT,
     ITEMS_PER_DATAGRAM,
+    MAX_EXCLUDED,
     PROGRESS,
     QUERY,
     RUNNING,
@@ -203,6 +204,9 @@
         try:
             if address == self._address:
                 return self._ask_locally(query_id, query)
+            if query.software_version and len(query.excluded) > MAX_EXCLUDED:
+                # The query would not name all workers of other versions.
+                raise DispatcherUnavailable
             query = self._without_uncharged(address, query)
             reply, sends = await self._send_query(address, WorkerQuery.of(query_id, query))
             self._update_dispatcher(query.service, address, reply.dispatcher)
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from wheelslip.deployment import CachePlan, Incarnation, PromptPart, Worker
+from wheelslip.deployment import CachePlan, Incarnation, PromptPart, Worker, WorkerInfo
 from wheelslip.routing.holdings import Chain, chain_of
 
 
@@ -23,6 +23,7 @@
     :ivar sent_before: the request was sent to a worker before, so admission control admits it.
     :ivar tenant: tenant whose limit the request is charged to; empty without a limit.
     :ivar limit_units: units to charge; 0 when they were charged before.
+    :ivar software_version: only workers of this version may be selected; empty for any.
     :ivar must_start_soon: only a worker that can start the request soon may be selected.
     """
 
@@ -43,6 +44,13 @@
     tenant: str = ""
     limit_units: float = 0.0
     must_start_soon: bool = False
+    software_version: str = ""
+
+    def allows(self, worker: WorkerInfo) -> bool:
+        """Return whether a worker is not excluded and has the required software version."""
+        if worker.id in self.excluded:
+            return False
+        return self.software_version in ("", worker.software_version)
 
     @property
     def shared_part(self) -> PromptPart | None:
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -183,7 +183,7 @@
         workers = [
             worker
             for worker in self._registry.workers_of(query.service)
-            if worker.info.id not in query.excluded
+            if query.allows(worker.info)
         ]
         if query.service not in self.brittle:
             return workers
@@ -234,7 +234,7 @@
 
     def accepts(self, worker: Worker, query: PlacementQuery) -> bool:
         """Return whether a worker may take a request now according to this node's view."""
-        if worker.info.id in query.excluded:
+        if not query.allows(worker.info):
             return False
         if worker not in self._registry.workers_of(query.service):
             return False
--- /dev/null
+++ b/src/wheelslip/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of interrupted streams, shared between nodes so that streams keep them."""
--- a/tests/probe/forwarding/test_streams_keep_software_version.py
+++ b/tests/probe/forwarding/test_streams_keep_software_version.py
@@ -19,6 +19,7 @@
 VERSION_UNKNOWN = b"stream_version_unknown"
 EVENT = re.compile(rb"id: (\d+)\ndata: token \d+\n: (\w+)\n\n")
 EVENTS = 20
+BORN = 1_764_700_000_000
 NO_RETRY = RESUMED | {"max_attempts": 1}
 
 _numbers = itertools.count()
@@ -134,9 +135,10 @@
 async def test_stream_whose_worker_breaks_keeps_version_inside_one_answer(site):
     await start_site(site, RESUMED)
     # The budget for retries grows with the requests.
-    for stream, task in await begin_streams(site, 60):
-        await task
-        assert stream.whole
+    for _ in range(3):
+        for stream, task in await begin_streams(site, 48):
+            await task
+            assert stream.whole
     site.workers["v1-0"].faults.break_after = site.workers["v2-0"].faults.break_after = 5
     streams = [Stream(site) for _ in range(24)]
     await take_up(streams, ZONES)
@@ -231,3 +233,39 @@
     await stream.request("z1")
     ((status, body, seconds),) = stream.refusals
     assert status == 503 and VERSION_UNKNOWN in body and seconds < REFUSAL_SECONDS
+
+
+async def test_worker_restarted_under_its_id_with_another_version_does_not_continue_stream(site):
+    site.configure(configuration(routes=[NO_RETRY]))
+    for number in range(2):
+        worker = PlatformWorker(
+            f"i-{number}", "m", events=EVENTS, seconds=0.03, software_version="v1", born=BORN
+        )
+        await site.add_worker(worker, "engines")
+    await add_workers(site, "v2", 1)
+    await site.add_relays(ZONES)
+    begun = await begin_streams(site, 12)
+    restarted = site.workers["i-0"]
+    port = int(restarted.server.address.rpartition(":")[2])
+    await restarted.terminate()
+    restarted.software_version, restarted.born = "v2", BORN + 1000
+    # Its entry in the store is still that of its former start.
+    await restarted.server.start(port)
+    streams = await break_streams(site, begun)
+    await take_up(streams, ("z2", "z3", "z1"))
+    assert_taken_up(streams)
+
+
+async def test_stream_is_taken_up_through_dispatchers_queue_with_little_room(site):
+    site.routing = {"queue": True, "learn_speeds": True}
+    await start_site(site)
+    for name in ("v1-1", "v1-2"):
+        site.model.remove(f"servers/{name}")
+    for node in site.nodes.values():
+        await wait_until(lambda node=node: len(node.worker_ids()) == 4, "one worker of v1")
+    streams = await break_streams(site, await begin_streams(site, 24))
+    await take_up(streams, ("z2", "z3", "z1"))
+    assert not [stream for stream in streams if stream.mixed]
+    waiting = [stream for stream in streams if not stream.complete]
+    await take_up(waiting, ("z2", "z3", "z1"))
+    assert_taken_up(streams)
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -39,6 +39,14 @@
 from wheelslip.routing.named_limits import LimitReport
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.routing.request_queue import QueuedQuery
+from wheelslip.streams.messages import (
+    BackupQuery,
+    BackupReply,
+    OriginQuery,
+    OriginReply,
+    RecordBatch,
+)
+from wheelslip.streams.version_records import StreamOrigin
 from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
 
 INCARNATION = Incarnation("i-1/1764700000000")
@@ -81,6 +89,7 @@
         Sample(f"progress {progress.value}", ProgressReport("n1", 7, progress))
         for progress in list(Progress)
     ]
+    origin = StreamOrigin("engines", "v1.2")
     return [
         Sample("ask", WorkerQuery.of(QueryId("n1", 7), query, charge_only=True)),
         Sample("grant", grant),
@@ -111,6 +120,13 @@
             "rollout record", RolloutRecord(12, [INCARNATION], {INCARNATION: {"m": 3}}, ["i-2"])
         ),
         Sample("crash report", CrashReport([crash], [crash])),
+        Sample("streams", RecordBatch(origin, 25, ["9f86d081884c7d65"])),
+        Sample("stream query", OriginQuery("10.0.0.3:7300", "engines", ["9f86d081884c7d65"], True)),
+        Sample(
+            "stream reply", OriginReply({"9f86d081884c7d65": origin}, ["9f86d081884c7d65"], True)
+        ),
+        Sample("backup query", BackupQuery("10.0.0.3:7300")),
+        Sample("backup reply", BackupReply(["10.0.0.4:7300"])),
         Sample("tunnel", TunnelOpen(INCARNATION, "r1")),
         *(
             Sample(f"tunnel {status.value}", TunnelReply(status, ["10.0.0.4:7300"]))
--- /dev/null
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -0,0 +1,219 @@
+"""Software versions of streams: who knows them, for how long, and what happens without a record."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
+from wheelslip.routing.placement import PlacementQuery
+from wheelslip.streams import messages, version_link
+from wheelslip.streams.version_link import StreamVersionLink
+from wheelslip.streams.version_records import (
+    HISTORY_SECONDS,
+    MAX_RECORDS,
+    StreamOrigin,
+    StreamRecords,
+    VersionHistory,
+    stream_key,
+)
+from wheelslip.wire import encode_frame
+
+V1, V2 = StreamOrigin("s", "v1"), StreamOrigin("s", "v2")
+MAX_DATAGRAM_BYTES = 1400
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Network:
+    """Delivers datagrams between the nodes of one event loop, except to dead ones."""
+
+    def __init__(self):
+        self.sockets = {}
+        self.dead = set()
+        self.sent = []
+
+    def socket(self, address):
+        self.sockets[address] = Socket(self, address)
+        return self.sockets[address]
+
+    def deliver(self, sender, receiver, kind, message):
+        self.sent.append((sender, receiver, kind, message))
+        if receiver in self.dead or sender in self.dead or receiver not in self.sockets:
+            return
+        message_type, handle = self.sockets[receiver].receivers.get(kind, (None, None))
+        if handle is not None:
+            decoded = msgspec.json.decode(msgspec.json.encode(message), type=message_type)
+            asyncio.get_running_loop().call_soon(handle, decoded, sender)
+
+
+class Socket:
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+        self.receivers = {}
+
+    def register(self, kind, message_type, handle):
+        self.receivers[kind] = (message_type, handle)
+
+    def send(self, address, kind, message):
+        self._network.deliver(self._address, address, kind, message)
+
+    def send_to(self, addresses, kind, message):
+        for address in addresses:
+            self.send(address, kind, message)
+
+
+def make_link(network, address, relays=(), followers=(), versions=("v1", "v2"), clock=None):
+    clock = clock or Clock()
+    return StreamVersionLink(
+        address,
+        network.socket(address),
+        StreamRecords(clock),
+        VersionHistory(lambda service: set(versions), clock),
+        lambda: [],
+        lambda: list(relays),
+        lambda: list(followers),
+        clock,
+        random.Random(1),
+    )
+
+
+async def publish(link, *keys, origin=V1):
+    link.record(keys, origin, 30.0)
+    task = asyncio.create_task(link.run())
+    await asyncio.sleep(0.05)
+    task.cancel()
+
+
+def test_record_outlasts_its_node_and_one_backup():
+    async def play():
+        network = Network()
+        links = {
+            name: make_link(network, name, relays=("a", "b", "c", "d"))
+            for name in ("a", "b", "c", "d")
+        }
+        await publish(links["a"], "k")
+        holders = [name for name in "bcd" if links[name].records.find("k")]
+        assert len(holders) == version_link.BACKUPS
+        (asker,) = set("bcd") - set(holders)
+        network.dead = {"a", holders[0]}
+        assert await links[asker].find_origin("k", "s") == V1
+
+    asyncio.run(play())
+
+
+def test_record_held_by_follower_of_another_relay_is_found():
+    async def play():
+        network = Network()
+        make_link(network, "r1", ("r1", "r2"), ("f1", "f2"))
+        make_link(network, "r2", ("r1", "r2"), ("f3",))
+        holder = make_link(network, "f3", ("r1", "r2"))
+        asker = make_link(network, "f1", ("r1", "r2"))
+        holder.records.record(["k"], V2, 30.0)
+        assert await asker.find_origin("k", "s") == V2
+        assert not [each for each in network.sent if each[0] == "f2"], "f2 knows nothing"
+
+    asyncio.run(play())
+
+
+def test_followers_are_backups_of_each_other_once_the_relay_has_named_them():
+    async def play():
+        network = Network()
+        names = ["f1", "f2", "f3", "f4"]
+        make_link(network, "r1", ("r1",), names)
+        links = {name: make_link(network, name, ("r1",)) for name in names}
+        await publish(links["f1"], "first")
+        links["f1"]._backups_until = 0.0
+        await publish(links["f1"], "second")
+        assert sum(links[name].records.find("second") == V1 for name in names[1:]) == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("versions", "peer_versions", "expected"),
+    [
+        (("v1",), ("v1",), V1),
+        (("v1",), ("v1", "v2"), None),
+        (("v1", "v2"), ("v1", "v2"), None),
+        (("v1",), None, None),
+    ],
+    ids=["one version", "peer has seen two", "two versions", "no peer replies"],
+)
+def test_started_node_without_record_continues_only_where_one_version_is_in_use(
+    versions, peer_versions, expected
+):
+    async def play():
+        network = Network()
+        asker = make_link(network, "a", ("a", "b"), versions=versions)
+        if peer_versions:
+            make_link(network, "b", ("a", "b"), versions=peer_versions)
+        assert await asker.find_origin("k", "s") == expected
+        assert asker.unknown == 1
+
+    asyncio.run(play())
+
+
+def test_concurrent_requests_for_one_stream_share_a_query():
+    async def play():
+        network = Network()
+        asker = make_link(network, "a", ("a", "b"))
+        make_link(network, "b", ("a", "b")).records.record(["k"], V2, 30.0)
+        found = await asyncio.gather(*(asker.find_origin("k", "s") for _ in range(8)))
+        assert found == [V2] * 8
+        assert [kind for *_, kind, _ in network.sent] == [messages.QUERY, messages.REPLY]
+
+    asyncio.run(play())
+
+
+def test_records_are_bounded_and_expire():
+    clock = Clock()
+    records = StreamRecords(clock)
+    records.record([str(number) for number in range(MAX_RECORDS + 10)], V1, 30.0)
+    assert len(records) == MAX_RECORDS
+    assert records.find("9") is None and records.find("10") == V1
+    clock.now += 31.0
+    records.remove_expired()
+    assert len(records) == 0
+
+
+def test_version_counts_as_in_use_for_a_while_after_its_last_worker_has_left():
+    clock = Clock()
+    in_view = {"v1", "v2"}
+    history = VersionHistory(lambda service: in_view, clock)
+    in_view.discard("v1")
+    history.record_left("s", "v1")
+    assert history.sole_version("s") is None
+    clock.now += HISTORY_SECONDS + 1
+    assert history.sole_version("s") == "v2" and history.is_complete
+
+
+def test_largest_datagrams_fit_into_one_packet():
+    keys = [stream_key(str(number)) for number in range(messages.KEYS_PER_BATCH)]
+    origin = StreamOrigin("s" * 24, "v" * 12)
+    asked = keys[: messages.KEYS_PER_QUERY]
+    for message in (
+        messages.RecordBatch(origin, 600, keys),
+        messages.OriginQuery("127.100.100.100:65535", "s" * 24, asked, True),
+        messages.OriginReply(dict.fromkeys(asked, origin), asked, True),
+    ):
+        assert len(encode_frame(("stream_reply", message))) <= MAX_DATAGRAM_BYTES
+
+
+def test_query_allows_only_workers_of_the_required_version():
+    info = WorkerInfo(
+        Incarnation("w"), "s", "127.0.0.1:1", "z", WorkerState.READY, 4, software_version="v2"
+    )
+    worker = Worker(info, {})
+    assert PlacementQuery("s").allows(worker.info)
+    assert PlacementQuery("s", software_version="v2").allows(worker.info)
+    assert not PlacementQuery("s", software_version="v1").allows(worker.info)
+    assert not PlacementQuery("s", excluded=frozenset({info.id})).allows(worker.info)
--- a/tests/unit/forwarding/test_view_histories.py
+++ b/tests/unit/forwarding/test_view_histories.py
@@ -94,7 +94,7 @@
         self.history = history
         self.expected = {worker: ExpectedWorker() for worker in WORKERS}
         self.connected: set[str] = set()
-        self.view.on_removed = self.connected.discard
+        self.view.on_removed = lambda info: self.connected.discard(info.id)
         self.sync = RegistrySync(None, self, lambda: 100.0, None)
         self.server = FeedServer(self, LoadTable(), list, lambda: 100.0)
 
--- a/tests/unit/forwarding/test_worker_starts.py
+++ b/tests/unit/forwarding/test_worker_starts.py
@@ -69,7 +69,7 @@
     """Records created after the removal would never be deleted: a memory leak at each restart."""
     registry.apply("servers/a", entry(), 1)
     records = WorkerPlacement(registry, clock, random.Random(1))
-    registry.view.on_removed = records.forget
+    registry.view.on_removed = lambda info: records.forget(info.id)
     placement = Placement(registry.workers_of("s")[0])
     began_at = records.begin(placement)
     registry.apply("servers/a", entry(NEWER_BORN), 2)
