Soak: workers of several software versions, rolling, and callers that take up broken streams

Cause: no run had workers of different software versions, nor callers that name the stream they resume. Change: VERSIONS=1; engines get one of two versions, newer ones as the run goes on, under the same ids too; connections of workers break; callers take streams up at any node, four requests each; a short seeded run is a test.

--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -137,6 +137,7 @@
 
     :ivar workers: all workers that were ever started, by the name of their incarnation.
     :ivar violations: descriptions of broken guarantees.
+    :ivar other_request_ids: requests that are checked by their callers and are no calls here.
     """
 
     began_at: float = field(default_factory=time.monotonic)
@@ -150,6 +151,7 @@
     process_starts: list[ProcessStart] = field(default_factory=list)
     workers: dict[str, PlatformWorker] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
+    other_request_ids: set[str] = field(default_factory=set)
 
     @contextlib.contextmanager
     def disrupted(
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -29,6 +29,7 @@
 from bench.forwarding_notices import NoticeChecker, NoticeFaults
 from bench.forwarding_paths import PathChecker, PathFaults
 from bench.forwarding_record import Record
+from bench.forwarding_versions import VersionedStreams
 from bench.forwarding_world import World
 
 NODE_COUNTS = (3, 4, 6, 9)
@@ -68,6 +69,7 @@
     :param limits: whether workers announce rate limits in responses.
     :param crests: whether callers send bursts above the capacity of the workers.
     :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
+    :param versions: whether workers of several software versions serve.
     :ivar longest_lag: longest delay of this process's event loop, in seconds.
     :ivar longest_lag_at: when it was observed, in seconds since the start of the run.
     """
@@ -84,6 +86,7 @@
         limits: bool = False,
         crests: bool = False,
         paths: bool = False,
+        versions: bool = False,
     ):
         if crests and older_checkout is not None:
             raise ValueError("older builds refuse the setting for the queue")
@@ -118,6 +121,8 @@
         self.crests = CrestCallers(self.world, self.callers, crest_rng) if crests else None
         path_rng = random.Random(f"{seed} paths")
         self.paths = PathFaults(self.world, path_rng) if paths else None
+        version_rng = random.Random(f"{seed} versions")
+        self.versions = VersionedStreams(self.world, version_rng) if versions else None
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -141,6 +146,8 @@
             activities.append(self.crests.run(ends_at))
         if self.paths is not None:
             activities.append(self.paths.run(ends_at))
+        if self.versions is not None:
+            activities.append(self.versions.run(ends_at))
         if self.upgrade is not None:
             activities.append(self.upgrade.run(ends_at))
         await asyncio.gather(*activities)
@@ -249,6 +256,7 @@
     limits: bool = False,
     crests: bool = False,
     paths: bool = False,
+    versions: bool = False,
 ) -> Soak:
     """Perform one run and check it.
 
@@ -257,7 +265,19 @@
     """
     checkout = check_out(older, folder) if older else None
     try:
-        soak = Soak(seed, folder, nodes, restarts, deadly, notices, checkout, limits, crests, paths)
+        soak = Soak(
+            seed,
+            folder,
+            nodes,
+            restarts,
+            deadly,
+            notices,
+            checkout,
+            limits,
+            crests,
+            paths,
+            versions,
+        )
         try:
             await soak.run(seconds)
         finally:
@@ -280,6 +300,7 @@
     limits: bool = False,
     crests: bool = False,
     paths: bool = False,
+    versions: bool = False,
 ) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
@@ -295,6 +316,7 @@
     :param limits: whether workers announce rate limits in responses.
     :param crests: whether callers send bursts above the capacity of the workers.
     :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
+    :param versions: whether workers of several software versions serve.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
@@ -302,7 +324,18 @@
     older = str(older)
     soak = asyncio.run(
         run_seed(
-            seed, seconds, logs, nodes, restarts, deadly, notices, older, limits, crests, paths
+            seed,
+            seconds,
+            logs,
+            nodes,
+            restarts,
+            deadly,
+            notices,
+            older,
+            limits,
+            crests,
+            paths,
+            versions,
         )
     )
     print(
@@ -321,6 +354,8 @@
         print("served:", soak.crests.summary())
     if soak.paths is not None:
         print("paths:", dict(soak.paths.counts))
+    if soak.versions is not None:
+        print("streams:", dict(soak.versions.counts))
     print("history:", *soak.history(), sep="\n  ")
     if soak.crashing_caller is not None:
         print("crashes:", dict(soak.crashing_caller.crashes))
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -131,6 +131,7 @@
     :ivar crashing_body: new workers crash when they start a request with this in its body; empty
         for none.
     :ivar on_crash: called after a worker crashed.
+    :ivar software_version: returns the software version of a new engine; empty for the default.
     :ivar longest_start: longest time from the start of a process until it listened, in seconds.
     :raises ValueError: when the number of nodes is out of range.
     """
@@ -178,6 +179,7 @@
         self._previous: list[PreviousIncarnation] = []
         self.crashing_body = b""
         self.on_crash: Callable[[PlatformWorker], None] = lambda worker: None
+        self.software_version: Callable[[], str] = lambda: ""
 
     async def start(self) -> None:
         """Start store, workers and nodes."""
@@ -260,6 +262,7 @@
         if self._crests and not model:
             worker.seconds = CREST_PLAIN_SECONDS
             worker.faults = WorkerFaults(max_running=CREST_CAPACITY)
+        worker.software_version = self.software_version() if model else ""
         worker.born = round(time.time() * 1000)
         worker.version = weights
         worker.capacity = self._capacity
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -72,3 +72,11 @@
     assert soak.record.violations == [], soak.failure_report()
     assert soak.checker.checked["calls at nodes without paths"] > 0
     assert soak.paths.counts["return from copy"] > 0
+
+
+def test_streams_keep_software_version_under_faults(tmp_path):
+    """Guards against streams with events of several software versions."""
+    soak = asyncio.run(run_seed(2001, SECONDS, tmp_path, versions=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.versions.counts["versions 1"] > 20
+    assert soak.versions.counts["broken or refused"] > 0
