Logs name the prompt parts of requests whose responses are lost

Cause: the hypotheses on workers that end one after the other could not be told apart; only a fingerprint with the body was logged. Change: attempt_failed names the shared parts. Conclusion: the common part can be seen.

--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -321,6 +321,7 @@
             registry_age=round(self._registry.age(), 3),
             proven_not_run=outcome in _PROVEN_NOT_RUN,
             content=job.fingerprint if outcome is AttemptOutcome.LOST else None,
+            parts=job.shared_part_ids if outcome is AttemptOutcome.LOST else None,
             reason=job.failure_reason,
         )
         if outcome is AttemptOutcome.WITHHELD:
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -75,6 +75,11 @@
             return self.tenant.priority
         return self.route.priority
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Ids of the prompt parts that other requests may have: all but the last."""
+        return [part.id for part in self.request.metadata.prompt[:-1]]
+
     @cached_property
     def fingerprint(self) -> str:
         """Fingerprint of method, target, tenant and body."""
