--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -30,6 +30,8 @@
         response.
     :ivar status: HTTP status of responses to non-streaming requests.
     :ivar crash_on: crash when a request with these bytes in its body starts; empty for never.
+    :ivar crash_parts: crash when a request with one of these parts in its prompt, not as the last
+        one, starts.
     :ivar crash_tenant: crash only for requests of this tenant; empty for all.
     :ivar crash_after: number of events that a stream delivers before the crash.
     :ivar retry_after: value of the ``Retry-After`` header of rejections; empty to omit it.
@@ -49,6 +51,7 @@
     ignore_orders: int = 0
     status: int = 200
     crash_on: bytes = b""
+    crash_parts: frozenset[str] = frozenset()
     crash_tenant: str = ""
     crash_after: int = 0
     retry_after: str = ""
@@ -107,6 +110,11 @@
     ended: bool = False
     began_at: float = field(default_factory=time.monotonic)
 
+    def shared_parts(self) -> list[str]:
+        """Return the ids of the parts of the prompt, without the last one."""
+        parts = self.request.headers.get("wheelslip-prefix-hash", "").split(",")
+        return [part.partition(":")[0] for part in parts[:-1]]
+
 
 class BackoffRequest(NamedTuple):
     """A rejection that requested a backoff.
@@ -283,6 +291,8 @@
         tenant = run.request.headers.get("wheelslip-tenant-id", "")
         if self.faults.crash_tenant not in ("", tenant):
             return False
+        if self.faults.crash_parts & set(run.shared_parts()):
+            return True
         marker = self.crash_on or self.faults.crash_on
         return bool(marker) and marker in run.request.body
 
