The key to which a node writes crash reports is a class of its own

Cause: reports on prompt parts are written in the same way. Change: crashes/report_key.py holds the conditional writes; no behaviour changes. Conclusion: one copy of the writing for two kinds of reports.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -455,7 +455,7 @@
     _single_edit(
         "crash reports never written",
         FORWARDING,
-        "crashes/reports.py",
+        "crashes/report_key.py",
         "            await asyncio.sleep(COALESCE_SECONDS)\n",
         "            await asyncio.Event().wait()\n",
         "forwarding/test_crashing_requests.py::test_restarted_nodes_still_refuse_crashing_request",
--- a/src/wheelslip/crashes/reports.py
+++ b/src/wheelslip/crashes/reports.py
@@ -12,11 +12,11 @@
 import msgspec
 
 from wheelslip.crashes.ledger import MAX_FINGERPRINTS, Crash, CrashLedger, FingerprintStatus
+from wheelslip.crashes.report_key import ReportKey
 from wheelslip.deployment import Incarnation
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.interface import KeyValueStore
 from wheelslip.forwarding.registry import Registry
-from wheelslip.keyvalue.model import KeyValueError, Put, Transaction, TransactionResult
 
 CRASHES_PREFIX = "wheelslip/crashes/"
 
@@ -24,13 +24,6 @@
 """Maximum number of crashes, and of clearings, in the report of one node. Crashes of the fingerprints
 with the fewest crashes are evicted first."""
 
-COALESCE_SECONDS = 0.05
-"""Delay before a write, so that crashes of one worker under several requests share one call."""
-
-RETRY_DELAY_RANGE_SECONDS = (0.1, 0.3)
-"""Range of the random delay before a failed write is retried."""
-
-
 _CrashKey = tuple[str, Incarnation]
 """Identifies a crash: the request fingerprint and the incarnation that ended."""
 
@@ -62,17 +55,13 @@
         random_source: random.Random,
     ):
         self._key = CRASHES_PREFIX + node
-        self._store = store
         self._registry = registry
         self._ledger = ledger
-        self._random = random_source
+        self._report_key = ReportKey(self._key, store, registry, random_source, self._encode)
         self._crashes: dict[_CrashKey, Crash] = {}
         self._cleared: dict[_CrashKey, Crash] = {}
         self._unreported_clearings: set[str] = set()
         self._logged_refusals: set[str] = set()
-        self._changed = asyncio.Event()
-        self._written = asyncio.Event()
-        self._written.set()
 
     # Observations of this node
 
@@ -102,8 +91,7 @@
             self._mark_changed()
 
     def _mark_changed(self) -> None:
-        self._written.clear()
-        self._changed.set()
+        self._report_key.mark_changed()
 
     def _trim(self) -> None:
         while len(self._cleared) > MAX_REPORTED:
@@ -173,44 +161,13 @@
 
     async def wait_until_written(self) -> None:
         """Wait until the store has the current report of this node."""
-        await self._written.wait()
+        await self._report_key.wait_until_written()
 
     async def run(self) -> None:
         """Write the report of this node after each change, until cancelled."""
-        while True:
-            await self._changed.wait()
-            await asyncio.sleep(COALESCE_SECONDS)
-            self._changed.clear()
-            try:
-                await self._write()
-            except KeyValueError as exc:
-                log_event(LogEvent.LEASE_CALL_FAILED, duty=self._key, reason=str(exc))
-                self._changed.set()
-                await asyncio.sleep(self._random.uniform(*RETRY_DELAY_RANGE_SECONDS))
-
-    async def _write(self) -> None:
-        entry = self._registry.system_entry(self._key)
-        revision = entry[1] if entry else 0
-        result = await self._put(revision)
-        if not result.succeeded:
-            # The view lacks the last write of this process or of the previous one.
-            revision = self._apply_conflict(result)
-            result = await self._put(revision)
-        if not result.succeeded:
-            self._changed.set()
-        elif not self._changed.is_set():
-            self._written.set()
-
-    def _apply_conflict(self, result: TransactionResult) -> int:
-        """Apply the stored report to the view and return its revision, 0 if there is none."""
-        for entry in result.conflicting:
-            if entry.key == self._key:
-                self._registry.apply(entry.key, entry.value, entry.mod_revision)
-                return entry.mod_revision
-        return 0
-
-    async def _put(self, revision: int) -> TransactionResult:
+        await self._report_key.run()
+
+    def _encode(self) -> bytes:
         self._unreported_clearings.clear()
         report = CrashReport(list(self._crashes.values()), list(self._cleared.values()))
-        put = Put(self._key, msgspec.json.encode(report))
-        return await self._store.transact(Transaction({self._key: revision}, (put,), (self._key,)))
+        return msgspec.json.encode(report)
