Prompt parts that crash workers are suspected, tried and refused whatever else a request holds

What callers saw: workers ended one after the other for as long as requests with one part came; sound requests of the same caller were hardly served. Cause: evidence hung on a fingerprint of the body, and no two of these requests had the same. Change: crashes are recorded by prompt part, for all tenants and for one, and exchanged through the store; complete answers clear parts; a part that three crashes at two moments have in common is suspected unless a request, a tenant or another part explains them better; suspected requests run as trials and are not repeated; what a trial proves is refused. Requests lost only beside suspected parts need no trial.

--- a/src/wheelslip/crashes/evidence.py
+++ b/src/wheelslip/crashes/evidence.py
@@ -19,7 +19,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from wheelslip.clocks import steady_seconds
 from wheelslip.connections.http_client import PeerRefused, PeerUnreachable, connect
@@ -44,6 +44,8 @@
     """Checks whether workers that lost responses have crashed.
 
     :param on_crash: called for each fingerprint that lost a response at a crashed worker.
+    :param on_parts_crash: called with the incarnation of a crashed worker, the keys of the prompt
+        parts that lost responses there, and those of them that were on trial.
     :param reached_by_peer: returns whether another node can connect to a worker.
     :param reported_ended_at: returns when this node recorded the end of an incarnation from crash
         reports, or None.
@@ -56,7 +58,11 @@
         reported_ended_at: Callable[[Incarnation], float | None] = lambda incarnation: None,
         clock: Callable[[], float] = steady_seconds,
         reached_by_peer: Callable[[WorkerInfo], Awaitable[bool]] | None = None,
+        on_parts_crash: Callable[[Incarnation, set[str], set[str]], None] = (
+            lambda incarnation, keys, trial_keys: None
+        ),
     ):
+        self._on_parts_crash = on_parts_crash
         self._reached_by_peer = reached_by_peer
         self._registry = registry
         self._on_crash = on_crash
@@ -64,10 +70,18 @@
         self._clock = clock
         self._ended_at: dict[Incarnation, float] = {}
         self._suspected: dict[Incarnation, dict[str, bool]] = {}
+        self._lost_parts: dict[Incarnation, set[str]] = {}
+        self._trial_parts: dict[Incarnation, set[str]] = {}
         self._checks: dict[Incarnation, asyncio.Task] = {}
 
     def record_lost_response(
-        self, fingerprint: str, worker: WorkerInfo, alone: bool, sent_at: float = float("inf")
+        self,
+        fingerprint: str,
+        worker: WorkerInfo,
+        alone: bool,
+        sent_at: float = float("inf"),
+        part_keys: Iterable[str] = (),
+        trial_keys: Iterable[str] = (),
     ) -> None:
         """Record that a request lost its response, and start to check its worker.
 
@@ -75,11 +89,15 @@
 
         :param alone: whether no other suspected fingerprint ran at the worker.
         :param sent_at: when the request was sent; infinite for just now.
+        :param part_keys: keys of the prompt parts of the request.
+        :param trial_keys: those of them that were on trial.
         """
         if not self._registry.accepts_requests(worker.id) or self._had_ended(worker.id, sent_at):
             return
         fingerprints = self._suspected.setdefault(worker.id, {})
         fingerprints[fingerprint] = alone or fingerprints.get(fingerprint, False)
+        self._lost_parts.setdefault(worker.id, set()).update(part_keys)
+        self._trial_parts.setdefault(worker.id, set()).update(trial_keys)
         if worker.id not in self._checks:
             task = asyncio.get_running_loop().create_task(self._check(worker))
             self._checks[worker.id] = task
@@ -108,6 +126,8 @@
         finally:
             del self._checks[worker.id]
             self._suspected.pop(worker.id, None)
+            self._lost_parts.pop(worker.id, None)
+            self._trial_parts.pop(worker.id, None)
 
     def _record_ended(self, worker: WorkerInfo) -> None:
         self._ended_at[worker.id] = self._clock()
@@ -123,6 +143,9 @@
                 alone=alone,
             )
             self._on_crash(Crash(fingerprint, worker.id, alone))
+        keys = self._lost_parts[worker.id]
+        if keys:
+            self._on_parts_crash(worker.id, keys, self._trial_parts[worker.id])
 
     async def _refuses(self, worker: WorkerInfo) -> bool:
         """Return whether connections to the address of a worker are refused."""
--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -11,6 +11,8 @@
 
 from wheelslip.crashes.evidence import CrashEvidence
 from wheelslip.crashes.ledger import CrashLedger, FingerprintStatus
+from wheelslip.crashes.part_ledger import PartCrash, PartKeys, PartLedger, part_keys
+from wheelslip.crashes.part_reports import PartReports
 from wheelslip.crashes.reports import CrashReports
 from wheelslip.crashes.trials import TrialLock, TrialLocks
 from wheelslip.deployment import Incarnation, WorkerInfo
@@ -26,6 +28,7 @@
     :param node: name of this node, the same after a restart.
     :param reached_by_peer: returns whether another node can connect to a worker.
     :ivar reports: exchange of crash reports with other nodes.
+    :ivar part_reports: the same by prompt part.
     """
 
     def __init__(
@@ -41,20 +44,36 @@
         self.reports = CrashReports(node, store, registry, self._ledger, clock, random_source)
         self._trial_locks = TrialLocks(node, store, registry, clock)
         self._registry = registry
+        self._parts = PartLedger(clock, self._ledger.lost_in_all)
+        self.part_reports = PartReports(node, store, registry, self._parts, random_source)
         self._evidence = CrashEvidence(
-            registry, self.reports.add, self._ledger.ended_at, clock, reached_by_peer
+            registry,
+            self.reports.add,
+            self._ledger.ended_at,
+            clock,
+            reached_by_peer,
+            self._record_parts_crash,
         )
         self._pending_releases: set[asyncio.Task] = set()
 
     def entry_changed(self, key: str) -> None:
         """Process a change of a crash report or trial lock in the registry view."""
         self.reports.entry_changed(key)
+        self.part_reports.entry_changed(key)
         self._trial_locks.entry_changed(key)
 
     def refused_fingerprints(self) -> int:
         """Return the number of fingerprints that are refused now."""
         return self._ledger.refused_count()
 
+    def refused_parts(self) -> int:
+        """Return the number of prompt parts that are refused now."""
+        return len(self._parts.refused_keys())
+
+    def suspected_parts(self) -> int:
+        """Return the number of prompt parts that run in trials or are refused now."""
+        return len(self._parts.suspects())
+
     async def admit(self, job: Job, service: str) -> TrialLock | None:
         """Check a request before it is sent to a worker.
 
@@ -65,13 +84,11 @@
         if not self._ledger:
             # No crash is recorded at all; skip the computation of the fingerprint.
             return None
-        match self._ledger.status(job.fingerprint):
+        match self._status(job):
             case FingerprintStatus.FREE:
                 return None
             case FingerprintStatus.REFUSED:
-                seconds = max(1.0, round(self._ledger.refused_seconds(job.fingerprint)))
-                kind = ErrorKind.REQUEST_CRASHES_ENGINES
-                raise WheelslipError(kind, "engines crashed while running this request", seconds)
+                raise self._refusal(job)
         trial_lock = await self._trial_locks.acquire(service)
         if trial_lock is None:
             kind = ErrorKind.REQUEST_SUSPECTED
@@ -79,8 +96,38 @@
                 kind, "engines crashed while running this request; its trial run must wait"
             )
         job.excluded |= self._ended_incarnations()
+        job.trial_keys = self._parts.trial_keys(_part_keys(job))
         return trial_lock
 
+    def _status(self, job: Job) -> FingerprintStatus:
+        """Return the stricter status of the fingerprint and of the prompt parts of a request."""
+        status = self._ledger.status(job.fingerprint)
+        if status is FingerprintStatus.REFUSED or not self._parts:
+            return status
+        parts_status = self._parts.status(_part_keys(job))
+        if parts_status is not FingerprintStatus.FREE or status is FingerprintStatus.FREE:
+            return parts_status
+        # Requests that ran beside suspected parts only need no trial.
+        crashed = {crash.incarnation for crash in self._ledger.crashes(job.fingerprint)}
+        return FingerprintStatus.FREE if self._parts.explains(crashed) else status
+
+    def _refusal(self, job: Job) -> WheelslipError:
+        keys = {key for part in _part_keys(job) for key in part.all()}
+        seconds = self._ledger.refused_seconds(job.fingerprint)
+        subject = "this request"
+        if self._ledger.status(job.fingerprint) is not FingerprintStatus.REFUSED:
+            seconds = self._parts.refused_seconds(keys)
+            subject = "requests with a part of this prompt"
+        return WheelslipError(
+            ErrorKind.REQUEST_CRASHES_ENGINES,
+            f"engines crashed while running {subject}",
+            max(1.0, round(seconds)),
+        )
+
+    def is_suspected(self, job: Job) -> bool:
+        """Return whether a request may crash workers, so that it is not repeated."""
+        return bool(self._ledger) and self._status(job) is not FingerprintStatus.FREE
+
     def _ended_incarnations(self) -> set[Incarnation]:
         """Return the worker incarnations in the registry that are recorded as crashed.
 
@@ -94,12 +141,31 @@
 
     def record_lost_response(self, job: Job, worker: WorkerInfo) -> None:
         """Start to check whether a worker that lost a response has crashed."""
-        self._evidence.record_lost_response(job.fingerprint, worker, job.on_trial, job.last_sent_at)
+        keys = {key for part in _part_keys(job) for key in part.all()}
+        for part, part_id in zip(_part_keys(job), job.shared_part_ids, strict=True):
+            for key in part.all():
+                self.part_reports.name(key, part_id)
+        self._evidence.record_lost_response(
+            job.fingerprint, worker, job.on_trial, job.last_sent_at, keys, job.trial_keys
+        )
+
+    def _record_parts_crash(
+        self, incarnation: Incarnation, keys: set[str], trial_keys: set[str]
+    ) -> None:
+        """Record and report the crash of a worker by the prompt parts that ran there."""
+        self.part_reports.add(
+            PartCrash(key, incarnation, key in trial_keys) for key in sorted(keys)
+        )
 
     def record_completed_run(self, job: Job) -> None:
         """Record that a request was executed completely, which clears its crashes."""
         if self._ledger and self._ledger.crashes(job.fingerprint):
             self.reports.add_completed_run(job.fingerprint)
+        if job.shared_part_ids:
+            keys = [key for part in _part_keys(job) for key in part.all()]
+            if self._ledger:
+                keys.append(job.fingerprint)
+            self.part_reports.add_answer(keys)
 
     def end_trial(self, trial_lock: TrialLock, job: Job) -> None:
         """Release a trial lock in the background, once the result is known and was reported."""
@@ -111,6 +177,14 @@
         if job.last_incarnation is not None:
             await self._evidence.wait_until_checked(job.last_incarnation)
         await self.reports.wait_until_written()
+        await self.part_reports.wait_until_written()
         # Keep the lock until reports of other nodes about the same crash have been received.
         await asyncio.sleep(self._ledger.pending_report_seconds(job.fingerprint))
         await self._trial_locks.release(trial_lock)
+
+
+def _part_keys(job: Job) -> list[PartKeys]:
+    """Return the keys of the prompt parts of a request that other requests may have."""
+    tenant = job.tenant.name if job.tenant is not None else ""
+    isolated = job.tenant is not None and job.tenant.isolated
+    return [part_keys(part_id, tenant, isolated) for part_id in job.shared_part_ids]
--- /dev/null
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -0,0 +1,340 @@
+"""Records which prompt parts crash the workers that begin to answer them.
+
+A part crashes workers whatever else the request holds, so the bodies differ and the fingerprints of
+:mod:`wheelslip.crashes.ledger` never repeat. A worker that crashes takes all its requests with it,
+so most of the parts recorded at a crash are harmless. These rules tell them apart:
+
+- A request that is answered completely clears all its parts, since the crash would have come at
+  the beginning of the answer.
+- A part is suspected after several crashes at different moments without such an answer in between.
+- It is not suspected if the crashes have a better explanation: one request that was repeated, one
+  tenant that used it, or a part that was answered less recently or never.
+- Suspected parts run in trials, one at a time. The suspected parts of a request whose trial crashed
+  its worker are proven together: requests that contain all of them are refused for a while.
+
+The module does no I/O; the clock is injected.
+"""
+
+from collections.abc import Callable, Iterable
+from functools import lru_cache
+from typing import NamedTuple
+
+import xxhash
+
+from wheelslip.crashes.ledger import (
+    BASE_REFUSAL_SECONDS,
+    MAX_REFUSAL_SECONDS,
+    RETENTION_SECONDS,
+    FingerprintStatus,
+)
+from wheelslip.deployment import Incarnation
+
+SUSPICION_CRASHES = 3
+"""Number of crashes without a complete answer from which a part is suspected."""
+
+MOMENT_SECONDS = 1.0
+"""Crashes within this time count as one moment, as they may have one other cause, such as the loss
+of a rack. Their evidence is found within 0.6 s and reported within 0.3 s."""
+
+SUSPICION_MOMENTS = 2
+
+EVIDENCE_DELAY_SECONDS = 1.0
+"""A complete answer clears crashes that are recorded up to this long after it, because a crash is
+recorded later than it occurs."""
+
+MAX_KEYS = 4096
+"""Maximum number of parts with crashes, and of parts with the time of their last answer."""
+
+EVICTED_AT_ONCE = 256
+"""Number of parts that are evicted below the maximum, so that evictions are rare."""
+
+TRIM_SECONDS = 60.0
+"""Interval at which parts with old crashes are deleted."""
+
+CACHED_KEYS = 4096
+
+
+class PartKeys(NamedTuple):
+    """Keys under which a part of a request's prompt is recorded.
+
+    :ivar shared: of the part at all tenants; ``None`` for a tenant that shares no prompt parts.
+    :ivar tenant: of the part at the tenant of the request.
+    """
+
+    shared: str | None
+    tenant: str
+
+    def all(self) -> tuple[str, ...]:
+        """Return both keys, or the only one."""
+        return (self.tenant,) if self.shared is None else (self.shared, self.tenant)
+
+
+@lru_cache(maxsize=CACHED_KEYS)
+def part_keys(part_id: str, tenant: str, isolated: bool) -> PartKeys:
+    """Return the keys of a part in a request of a tenant."""
+    part_hash = xxhash.xxh3_64_hexdigest(part_id.encode())
+    tenant_hash = xxhash.xxh32_hexdigest(tenant.encode())
+    if isolated:
+        return PartKeys(None, f"i{part_hash}{tenant_hash}")
+    return PartKeys(f"s{part_hash}", f"t{part_hash}{tenant_hash}")
+
+
+def _shared_key_of(key: str) -> str | None:
+    """Return the shared key of a tenant's key, ``None`` for other keys."""
+    return f"s{key[1:17]}" if key.startswith("t") else None
+
+
+class PartCrash(NamedTuple):
+    """A worker incarnation that ended while it ran a request with a part.
+
+    :ivar on_trial: the part was suspected, and the request was on trial.
+    """
+
+    key: str
+    incarnation: Incarnation
+    on_trial: bool = False
+
+
+class _Record(NamedTuple):
+    recorded_at: float
+    on_trial: bool
+
+
+class PartLedger:
+    """Crashes by prompt part.
+
+    :param requests_lost_in_all: returns the fingerprints of requests lost in all of some crashes.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        requests_lost_in_all: Callable[[set[Incarnation]], Iterable[str]] = lambda incarnations: (),
+    ):
+        self._clock = clock
+        self._requests_lost_in_all = requests_lost_in_all
+        self._uncleared: dict[str, dict[Incarnation, _Record]] = {}
+        self._cleared: dict[str, set[Incarnation]] = {}
+        self._last_crash_at: dict[str, float] = {}
+        self._trial_keys: dict[Incarnation, set[str]] = {}
+        self._next_trim_at = 0.0
+        self._answered_at: dict[str, float] = {}
+        self._tenant_keys: dict[str | None, set[str]] = {}
+        self._suspects: frozenset[str] | None = None
+        self._candidates: frozenset[str] = frozenset()
+
+    def __len__(self) -> int:
+        """Return the number of parts with crashes, including cleared ones."""
+        return len(self._last_crash_at)
+
+    def record(self, crash: PartCrash) -> bool:
+        """Record a crash; return whether it adds information."""
+        if crash.incarnation in self._cleared.get(crash.key, ()):
+            return False
+        records = self._uncleared.setdefault(crash.key, {})
+        current = records.get(crash.incarnation)
+        if current is not None and current.on_trial >= crash.on_trial:
+            return False
+        now = self._clock()
+        records[crash.incarnation] = _Record(now, crash.on_trial)
+        self._last_crash_at[crash.key] = now
+        if crash.on_trial:
+            self._trial_keys.setdefault(crash.incarnation, set()).add(crash.key)
+        self._add_tenant_key(crash.key)
+        answered_at = self._answered_at.get(crash.key, float("-inf"))
+        if answered_at > now - EVIDENCE_DELAY_SECONDS and not crash.on_trial:
+            self.clear([crash])
+        self._suspects = None
+        self._trim()
+        return True
+
+    def _add_tenant_key(self, key: str) -> None:
+        shared = _shared_key_of(key)
+        if shared is not None:
+            self._tenant_keys.setdefault(shared, set()).add(key)
+
+    def clear(self, crashes: Iterable[PartCrash]) -> None:
+        """Record crashes that a complete answer has cleared, at this node or another."""
+        for crash in crashes:
+            self._cleared.setdefault(crash.key, set()).add(crash.incarnation)
+            self._uncleared.setdefault(crash.key, {}).pop(crash.incarnation, None)
+            self._last_crash_at.setdefault(crash.key, self._clock())
+            self._remove_trial_key(crash.incarnation, crash.key)
+        self._suspects = None
+        self._trim()
+
+    def _remove_trial_key(self, incarnation: Incarnation, key: str) -> None:
+        keys = self._trial_keys.get(incarnation, set())
+        keys.discard(key)
+        if not keys:
+            self._trial_keys.pop(incarnation, None)
+
+    def record_answer(self, keys: Iterable[str]) -> list[PartCrash]:
+        """Record that a request was answered completely.
+
+        :param keys: of its parts, and its fingerprint.
+
+        :return: the crashes that this clears.
+        """
+        now = self._clock()
+        cleared = []
+        for key in keys:
+            self._answered_at.pop(key, None)
+            self._answered_at[key] = now
+            cleared += self.crashes(key)
+        while len(self._answered_at) > MAX_KEYS:
+            del self._answered_at[next(iter(self._answered_at))]
+        if cleared:
+            self.clear(cleared)
+        return cleared
+
+    def crashes(self, key: str) -> list[PartCrash]:
+        """Return the crashes of a part that are not cleared, the oldest first."""
+        return [
+            PartCrash(key, incarnation, record.on_trial)
+            for incarnation, record in self._uncleared.get(key, {}).items()
+        ]
+
+    def status(self, parts: Iterable[PartKeys]) -> FingerprintStatus:
+        """Return how requests with some parts are handled now."""
+        keys = {key for each in parts for key in each.all()}
+        if not any(self._uncleared.get(key) for key in keys):
+            return FingerprintStatus.FREE
+        if self.refused_seconds(keys) > 0:
+            return FingerprintStatus.REFUSED
+        return FingerprintStatus.TRIAL if keys & self.suspects() else FingerprintStatus.FREE
+
+    def suspects(self) -> frozenset[str]:
+        """Return the keys of the suspected parts."""
+        if self._suspects is None:
+            self._suspects = self._find_suspects()
+        return self._suspects
+
+    def refused_seconds(self, keys: set[str]) -> float:
+        """Return the time for which requests with some keys are still refused, 0 for none."""
+        times = [
+            self._uncleared[key][incarnation].recorded_at
+            for key in keys
+            for incarnation in self._proven_at(key, keys)
+        ]
+        if not times:
+            return 0.0
+        seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2 ** (len(times) - 1))
+        return max(0.0, max(times) + seconds - self._clock())
+
+    def refused_keys(self) -> set[str]:
+        """Return the keys of parts that are refused now on their own."""
+        tried = {key for keys in self._trial_keys.values() for key in keys}
+        return {key for key in tried if self.refused_seconds({key}) > 0}
+
+    def trial_keys(self, parts: Iterable[PartKeys]) -> frozenset[str]:
+        """Return the keys that a crash in a trial of a request proves together.
+
+        These are the suspected parts and those that are not only because of others. Empty if the
+        request is on trial for another reason.
+        """
+        suspects = self.suspects()
+        chosen, has_suspect = set(), False
+        for part in parts:
+            keys = [key for key in part.all() if key in self._candidates]
+            keys.sort(key=lambda key: key not in suspects)
+            chosen.update(keys[:1])
+            has_suspect = has_suspect or bool(suspects & set(keys))
+        return frozenset(chosen) if has_suspect else frozenset()
+
+    def explains(self, incarnations: set[Incarnation]) -> bool:
+        """Return whether suspected parts were lost in all of some crashes."""
+        explained = set().union(*(self._uncleared[key] for key in self.suspects()))
+        return bool(incarnations) and incarnations <= explained
+
+    def _proven_at(self, key: str, keys: set[str]) -> list[Incarnation]:
+        """Return the crashes of trials that prove some keys, of which one is the first."""
+        return [
+            incarnation
+            for incarnation, record in self._uncleared.get(key, {}).items()
+            if record.on_trial
+            and self._trial_keys[incarnation] <= keys
+            and min(self._trial_keys[incarnation]) == key
+        ]
+
+    def _find_suspects(self) -> frozenset[str]:
+        candidates = [key for key in self._uncleared if self._is_sufficient(key, set())]
+        candidates = [key for key in candidates if not self._is_explained_by_one(key)]
+        self._candidates = frozenset(candidates)
+        suspects: set[str] = set()
+        explained: set[Incarnation] = set()
+        for group in self._by_last_answer(candidates):
+            found = [key for key in group if self._is_sufficient(key, explained)]
+            suspects.update(found)
+            explained.update(*(self._uncleared[key] for key in found))
+        return frozenset(suspects)
+
+    def _by_last_answer(self, keys: list[str]) -> list[list[str]]:
+        """Return keys in groups by the time of their last answer, those without one first."""
+        groups: dict[float, list[str]] = {}
+        for key in keys:
+            groups.setdefault(self._last_answer(key), []).append(key)
+        return [groups[answered_at] for answered_at in sorted(groups)]
+
+    def _last_answer(self, key: str) -> float:
+        return self._answered_at.get(key, float("-inf"))
+
+    def _is_explained_by_one(self, key: str) -> bool:
+        """Return whether one request or one tenant was lost in all crashes of a part.
+
+        A request that was answered since the part was explains nothing.
+        """
+        incarnations = set(self._uncleared[key])
+        answered_at = self._last_answer(key)
+        requests = self._requests_lost_in_all(incarnations)
+        if any(self._last_answer(fingerprint) <= answered_at for fingerprint in requests):
+            return True
+        return any(
+            incarnations <= self._uncleared.get(tenant_key, {}).keys()
+            for tenant_key in self._tenant_keys.get(key, ())
+        )
+
+    def _is_sufficient(self, key: str, explained: set[Incarnation]) -> bool:
+        """Return whether the crashes without other explanation make a part suspected."""
+        records = self._uncleared.get(key, {})
+        if len(records) < SUSPICION_CRASHES:
+            return False
+        times = sorted(
+            record.recorded_at
+            for incarnation, record in records.items()
+            if incarnation not in explained
+        )
+        if len(times) < SUSPICION_CRASHES:
+            return False
+        moments, moment_ends = 0, float("-inf")
+        for time in times:
+            if time > moment_ends:
+                moments, moment_ends = moments + 1, time + MOMENT_SECONDS
+        return moments >= SUSPICION_MOMENTS
+
+    def _trim(self) -> None:
+        """Delete parts whose last crash is old, and those above the maximum number."""
+        now = self._clock()
+        if now >= self._next_trim_at:
+            self._next_trim_at = now + TRIM_SECONDS
+            oldest = now - RETENTION_SECONDS
+            for key in [key for key, at in self._last_crash_at.items() if at < oldest]:
+                self._delete(key)
+        if len(self._last_crash_at) > MAX_KEYS:
+            by_value = sorted(self._last_crash_at, key=self._retention_key)
+            for key in by_value[: len(by_value) - MAX_KEYS + EVICTED_AT_ONCE]:
+                self._delete(key)
+
+    def _retention_key(self, key: str) -> tuple[int, float]:
+        return len(self._uncleared.get(key, ())), self._last_crash_at[key]
+
+    def _delete(self, key: str) -> None:
+        del self._last_crash_at[key]
+        for incarnation in self._uncleared.pop(key, {}):
+            self._remove_trial_key(incarnation, key)
+        self._cleared.pop(key, None)
+        shared = _shared_key_of(key)
+        tenant_keys = self._tenant_keys.get(shared, set())
+        tenant_keys.discard(key)
+        if not tenant_keys:
+            self._tenant_keys.pop(shared, None)
--- a/src/wheelslip/events.py
+++ b/src/wheelslip/events.py
@@ -38,6 +38,7 @@
     CONTENT_REFUSED = 208
     CONTENT_CLEARED = 209
     STREAM_TAKEN_UP = 210
+    PROMPT_PART_REFUSED = 211
     CONNECTION_CLOSED_FOR_MEMORY = 220
     ENGINE_UP = 300
     ENGINE_DOWN = 301
@@ -102,6 +103,7 @@
         LogEvent.TASK_FAILED,
         LogEvent.REQUEST_FAULT,
         LogEvent.CONTENT_REFUSED,
+        LogEvent.PROMPT_PART_REFUSED,
         LogEvent.CONNECTION_CLOSED_FOR_MEMORY,
         LogEvent.ENGINE_ENDED_UNDER,
         LogEvent.ENGINE_DOWN,
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -338,7 +338,7 @@
         if outcome is AttemptOutcome.NOT_SENT:
             return len(job.excluded) < MAX_SENDS
         if outcome in (AttemptOutcome.LOST, AttemptOutcome.FAILED):
-            if job.on_trial:
+            if job.on_trial or self._crash_guard.is_suspected(job):
                 return False
             if not job.route.repeatable or job.may_have_run >= job.route.max_attempts:
                 return False
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -40,6 +40,7 @@
     :ivar last_incarnation: worker incarnation that the request was last sent to.
     :ivar last_sent_at: when it was sent there, in seconds of the steady clock.
     :ivar on_trial: the request is suspected of crashing workers and holds the trial lock.
+    :ivar trial_keys: keys of the suspected prompt parts of a request on trial.
     :ivar has_waited: the request was put into the queue of a dispatcher.
     :ivar first_event_at: when the first event was forwarded, 0 before that.
     """
@@ -64,6 +65,7 @@
     last_incarnation: Incarnation | None = None
     last_sent_at: float = 0.0
     on_trial: bool = False
+    trial_keys: frozenset[str] = frozenset()
     weights_version: int | None = None
     has_waited: bool = False
     first_event_at: float = 0.0
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wheelslip.crashes.ledger import Crash
+from wheelslip.crashes.part_reports import PartReport
 from wheelslip.crashes.reports import CrashReport
 from wheelslip.deployment import Incarnation, PromptPart
 from wheelslip.forwarding.entry_log import EntryChange
@@ -120,6 +121,7 @@
             "rollout record", RolloutRecord(12, [INCARNATION], {INCARNATION: {"m": 3}}, ["i-2"])
         ),
         Sample("crash report", CrashReport([crash], [crash])),
+        Sample("part report", PartReport({INCARNATION: ["s1"]}, {INCARNATION: ["s1"]}, {})),
         Sample("streams", RecordBatch(origin, 25, ["9f86d081884c7d65"])),
         Sample("stream query", OriginQuery("10.0.0.3:7300", "engines", ["9f86d081884c7d65"], True)),
         Sample(
--- /dev/null
+++ b/tests/unit/forwarding/test_part_ledger.py
@@ -0,0 +1,194 @@
+"""Which prompt parts are suspected, refused and cleared after crashes of workers."""
+
+import pytest
+
+from wheelslip.crashes import part_ledger
+from wheelslip.crashes.ledger import BASE_REFUSAL_SECONDS, Crash, CrashLedger, FingerprintStatus
+from wheelslip.crashes.part_ledger import MOMENT_SECONDS, PartCrash, PartLedger, part_keys
+from wheelslip.deployment import Incarnation
+
+FREE, TRIAL, REFUSED = FingerprintStatus
+APART = 2 * MOMENT_SECONDS
+
+
+class World:
+    """A ledger, its clock and the crashes of requests with named parts."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.requests = CrashLedger(lambda: self.now)
+        self.ledger = PartLedger(lambda: self.now, self.requests.lost_in_all)
+        self.count = 0
+
+    def keys(self, names, tenant="a", isolated=False):
+        return [part_keys(name, tenant, isolated) for name in names.split()]
+
+    def crash(self, *lost, wait=APART, trial=False, bodies=(), **caller):
+        """Crash a worker under requests with the named parts."""
+        self.now += wait
+        self.count += 1
+        incarnation = Incarnation(f"w{self.count}")
+        for names in lost:
+            parts = self.keys(names, **caller)
+            tried = self.ledger.trial_keys(parts) if trial else ()
+            for key in (key for part in parts for key in part.all()):
+                self.ledger.record(PartCrash(key, incarnation, key in tried))
+        for body in bodies:
+            self.requests.record(Crash(body, incarnation))
+
+    def answer(self, names, body="", **caller):
+        keys = [key for part in self.keys(names, **caller) for key in part.all()]
+        return self.ledger.record_answer([*keys, body] if body else keys)
+
+    def status(self, names, **caller):
+        return self.ledger.status(self.keys(names, **caller))
+
+
+def test_part_of_three_crashes_is_tried_and_refused_after_the_trial_crashed():
+    world = World()
+    world.answer("system other")
+    for _ in range(3):
+        assert world.status("system dead") is FREE
+        world.crash("system dead", "system other")
+        world.answer("system other")
+    assert world.status("system dead") is TRIAL
+    assert world.status("system other") is FREE
+    world.crash("system dead", "system other", trial=True)
+    assert world.status("system dead") is REFUSED
+    assert world.status("new dead") is REFUSED
+    assert world.status("system other") is FREE
+
+
+def test_popular_part_is_not_suspected_while_nothing_can_be_answered():
+    world = World()
+    world.answer("system other")
+    for _ in range(6):
+        world.crash("system dead", "system other")
+    assert world.status("system other") is FREE
+    assert world.status("system dead") is TRIAL
+
+
+def test_crashes_at_one_moment_make_no_part_suspected():
+    world = World()
+    for _ in range(8):
+        world.crash("system sound", wait=0.0)
+    assert world.status("system sound") is FREE
+
+
+def test_answer_clears_crashes_that_are_recorded_a_moment_later():
+    world = World()
+    for _ in range(4):
+        world.crash("sound")
+        world.answer("sound")
+        world.crash("sound", wait=part_ledger.EVIDENCE_DELAY_SECONDS / 2)
+    assert world.ledger.crashes(world.keys("sound")[0].shared) == []
+
+
+def test_node_without_history_refuses_only_parts_that_crash_together_until_one_is_answered():
+    world = World()
+    for _ in range(3):
+        world.crash("system dead", "system sound")
+    world.crash("system dead", trial=True)
+    assert world.status("system dead") is REFUSED
+    assert world.status("system sound") is TRIAL
+    world.answer("system sound")
+    assert world.status("system sound") is FREE
+    assert world.status("dead") is REFUSED
+
+
+def test_mended_part_is_tried_after_the_period_and_cleared_by_an_answer():
+    world = World()
+    for _ in range(3):
+        world.crash("dead")
+    world.crash("dead", trial=True)
+    world.now += BASE_REFUSAL_SECONDS - 1
+    assert world.status("dead") is REFUSED
+    world.now += 1
+    assert world.status("dead") is TRIAL
+    world.crash("dead", trial=True, wait=0.0)
+    world.now += 2 * BASE_REFUSAL_SECONDS - 1
+    assert world.status("dead") is REFUSED
+    world.now += 1
+    world.answer("dead")
+    assert world.status("dead") is FREE
+
+
+def test_several_deadly_parts_are_refused_each():
+    world = World()
+    for _ in range(3):
+        world.crash("dead1")
+        world.crash("dead2")
+    world.crash("dead1", trial=True)
+    assert (world.status("dead1"), world.status("dead2")) == (REFUSED, TRIAL)
+    world.crash("dead2", trial=True)
+    assert world.status("dead2") is REFUSED
+
+
+def test_part_that_one_tenant_names_is_refused_for_that_tenant_only():
+    world = World()
+    for _ in range(3):
+        world.crash("named", tenant="b")
+    world.crash("named", tenant="b", trial=True)
+    assert world.status("named", tenant="b") is REFUSED
+    assert world.status("named", tenant="a") is FREE
+
+
+def test_part_that_crashes_workers_under_several_tenants_is_refused_for_all():
+    world = World()
+    for tenant in ("a", "b", "a", "c"):
+        world.crash("dead", tenant=tenant)
+    assert world.status("dead", tenant="d") is TRIAL
+    world.crash("dead", tenant="d", trial=True)
+    assert world.status("dead", tenant="e") is REFUSED
+
+
+def test_isolated_tenant_shares_no_part():
+    world = World()
+    for _ in range(3):
+        world.crash("dead", tenant="i", isolated=True)
+    world.crash("dead", tenant="i", isolated=True, trial=True)
+    assert world.status("dead", tenant="i", isolated=True) is REFUSED
+    assert world.status("dead", tenant="a") is FREE
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_repeated_request_explains_crashes_of_its_parts_unless_it_was_answered(answered):
+    world = World()
+    for _ in range(4):
+        world.crash("part", bodies=["body"])
+    if answered:
+        world.answer("", body="body")
+    assert world.status("part") is (TRIAL if answered else FREE)
+    assert world.ledger.trial_keys(world.keys("part")) == (
+        frozenset({world.keys("part")[0].tenant}) if answered else frozenset()
+    )
+
+
+def test_request_beside_suspected_part_is_explained_by_it():
+    world = World()
+    for _ in range(3):
+        world.crash("dead")
+    assert world.ledger.explains({Incarnation("w1"), Incarnation("w3")})
+    assert not world.ledger.explains({Incarnation("w1"), Incarnation("elsewhere")})
+
+
+def test_ledger_is_bounded_and_keeps_parts_with_most_crashes(monkeypatch):
+    monkeypatch.setattr(part_ledger, "MAX_KEYS", 100)
+    monkeypatch.setattr(part_ledger, "EVICTED_AT_ONCE", 10)
+    world = World()
+    for _ in range(3):
+        world.crash("dead")
+    for number in range(200):
+        world.crash(f"other{number}", wait=0.01)
+        world.answer(f"answered{number}")
+    assert len(world.ledger) <= 100 and len(world.ledger._answered_at) <= 100
+    assert world.status("dead") is TRIAL
+
+
+def test_old_crashes_are_deleted():
+    world = World()
+    for _ in range(3):
+        world.crash("dead")
+    world.now += part_ledger.RETENTION_SECONDS + part_ledger.TRIM_SECONDS
+    world.crash("other")
+    assert world.status("dead") is FREE
