--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -22,6 +22,9 @@
     :ivar shed: number of further requests to reject with status 503.
     :ivar lose_responses: number of further requests after whose start the connection is reset.
     :ivar break_after: reset the connection in the middle of the stream event after this ID.
+    :ivar end_inside_event: end the response normally in the middle of the stream event after this
+        ID.
+    :ivar ends_once: do so in streams that begin at the first event only.
     :ivar extra_response: send a second response after a complete one.
     :ivar foreign_response_first: send the response of another request before the right one.
     :ivar unframed: send responses without a length, which end when the connection is closed.
@@ -44,6 +47,8 @@
     shed: int = 0
     lose_responses: int = 0
     break_after: int | None = None
+    end_inside_event: int | None = None
+    ends_once: bool = False
     extra_response: bool = False
     foreign_response_first: bool = False
     unframed: bool = False
@@ -344,7 +349,12 @@
     async def _send_stream(self, run: Run, connection: ServerConnection) -> None:
         first = int(run.request.headers.get("last-event-id", "0")) + 1
         headers = [*self._headers(run.request_id), ("Content-Type", "text/event-stream")]
-        connection.send_head(200, [*headers, ("Transfer-Encoding", "chunked")])
+        if self.faults.unframed:
+            connection.send_raw(_raw_head(200, headers))
+            send, end = connection.send_raw, connection.close
+        else:
+            connection.send_head(200, [*headers, ("Transfer-Encoding", "chunked")])
+            send, end = connection.send_body, connection.end_response
         for number in range(first, self.events + 1):
             if not await self._wait(run, connection):
                 return
@@ -357,8 +367,18 @@
                 await asyncio.sleep(0.02)
                 await self._crash(run)
                 return
-            connection.send_body(self._event(number))
-        connection.end_response()
+            if self._ends_inside(number, first):
+                send(f"id: {number}\ndata: t".encode())
+                break
+            send(self._event(number))
+        end()
+
+    def _ends_inside(self, number: int, first: int) -> bool:
+        """Return whether a stream that began at an event ends inside another one."""
+        if self.faults.ends_once and first > 1:
+            return False
+        last = self.faults.end_inside_event
+        return last is not None and number > last
 
     def _event(self, number: int) -> bytes:
         version = f": {self.software_version}\n" if self.software_version else ""
