Soak: prompt parts that crash workers, most connections to one node, power lost at the end

Cause: the soak had none of these. The run's activities and checks are lists. Conclusion: the new terms are in the soak.

--- a/bench/forwarding_callers.py
+++ b/bench/forwarding_callers.py
@@ -55,13 +55,17 @@
         """
         callers = [self._reuse_connections(until) for _ in range(self._persistent_count)]
         await asyncio.gather(
-            *callers, *(self._use_new_connections(until) for _ in range(self._single_use_count))
+            *callers, *(self.use_new_connections(until) for _ in range(self._single_use_count))
         )
 
-    async def _use_new_connections(self, until: float) -> None:
+    async def use_new_connections(self, until: float) -> None:
+        """Send requests on a connection each.
+
+        :param until: monotonic time after which no further request is sent.
+        """
         world = self._world
         while time.monotonic() < until:
-            await self.call(self._rng.choice(world.nodes), *self._draw_path_and_key())
+            await self.call(world.draw_node(self._rng), *self._draw_path_and_key())
             await self._pause()
 
     async def _reuse_connections(self, until: float) -> None:
@@ -69,7 +73,7 @@
         caller, name = None, ""
         while time.monotonic() < until:
             if caller is None:
-                name = self._rng.choice(world.nodes)
+                name = world.draw_node(self._rng)
                 try:
                     caller = await Caller.connect(world.site.addresses[name])
                 except OSError:
@@ -102,16 +106,18 @@
         key: str,
         caller: Caller | None = None,
         request_body: bytes = b"x",
+        prompt: str = "",
     ) -> Call:
         """Send a request, record it as a call and check its response.
 
         :param caller: an open connection; ``None`` for a new one.
+        :param prompt: parts of the prompt; empty to draw them.
         """
         rng, world = self._rng, self._world
         request_id = f"{rng.getrandbits(64):016x}"
         headers = {}
         if path.startswith(("/stream", "/resumed")):
-            prefix = f"aa:1000,{rng.randrange(SESSIONS):04x}:1000,{request_id[:8]}:1000"
+            prefix = prompt or f"aa:1000,{rng.randrange(SESSIONS):04x}:1000,{request_id[:8]}:1000"
             headers = {
                 "Wheelslip_Model_Id": MODEL,
                 "Wheelslip_Token_Usage": "3000,6",
@@ -146,6 +152,7 @@
             _signing_worker(answer, request_id, "server-limit"),
             answer.headers.get("server-limit", ""),
             answer.headers.get("retry-after", ""),
+            prompt,
         )
         world.record.calls.append(call)
         self._checker.check_response(call)
--- /dev/null
+++ b/bench/forwarding_crowds.py
@@ -0,0 +1,96 @@
+"""Periods in which most new connections go to one node while callers open more of them."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from typing import NamedTuple
+
+from bench.forwarding_callers import Callers
+from bench.forwarding_judge import CONTACT_SECONDS, RunChecker
+from bench.forwarding_record import Call, Record
+from bench.forwarding_world import World
+
+TO_ONE_NODE = 0.9
+EXTRA_CALLERS = 12
+PAUSE_SECONDS = (1.0, 4.0)
+CROWD_SECONDS = (4.0, 8.0)
+SERVED_SHARE = 0.75
+MIN_CALLS = 20
+
+
+class Crowd(NamedTuple):
+    """Period in which most new connections go to a node."""
+
+    node: str
+    began_at: float
+    ended_at: float
+
+
+class Crowds:
+    """Directs callers to one node from time to time.
+
+    :ivar periods: the periods in which it did.
+    """
+
+    def __init__(self, world: World, callers: Callers, rng: random.Random):
+        self._world = world
+        self._callers = callers
+        self._rng = rng
+        self.periods: list[Crowd] = []
+
+    async def run(self, until: float) -> None:
+        """Direct callers to one node in series.
+
+        :param until: monotonic time after which no further period begins.
+        """
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
+            node = self._rng.choice(self._world.nodes)
+            began_at = time.monotonic()
+            ends_at = began_at + self._rng.uniform(*CROWD_SECONDS)
+            self._world.crowded_node = (node, TO_ONE_NODE)
+            extra = [self._callers.use_new_connections(ends_at) for _ in range(EXTRA_CALLERS)]
+            await asyncio.gather(*extra)
+            self._world.crowded_node = None
+            self.periods.append(Crowd(node, began_at, time.monotonic()))
+
+
+class CrowdChecker:
+    """Checks that requests are served as before while most connections go to one node.
+
+    :ivar checked: number of calls compared.
+    """
+
+    def __init__(self, record: Record, checker: RunChecker, periods: list[Crowd]):
+        self._record = record
+        self._checker = checker
+        self._periods = periods
+        self.checked: Counter[str] = Counter()
+
+    def check(self) -> None:
+        """Check the complete record."""
+        within, outside = [], []
+        for call in self._record.calls:
+            if not self._checker.was_undisrupted(call.node, call.ended_at):
+                continue
+            (within if self._is_crowded(call) else outside).append(call)
+        self.checked["calls while most go to one node"] += len(within)
+        if min(len(within), len(outside)) < MIN_CALLS:
+            return
+        served, expected = _served_share(within), _served_share(outside)
+        if served < SERVED_SHARE * expected:
+            self._record.violations.append(
+                f"RECOVER {served:.2f} of {len(within)} calls served while most went to one node, "
+                f"{expected:.2f} of {len(outside)} at other times"
+            )
+
+    def _is_crowded(self, call: Call) -> bool:
+        return any(
+            crowd.began_at + CONTACT_SECONDS < call.sent_at < crowd.ended_at
+            for crowd in self._periods
+        )
+
+
+def _served_share(calls: list[Call]) -> float:
+    return sum(call.status == 200 and call.complete for call in calls) / len(calls)
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -23,6 +23,7 @@
     :ivar limited_worker: the same, if the header announces a rate limit.
     :ivar limit: the announced rate limit, as it is written in the header.
     :ivar retry_after: value of the ``Retry-After`` header; empty without it.
+    :ivar prompt: parts of the prompt; empty if they were drawn.
     """
 
     node: str
@@ -40,6 +41,7 @@
     limited_worker: str = ""
     limit: str = ""
     retry_after: str = ""
+    prompt: str = ""
 
 
 class Revocation(NamedTuple):
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -22,6 +22,7 @@
 from bench.forwarding_builds import RollingUpgrade, check_out, remove_checkout
 from bench.forwarding_callers import Callers
 from bench.forwarding_crests import CrestCallers, CrestChecker
+from bench.forwarding_crowds import CrowdChecker, Crowds
 from bench.forwarding_deadly import CrashingCaller, check_crashes
 from bench.forwarding_faults import FaultInjector
 from bench.forwarding_judge import RunChecker
@@ -70,6 +71,8 @@
     :param crests: whether callers send bursts above the capacity of the workers.
     :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
     :param versions: whether workers of several software versions serve.
+    :param crowds: whether most new connections go to one node from time to time.
+    :param power: whether all nodes lose power at the same moment after the other faults.
     :ivar longest_lag: longest delay of this process's event loop, in seconds.
     :ivar longest_lag_at: when it was observed, in seconds since the start of the run.
     """
@@ -87,6 +90,8 @@
         crests: bool = False,
         paths: bool = False,
         versions: bool = False,
+        crowds: bool = False,
+        power: bool = False,
     ):
         if crests and older_checkout is not None:
             raise ValueError("older builds refuse the setting for the queue")
@@ -123,6 +128,9 @@
         self.paths = PathFaults(self.world, path_rng) if paths else None
         version_rng = random.Random(f"{seed} versions")
         self.versions = VersionedStreams(self.world, version_rng) if versions else None
+        crowd_rng = random.Random(f"{seed} crowds")
+        self.crowds = Crowds(self.world, self.callers, crowd_rng) if crowds else None
+        self._power = power
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -135,40 +143,38 @@
         await self.world.start()
         await self.callers.wait_until_all_serve(self._settle_seconds)
         ends_at = time.monotonic() + seconds
-        activities = [self.faults.run(ends_at), self.callers.run(ends_at)]
-        if self.crashing_caller is not None:
-            activities.append(self.crashing_caller.run(ends_at))
-        if self.notices is not None:
-            activities.append(self.notices.run(ends_at))
-        if self.limits is not None:
-            activities.append(self.limits.run(ends_at))
-        if self.crests is not None:
-            activities.append(self.crests.run(ends_at))
-        if self.paths is not None:
-            activities.append(self.paths.run(ends_at))
-        if self.versions is not None:
-            activities.append(self.versions.run(ends_at))
-        if self.upgrade is not None:
-            activities.append(self.upgrade.run(ends_at))
-        await asyncio.gather(*activities)
+        optional = (
+            self.crashing_caller,
+            self.notices,
+            self.limits,
+            self.crests,
+            self.paths,
+            self.versions,
+            self.crowds,
+            self.upgrade,
+        )
+        activities = [each.run(ends_at) for each in optional if each is not None]
+        await asyncio.gather(self.faults.run(ends_at), self.callers.run(ends_at), *activities)
+        if self._power:
+            await self.world.lose_power()
         await self._settle()
         lag_task.cancel()
+        self._check()
+
+    def _check(self) -> None:
+        """Check the complete record."""
         self.checker.check_all()
         check_crashes(self.record, self.checker.was_undisrupted)
-        notice_checker = NoticeChecker(self.record)
-        notice_checker.check()
-        limit_checker = LimitChecker(self.record)
-        limit_checker.check()
-        self.checker.checked += notice_checker.checked + limit_checker.checked
+        checkers = [NoticeChecker(self.record), LimitChecker(self.record)]
         if self.crests is not None:
-            crest_checker = CrestChecker(self.record, self.checker)
-            crest_checker.check()
-            self.checker.checked += crest_checker.checked
-
+            checkers.append(CrestChecker(self.record, self.checker))
+        if self.crowds is not None:
+            checkers.append(CrowdChecker(self.record, self.checker, self.crowds.periods))
         if self.paths is not None:
-            path_checker = PathChecker(self.record, self.checker, self.paths.cuts)
-            path_checker.check()
-            self.checker.checked += path_checker.checked
+            checkers.append(PathChecker(self.record, self.checker, self.paths.cuts))
+        for checker in checkers:
+            checker.check()
+            self.checker.checked += checker.checked
 
     async def _measure_lag(self) -> None:
         """Measure the lag of the event loop, which store, workers and callers share."""
@@ -257,6 +263,8 @@
     crests: bool = False,
     paths: bool = False,
     versions: bool = False,
+    crowds: bool = False,
+    power: bool = False,
 ) -> Soak:
     """Perform one run and check it.
 
@@ -277,6 +285,8 @@
             crests,
             paths,
             versions,
+            crowds,
+            power,
         )
         try:
             await soak.run(seconds)
@@ -301,6 +311,8 @@
     crests: bool = False,
     paths: bool = False,
     versions: bool = False,
+    crowds: bool = False,
+    power: bool = False,
 ) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
@@ -317,6 +329,8 @@
     :param crests: whether callers send bursts above the capacity of the workers.
     :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
     :param versions: whether workers of several software versions serve.
+    :param crowds: whether most new connections go to one node from time to time.
+    :param power: whether all nodes lose power at the same moment after the other faults.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
@@ -336,6 +350,8 @@
             crests,
             paths,
             versions,
+            crowds,
+            power,
         )
     )
     print(
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -130,7 +131,9 @@
     :ivar checkout_of: the checkout from which each node's process is started.
     :ivar crashing_body: new workers crash when they start a request with this in its body; empty
         for none.
+    :ivar crashing_parts: new engines crash when they start a request with one of these parts.
     :ivar on_crash: called after a worker crashed.
+    :ivar crowded_node: node to which most new connections go, and their share; ``None`` for none.
     :ivar software_version: returns the software version of a new engine; empty for the default.
     :ivar longest_start: longest time from the start of a process until it listened, in seconds.
     :raises ValueError: when the number of nodes is out of range.
@@ -178,7 +181,9 @@
         self._incarnation_names: dict[str, str] = {}
         self._previous: list[PreviousIncarnation] = []
         self.crashing_body = b""
+        self.crashing_parts: frozenset[str] = frozenset()
         self.on_crash: Callable[[PlatformWorker], None] = lambda worker: None
+        self.crowded_node: tuple[str, float] | None = None
         self.software_version: Callable[[], str] = lambda: ""
 
     async def start(self) -> None:
@@ -268,6 +273,7 @@
         worker.capacity = self._capacity
         worker.accepted_versions = set(LOADABLE_VERSIONS)
         worker.crash_on = self.crashing_body
+        worker.crash_parts = self.crashing_parts
         worker.on_crash = lambda ended: self.on_crash(ended)
         await worker.server.start()
         host, _, port = worker.server.address.rpartition(":")
@@ -280,6 +286,16 @@
             self.cut_paths(node, how)
         self.write_entry(name, "ready")
 
+    def draw_node(self, rng: random.Random) -> str:
+        """Return a random node for a new connection."""
+        if self.crowded_node is not None and rng.random() < self.crowded_node[1]:
+            return self.crowded_node[0]
+        return rng.choice(self.nodes)
+
+    async def lose_power(self) -> None:
+        """Kill all nodes at the same moment and start them again."""
+        await asyncio.gather(*(self.end_and_restart(name, signal.SIGKILL) for name in self.nodes))
+
     def incarnation_name(self, name: str) -> str:
         """Return the name under which the record holds the current incarnation of a worker."""
         return self._incarnation_names[name]
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -151,6 +151,7 @@
     :ivar born: start of the worker, in milliseconds of Unix time, included in its entry and
         reports; ``None`` to omit it.
     :ivar crash_on: like ``faults.crash_on``, which it overrides unless it is empty.
+    :ivar crash_parts: like ``faults.crash_parts``, added to them.
     :ivar announces_leaving: send the header that announces the worker's departure in every
         response.
     :ivar announced_limit: value of the header that announces a limit in requests per second,
@@ -181,6 +182,7 @@
     accepted_versions: set[int] = field(default_factory=lambda: {1})
     born: int | None = None
     crash_on: bytes = b""
+    crash_parts: frozenset[str] = frozenset()
     announces_leaving: bool = False
     announced_limit: str = ""
     capacity: int = 8
@@ -296,7 +298,7 @@
         tenant = run.request.headers.get("wheelslip-tenant-id", "")
         if self.faults.crash_tenant not in ("", tenant):
             return False
-        if self.faults.crash_parts & set(run.shared_parts()):
+        if (self.crash_parts | self.faults.crash_parts) & set(run.shared_parts()):
             return True
         marker = self.crash_on or self.faults.crash_on
         return bool(marker) and marker in run.request.body
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -80,3 +80,11 @@
     assert soak.record.violations == [], soak.failure_report()
     assert soak.versions.counts["versions 1"] > 20
     assert soak.versions.counts["broken or refused"] > 0
+
+
+def test_prompt_parts_crowds_and_lost_power_break_no_guarantee(tmp_path):
+    """Guards against workers that crash in series, crowded nodes and losses after a power failure."""
+    soak = asyncio.run(run_seed(2101, SECONDS, tmp_path, deadly=True, crowds=True, power=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.crashing_caller.crashes["dead"] >= 3
+    assert soak.checker.checked["calls while most go to one node"] > 0
