A popular part beside a deadly part and a deadly body is not suspected

Cause: a repeated request explained the crashes of a part only if it was lost in all of them, so a part that runs beside two causes was left with the crashes of the second. Change: requests that were lost repeatedly and parts are taken in one order, by last answer, number of crashes and scope. Conclusion: each cause explains its own crashes.

--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -44,7 +44,7 @@
         self.reports = CrashReports(node, store, registry, self._ledger, clock, random_source)
         self._trial_locks = TrialLocks(node, store, registry, clock)
         self._registry = registry
-        self._parts = PartLedger(clock, self._ledger.lost_in_all)
+        self._parts = PartLedger(clock, self._ledger.repeated_at)
         self.part_reports = PartReports(node, store, registry, self._parts, random_source)
         self._evidence = CrashEvidence(
             registry,
--- a/src/wheelslip/crashes/ledger.py
+++ b/src/wheelslip/crashes/ledger.py
@@ -193,11 +193,11 @@
         seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2 ** (len(times) - 1))
         return max(0.0, max(times) + seconds - self._clock())
 
-    def lost_in_all(self, incarnations: set[Incarnation]) -> list[str]:
-        """Return the fingerprints with uncleared crashes at all of some incarnations."""
-        lists = [self._fingerprints.get(incarnation, set()) for incarnation in incarnations]
-        common = set.intersection(*lists) if lists else set()
-        return [each for each in common if incarnations <= self._uncleared(each).keys()]
+    def repeated_at(self, incarnations: Iterable[Incarnation]) -> dict[str, set[Incarnation]]:
+        """Return the uncleared crashes of the suspected fingerprints at some incarnations."""
+        fingerprints = set().union(*(self._fingerprints.get(each, ()) for each in incarnations))
+        crashes = {each: set(self._uncleared(each)) for each in fingerprints}
+        return {each: at for each, at in crashes.items() if len(at) >= TRIAL_THRESHOLD}
 
     def refused_count(self) -> int:
         """Return the number of fingerprints that are refused now."""
--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -7,8 +7,8 @@
 - A request that is answered completely clears all its parts, since the crash would have come at
   the beginning of the answer.
 - A part is suspected after several crashes at different moments without such an answer in between.
-- It is not suspected if the crashes have a better explanation: one request that was repeated, one
-  tenant that used it, or a part that was answered less recently or never.
+- It is not suspected if the crashes have a better explanation: requests that were repeated, one
+  tenant that used it, or parts that were answered less recently or never.
 - Suspected parts run in trials, one at a time. The suspected parts of a request whose trial crashed
   its worker are proven together: requests that contain all of them are refused for a while.
 
@@ -17,6 +17,7 @@
 
 from collections.abc import Callable, Iterable
 from functools import lru_cache
+from itertools import groupby
 from typing import NamedTuple
 
 import xxhash
@@ -38,6 +39,12 @@
 
 SUSPICION_MOMENTS = 2
 
+REPEATED_CRASHES = 2
+"""Number of crashes without other explanation from which a repeated request explains them."""
+
+_SCOPES = {"t": 1, "i": 1, "s": 2}
+"""Order of keys by their first character: one tenant, then all tenants."""
+
 EVIDENCE_DELAY_SECONDS = 1.0
 """A complete answer clears crashes that are recorded up to this long after it, because a crash is
 recorded later than it occurs."""
@@ -103,16 +110,17 @@
 class PartLedger:
     """Crashes by prompt part.
 
-    :param requests_lost_in_all: returns the fingerprints of requests lost in all of some crashes.
+    :param repeated_requests: returns the crashes of requests that were lost repeatedly, by
+        fingerprint, as far as any of some incarnations is among them.
     """
 
     def __init__(
         self,
         clock: Callable[[], float],
-        requests_lost_in_all: Callable[[set[Incarnation]], Iterable[str]] = lambda incarnations: (),
+        repeated_requests: Callable[[set[Incarnation]], dict[str, set[Incarnation]]],
     ):
         self._clock = clock
-        self._requests_lost_in_all = requests_lost_in_all
+        self._repeated_requests = repeated_requests
         self._uncleared: dict[str, dict[Incarnation, _Record]] = {}
         self._cleared: dict[str, set[Incarnation]] = {}
         self._last_crash_at: dict[str, float] = {}
@@ -236,8 +244,8 @@
         suspects = self.suspects()
         chosen, has_suspect = set(), False
         for part in parts:
-            keys = [key for key in part.all() if key in self._candidates]
-            keys.sort(key=lambda key: key not in suspects)
+            keys = [key for key in part.all() if key in self._candidates | suspects]
+            keys.sort(key=lambda key: (key not in suspects, _SCOPES[key[0]]))
             chosen.update(keys[:1])
             has_suspect = has_suspect or bool(suspects & set(keys))
         return frozenset(chosen) if has_suspect else frozenset()
@@ -258,41 +266,44 @@
         ]
 
     def _find_suspects(self) -> frozenset[str]:
-        candidates = [key for key in self._uncleared if self._is_sufficient(key, set())]
-        candidates = [key for key in candidates if not self._is_explained_by_one(key)]
-        self._candidates = frozenset(candidates)
+        """Return the parts that explain the crashes best.
+
+        Requests and parts are taken in the order of their last answers, those that were never
+        answered first, and of their numbers of crashes. Each explains its crashes.
+        """
+        parts = [key for key in self._uncleared if self._is_sufficient(key, set())]
+        lost_at = set().union(*(self._uncleared[key] for key in parts))
+        requests = self._repeated_requests(lost_at)
+        crashes = {**requests, **{key: set(self._uncleared[key]) for key in parts}}
         suspects: set[str] = set()
         explained: set[Incarnation] = set()
-        for group in self._by_last_answer(candidates):
-            found = [key for key in group if self._is_sufficient(key, explained)]
+        explained_by_requests: set[Incarnation] = set()
+
+        def order(key: str) -> tuple[float, int, int]:
+            return self._order(key, crashes[key])
+
+        for _, group in groupby(sorted(crashes, key=order), key=order):
+            keys = list(group)
+            repeated = [
+                key
+                for key in keys
+                if key in requests and len(crashes[key] - explained) >= REPEATED_CRASHES
+            ]
+            found = [
+                key for key in keys if key not in requests and self._is_sufficient(key, explained)
+            ]
             suspects.update(found)
-            explained.update(*(self._uncleared[key] for key in found))
+            explained_by_requests.update(*(crashes[key] for key in repeated))
+            explained.update(*(crashes[key] for key in repeated + found))
+        self._candidates = frozenset(
+            key for key in parts if self._is_sufficient(key, explained_by_requests)
+        )
         return frozenset(suspects)
 
-    def _by_last_answer(self, keys: list[str]) -> list[list[str]]:
-        """Return keys in groups by the time of their last answer, those without one first."""
-        groups: dict[float, list[str]] = {}
-        for key in keys:
-            groups.setdefault(self._last_answer(key), []).append(key)
-        return [groups[answered_at] for answered_at in sorted(groups)]
-
-    def _last_answer(self, key: str) -> float:
-        return self._answered_at.get(key, float("-inf"))
-
-    def _is_explained_by_one(self, key: str) -> bool:
-        """Return whether one request or one tenant was lost in all crashes of a part.
-
-        A request that was answered since the part was explains nothing.
-        """
-        incarnations = set(self._uncleared[key])
-        answered_at = self._last_answer(key)
-        requests = self._requests_lost_in_all(incarnations)
-        if any(self._last_answer(fingerprint) <= answered_at for fingerprint in requests):
-            return True
-        return any(
-            incarnations <= self._uncleared.get(tenant_key, {}).keys()
-            for tenant_key in self._tenant_keys.get(key, ())
-        )
+    def _order(self, key: str, crashes: set[Incarnation]) -> tuple[float, int, int]:
+        """Return the sort key of a part's key or a fingerprint; narrower ones come first."""
+        scope = _SCOPES.get(key[0], 0) if key in self._uncleared else 0
+        return self._answered_at.get(key, float("-inf")), -len(crashes), scope
 
     def _is_sufficient(self, key: str, explained: set[Incarnation]) -> bool:
         """Return whether the crashes without other explanation make a part suspected."""
--- a/tests/unit/forwarding/test_part_ledger.py
+++ b/tests/unit/forwarding/test_part_ledger.py
@@ -17,7 +17,7 @@
     def __init__(self):
         self.now = 1000.0
         self.requests = CrashLedger(lambda: self.now)
-        self.ledger = PartLedger(lambda: self.now, self.requests.lost_in_all)
+        self.ledger = PartLedger(lambda: self.now, self.requests.repeated_at)
         self.count = 0
 
     def keys(self, names, tenant="a", isolated=False):
@@ -192,3 +192,22 @@
     world.now += part_ledger.RETENTION_SECONDS + part_ledger.TRIM_SECONDS
     world.crash("other")
     assert world.status("dead") is FREE
+
+
+def test_popular_part_beside_deadly_part_and_deadly_body_is_not_suspected():
+    """Neither of the two explains all crashes of the popular part, but both together do."""
+    world = World()
+    world.answer("system session")
+    for _ in range(3):
+        world.crash("system dead")
+        world.crash("system session", bodies=["body"])
+    assert world.status("system session") is FREE
+    assert world.status("system dead") is TRIAL
+
+
+def test_part_whose_requests_are_each_repeated_once_is_suspected():
+    world = World()
+    for body in ("one", "two", "three"):
+        world.crash("dead", bodies=[body])
+        world.crash("dead", bodies=[body])
+    assert world.status("dead") is TRIAL
