Soak: resets of workers are recorded as disruptions, and callers survive closed connections

A caller ended the run when a killed node closed its connection. Change: the reset is a disruption of that worker; protocol errors end a request.

--- a/bench/forwarding_versions.py
+++ b/bench/forwarding_versions.py
@@ -10,6 +10,9 @@
 import time
 from collections import Counter
 
+import h11
+
+from bench.forwarding_record import Component
 from bench.forwarding_world import MODEL, World
 
 VERSION_SECONDS = 6.0
@@ -58,7 +61,10 @@
             await asyncio.sleep(self._rng.uniform(*BREAK_SECONDS))
             workers = [worker for worker in self._world.site.workers.values() if worker.model]
             if workers:
-                self._rng.choice(workers).server.reset_all()
+                worker = self._rng.choice(workers)
+                name = self._world.incarnation_name(worker.id)
+                self._world.record.record_moment(Component.WORKER, name)
+                worker.server.reset_all()
                 self.counts["resets"] += 1
 
     async def _stream(self, until: float) -> None:
@@ -101,7 +107,7 @@
                 answer = await world.site.request(
                     "/resumed/x", request_id, name, key=world.keys[-1], **headers
                 )
-        except (OSError, AssertionError, TimeoutError):
+        except (OSError, AssertionError, TimeoutError, h11.ProtocolError):
             return b"", False
         return answer.body, answer.complete and answer.status == 200
 
