Answers that break off late say nothing against prompt parts; the check of restarted workers is bounded

Cause: a part crashes its worker as the answer begins, so a stream that is lost later is no evidence; long streams at workers that end for other reasons would add up. The report of a worker that may have restarted could hold a stream up for a second. Change: parts count within 1 s of the first event; the report is waited for 0.15 s, and not asked through tunnels.

--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -21,6 +21,10 @@
 from wheelslip.forwarding.job import Job
 from wheelslip.forwarding.registry import Registry
 
+PART_CRASH_SECONDS = 1.0
+"""Time from the first event of an answer within which a prompt part crashes its worker. An answer that
+lasted longer is no evidence against its parts."""
+
 
 class CrashGuard:
     """Admits, serializes or refuses requests by the crashes recorded for their fingerprints.
@@ -44,6 +48,7 @@
         self.reports = CrashReports(node, store, registry, self._ledger, clock, random_source)
         self._trial_locks = TrialLocks(node, store, registry, clock)
         self._registry = registry
+        self._clock = clock
         self._parts = PartLedger(clock, self._ledger.repeated_at)
         self.part_reports = PartReports(node, store, registry, self._parts, random_source)
         self._evidence = CrashEvidence(
@@ -142,6 +147,9 @@
     def record_lost_response(self, job: Job, worker: WorkerInfo) -> None:
         """Start to check whether a worker that lost a response has crashed."""
         keys = {key for part in _part_keys(job) for key in part.all()}
+        began_at = job.attempt_began_answer_at
+        if began_at and self._clock() - began_at > PART_CRASH_SECONDS:
+            keys = set()
         for part, part_id in zip(_part_keys(job), job.shared_part_ids, strict=True):
             for key in part.all():
                 self.part_reports.name(key, part_id)
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -259,6 +259,7 @@
     def _record_first_token(self) -> None:
         now = self._services.clock()
         self._job.first_event_at = self._job.first_event_at or now
+        self._job.attempt_began_answer_at = now
         self._services.metrics.first_byte.observe(now - self._job.request.arrived)
         self._assignment.record_first_token()
 
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -402,6 +402,7 @@
         self._streams.record_attempt(job, assignment.placement.worker.info)
         incarnation = job.last_incarnation = assignment.placement.worker.info.id
         job.last_sent_at = self._clock()
+        job.attempt_began_answer_at = 0.0
         notices = self._registry.notices
         recovery_slot, outcome = notices.begin(incarnation), None
         assignment.begin()
--- a/src/wheelslip/forwarding/job.py
+++ b/src/wheelslip/forwarding/job.py
@@ -42,6 +42,7 @@
     :ivar on_trial: the request is suspected of crashing workers and holds the trial lock.
     :ivar trial_keys: keys of the suspected prompt parts of a request on trial.
     :ivar has_waited: the request was put into the queue of a dispatcher.
+    :ivar attempt_began_answer_at: when the last attempt brought its first event, 0 before that.
     :ivar first_event_at: when the first event was forwarded, 0 before that.
     """
 
@@ -68,6 +69,7 @@
     trial_keys: frozenset[str] = frozenset()
     weights_version: int | None = None
     has_waited: bool = False
+    attempt_began_answer_at: float = 0.0
     first_event_at: float = 0.0
 
     @property
--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -3,6 +3,7 @@
 Workers of different versions write streams that do not fit together, and do not check it.
 """
 
+import asyncio
 from collections.abc import Callable
 
 from wheelslip.deployment import RouteKind, WorkerInfo
@@ -14,6 +15,9 @@
 from wheelslip.streams.version_link import StreamVersionLink
 from wheelslip.streams.version_records import StreamOrigin, stream_key
 
+RESTART_CHECK_SECONDS = 0.15
+"""Longest time to wait for the report of a worker that may have restarted."""
+
 RECORD_MARGIN_SECONDS = 10.0
 """Time for which a stream is recorded beyond the end of its request, in which its caller may still
 take it up."""
@@ -92,11 +96,12 @@
         after that, the connection leads to it.
         """
         versions = self._link.history.versions(worker.service)
-        if not job.required_version or not worker.born or len(versions) == 1:
+        if not job.required_version or not worker.born or len(versions) == 1 or job.via:
             return False
         try:
-            report = await self._control.report(worker)
-        except WorkerUnreachable:
+            async with asyncio.timeout(RESTART_CHECK_SECONDS):
+                report = await self._control.report(worker)
+        except (WorkerUnreachable, TimeoutError):
             return False
         if report.born in (0, worker.born):
             return False
--- a/tests/unit/forwarding/test_part_ledger.py
+++ b/tests/unit/forwarding/test_part_ledger.py
@@ -1,8 +1,12 @@
 """Which prompt parts are suspected, refused and cleared after crashes of workers."""
 
+import random
+from unittest.mock import Mock
+
 import pytest
 
 from wheelslip.crashes import part_ledger
+from wheelslip.crashes.guard import CrashGuard
 from wheelslip.crashes.ledger import BASE_REFUSAL_SECONDS, Crash, CrashLedger, FingerprintStatus
 from wheelslip.crashes.part_ledger import MOMENT_SECONDS, PartCrash, PartLedger, part_keys
 from wheelslip.deployment import Incarnation
@@ -211,3 +215,14 @@
         world.crash("dead", bodies=[body])
         world.crash("dead", bodies=[body])
     assert world.status("dead") is TRIAL
+
+
+@pytest.mark.parametrize(("seconds", "counted"), [(0.2, True), (1.5, False)])
+def test_answer_that_breaks_off_late_is_no_evidence_against_its_parts(seconds, counted):
+    now = 1000.0
+    guard = CrashGuard("n1", Mock(), Mock(), lambda: now, random.Random(1))
+    guard._evidence = Mock()
+    job = Mock(shared_part_ids=["part"], attempt_began_answer_at=now - seconds, tenant=None)
+    guard.record_lost_response(job, Mock())
+    keys = guard._evidence.record_lost_response.call_args.args[4]
+    assert bool(keys) is counted
