Queries for streams are limited, and a cancelled check of a worker returns its grant

Cause: each query reaches all nodes, so callers that name unknown streams could multiply traffic by the number of nodes; a caller that left while a worker's report was awaited would have left connection and grant open. Found in the review of the diff. Change: 50 queries a second, 200 at once; the check returns what it holds.

--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -375,7 +375,7 @@
             assignment.record_unused()
             raise
         job.via = connection.via
-        if await self._streams.is_restarted(job, worker):
+        if await self._leads_to_restarted_worker(job, assignment, connection):
             connection.close()
             assignment.record_unused()
             job.failure_reason = "the engine has restarted"
@@ -389,6 +389,16 @@
             return AttemptOutcome.WITHHELD
         return await self._run_attempt(job, assignment, connection, caller)
 
+    async def _leads_to_restarted_worker(
+        self, job: Job, assignment: Assignment, connection: HttpConnection
+    ) -> bool:
+        try:
+            return await self._streams.is_restarted(job, assignment.placement.worker.info)
+        except asyncio.CancelledError:
+            connection.close()
+            assignment.record_unused()
+            raise
+
     async def _run_attempt(
         self, job: Job, assignment: Assignment, connection: HttpConnection, caller: CallerConnection
     ) -> AttemptOutcome:
--- a/src/wheelslip/streams/version_link.py
+++ b/src/wheelslip/streams/version_link.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 
 from wheelslip.peers.datagrams import DatagramSocket
+from wheelslip.routing.limits.token_bucket import TokenBucket
 from wheelslip.streams.messages import (
     BACKUP_QUERY,
     BACKUP_REPLY,
@@ -47,6 +48,12 @@
 """Times to wait for replies after the first and the second send of a query."""
 
 
+QUERIES_PER_SECOND = 50.0
+MAX_QUERIES_AT_ONCE = 200.0
+"""Rate limit of the streams that a node asks others for: each query reaches all nodes. Those above it
+are treated as unknown. A worker that ends breaks at most some 50 streams of one node."""
+
+
 class _Query:
     """A query in progress, shared by all requests that continue the same stream."""
 
@@ -98,6 +105,7 @@
         self._urgent = asyncio.Event()
         self._queries: dict[str, _Query] = {}
         self._unasked: dict[str, list[str]] = {}
+        self._budget = TokenBucket(QUERIES_PER_SECOND, MAX_QUERIES_AT_ONCE, MAX_QUERIES_AT_ONCE)
         self.queried = 0
         self.unknown = 0
         socket.register(RECORDS, RecordBatch, self._handle_records)
@@ -196,7 +204,8 @@
             sole = self.history.sole_version(service)
             if sole is not None:
                 return StreamOrigin(service, sole)
-        if not self._address:
+        if not self._address or not self._may_ask(key):
+            self.unknown += 1
             return None
         query = await self._ask(key, service)
         if query.found.done():
@@ -207,6 +216,9 @@
             return None
         return StreamOrigin(service, sole)
 
+    def _may_ask(self, key: str) -> bool:
+        return key in self._queries or not self._budget.acquire(1.0, self._clock())
+
     async def _ask(self, key: str, service: str) -> _Query:
         """Ask all nodes for the origin of a stream, and wait for the reply or for the timeout."""
         query = self._queries.get(key)
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+from unittest.mock import AsyncMock, Mock
 
 import msgspec
 import pytest
 
 from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
+from wheelslip.forwarding.forwarder import Forwarder
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.streams import messages, version_link
 from wheelslip.streams.version_link import StreamVersionLink
@@ -217,3 +219,29 @@
     assert PlacementQuery("s", software_version="v2").allows(worker.info)
     assert not PlacementQuery("s", software_version="v1").allows(worker.info)
     assert not PlacementQuery("s", excluded=frozenset({info.id})).allows(worker.info)
+
+
+def test_queries_are_limited_as_each_reaches_all_nodes():
+    async def play():
+        network = Network()
+        asker = make_link(network, "a", ("a", "b"))
+        make_link(network, "b", ("a", "b")).records.record(["known"], V1, 30.0)
+        limit = int(version_link.MAX_QUERIES_AT_ONCE)
+        keys = [stream_key(str(number)) for number in range(2 * limit)]
+        found = await asyncio.gather(*(asker.find_origin(key, "s") for key in keys))
+        assert found == [None] * len(keys) and asker.queried == limit
+
+    asyncio.run(play())
+
+
+def test_cancelled_check_of_restarted_worker_returns_its_grant():
+    async def play():
+        streams = Mock(is_restarted=AsyncMock(side_effect=asyncio.CancelledError))
+        forwarder = Forwarder(*[Mock()] * 5, streams, Mock(), Mock(), Mock())
+        assignment, connection = Mock(), Mock()
+        with pytest.raises(asyncio.CancelledError):
+            await forwarder._leads_to_restarted_worker(Mock(), assignment, connection)
+        assignment.record_unused.assert_called_once_with()
+        connection.close.assert_called_once_with()
+
+    asyncio.run(play())
