Tests of stream versions hold streams until they break instead of waiting for a time

Not a fault of the product. Change: stand-in workers stop streams after an event until their connection is closed, and the tests wait until every caller has received events; the checks are the same.

--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -125,9 +125,13 @@
 
 
 class Caller:
-    """Client connection to a node."""
+    """Client connection to a node.
+
+    :ivar received_bytes: size of the response bodies received so far.
+    """
 
     def __init__(self, reader, writer):
+        self.received_bytes = 0
         self.reader, self.writer = reader, writer
         self.parser = h11.Connection(h11.CLIENT)
 
@@ -182,6 +186,7 @@
                 response = Response(event.status_code, headers, b"")
             elif isinstance(event, h11.Data):
                 response.body += event.data
+                self.received_bytes += len(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 if self.parser.their_state is h11.DONE and self.parser.our_state is h11.DONE:
                     self.parser.start_next_cycle()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -152,6 +152,8 @@
         reports; ``None`` to omit it.
     :ivar crash_on: like ``faults.crash_on``, which it overrides unless it is empty.
     :ivar crash_parts: like ``faults.crash_parts``, added to them.
+    :ivar hold_after: streams stop after the event with this ID until their connection is closed;
+        ``None`` for no stop.
     :ivar announces_leaving: send the header that announces the worker's departure in every
         response.
     :ivar announced_limit: value of the header that announces a limit in requests per second,
@@ -183,6 +185,7 @@
     born: int | None = None
     crash_on: bytes = b""
     crash_parts: frozenset[str] = frozenset()
+    hold_after: int | None = None
     announces_leaving: bool = False
     announced_limit: str = ""
     capacity: int = 8
@@ -360,6 +363,9 @@
         for number in range(first, self.events + 1):
             if not await self._wait(run, connection):
                 return
+            if self.hold_after is not None and number > self.hold_after:
+                await connection.closed.wait()
+                return
             if self.faults.break_after is not None and number > self.faults.break_after:
                 connection.send_body(f"id: {number}\ndata: t".encode())
                 await asyncio.sleep(0.02)
--- a/tests/probe/forwarding/test_streams_keep_software_version.py
+++ b/tests/probe/forwarding/test_streams_keep_software_version.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from standins.platform_site import RESUMED, Site, configuration, wait_until
+from standins.platform_site import (
+    RESUMED,
+    WAIT_TIMEOUT_SECONDS,
+    Caller,
+    Site,
+    configuration,
+    wait_until,
+)
 from standins.platform_worker import PlatformWorker
 from tests.probe.forwarding.test_path import PROMPT
 
@@ -19,6 +26,7 @@
 VERSION_UNKNOWN = b"stream_version_unknown"
 EVENT = re.compile(rb"id: (\d+)\ndata: token \d+\n: (\w+)\n\n")
 EVENTS = 20
+HELD_AFTER = 5
 BORN = 1_764_700_000_000
 NO_RETRY = RESUMED | {"max_attempts": 1}
 
@@ -42,6 +50,7 @@
     versions: list[str] = field(default_factory=list)
     refusals: list[tuple[int, bytes, float]] = field(default_factory=list)
     complete: bool = False
+    caller: Caller | None = None
 
     async def request(self, node: str) -> None:
         """Send one request, which takes the stream up if it has begun."""
@@ -51,9 +60,15 @@
             headers |= {"Resumes": self.first_id, "Last_Event_Id": self.events[-1]}
         sent_at = time.monotonic()
         try:
-            response = await self.site.request(self.path, request_id, node, **headers)
+            self.caller = await self.site.connect(node)
+            self.caller.send(self.path, request_id, **headers)
+            async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+                response = await self.caller.read_response()
         except (AssertionError, OSError):
             return
+        finally:
+            if self.caller is not None:
+                self.caller.abort()
         found = EVENT.findall(response.body)
         if not found:
             seconds = time.monotonic() - sent_at
@@ -89,17 +104,35 @@
     await site.add_relays(ZONES)
 
 
+def hold_streams(site: Site, after: int | None) -> None:
+    """Let streams stop after an event until their connection is closed; ``None`` for no stop."""
+    for worker in site.workers.values():
+        worker.hold_after = after
+
+
 async def begin_streams(site: Site, count: int, nodes=ZONES) -> list[tuple[Stream, asyncio.Task]]:
-    """Begin streams, and wait until all of them have been running for some events."""
+    """Begin streams, and wait until the callers of all have received events."""
+    hold_streams(site, HELD_AFTER)
     streams = [Stream(site) for _ in range(count)]
-    tasks = [
-        asyncio.create_task(stream.request(node))
+    return await continue_streams(streams, nodes)
+
+
+async def continue_streams(streams, nodes) -> list[tuple[Stream, asyncio.Task]]:
+    """Send a request for each stream, and wait until all callers have received events."""
+    for stream in streams:
+        stream.caller = None
+    begun = [
+        (stream, asyncio.create_task(stream.request(node)))
         for stream, node in zip(streams, itertools.cycle(nodes), strict=False)
     ]
-    running = [worker.runs for worker in site.workers.values()]
-    await wait_until(lambda: sum(len(runs) for runs in running) >= count, "the streams run")
-    await asyncio.sleep(0.25)
-    return list(zip(streams, tasks, strict=True))
+    await wait_until(
+        lambda: all(
+            task.done() or (stream.caller is not None and stream.caller.received_bytes)
+            for stream, task in begun
+        ),
+        "all callers have received events",
+    )
+    return begun
 
 
 async def break_streams(site: Site, begun) -> list[Stream]:
@@ -111,6 +144,7 @@
 
 async def wait_for_callers(begun) -> list[Stream]:
     await asyncio.gather(*(task for _, task in begun))
+    hold_streams(begun[0][0].site, None)
     streams = [stream for stream, _ in begun]
     assert all(stream.events and not stream.complete for stream in streams)
     return streams
@@ -136,9 +170,9 @@
     await start_site(site, RESUMED)
     # The budget for retries grows with the requests.
     for _ in range(3):
-        for stream, task in await begin_streams(site, 48):
-            await task
-            assert stream.whole
+        before = [Stream(site) for _ in range(48)]
+        await take_up(before, ZONES)
+        assert all(stream.whole for stream in before)
     site.workers["v1-0"].faults.break_after = site.workers["v2-0"].faults.break_after = 5
     streams = [Stream(site) for _ in range(24)]
     await take_up(streams, ZONES)
@@ -156,12 +190,8 @@
 async def test_stream_taken_up_twice_keeps_version(site):
     await start_site(site)
     streams = await break_streams(site, await begin_streams(site, 18))
-    tasks = [
-        asyncio.create_task(stream.request(node))
-        for stream, node in zip(streams, itertools.cycle(("z2", "z3", "z1")), strict=False)
-    ]
-    await asyncio.sleep(0.15)
-    await break_streams(site, list(zip(streams, tasks, strict=True)))
+    hold_streams(site, 2 * HELD_AFTER)
+    await break_streams(site, await continue_streams(streams, ("z2", "z3", "z1")))
     await take_up(streams, ("z3", "z1", "z2"))
     assert_taken_up(streams)
 
