The guard checks prompt parts also where no fingerprint is recorded, and says what it refuses

Cause: found in the reading of the diff: a node whose ledger of fingerprints was empty passed over the ledger of parts. Change: either ledger makes a request be checked; the message of a suspected request names its prompt; one loop over parts. Conclusion: both ledgers stand beside each other.

--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -1,8 +1,9 @@
 """Protection of workers against requests that crash them.
 
 A caller may repeat such a request under new ids and at any node, which the retry limits of a single
-request do not prevent. See :mod:`wheelslip.crashes.ledger` for when a request fingerprint is
-suspected, refused and accepted again.
+request do not prevent, or send other requests with the same prompt part. See
+:mod:`wheelslip.crashes.ledger` for when a request fingerprint is suspected, refused and accepted
+again, and :mod:`wheelslip.crashes.part_ledger` for prompt parts.
 """
 
 import asyncio
@@ -27,7 +28,7 @@
 
 
 class CrashGuard:
-    """Admits, serializes or refuses requests by the crashes recorded for their fingerprints.
+    """Admits, serializes or refuses requests by the crashes of their fingerprints and prompt parts.
 
     :param node: name of this node, the same after a restart.
     :param reached_by_peer: returns whether another node can connect to a worker.
@@ -86,8 +87,7 @@
         :raises WheelslipError: if the request is refused, or is suspected and the trial lock is not
             available.
         """
-        if not self._ledger:
-            # No crash is recorded at all; skip the computation of the fingerprint.
+        if not self._has_crashes():
             return None
         match self._status(job):
             case FingerprintStatus.FREE:
@@ -98,12 +98,18 @@
         if trial_lock is None:
             kind = ErrorKind.REQUEST_SUSPECTED
             raise WheelslipError(
-                kind, "engines crashed while running this request; its trial run must wait"
+                kind,
+                "engines crashed while running this request or others with a part of its prompt; "
+                "its trial run must wait",
             )
         job.excluded |= self._ended_incarnations()
         job.trial_keys = self._parts.trial_keys(_part_keys(job))
         return trial_lock
 
+    def _has_crashes(self) -> bool:
+        """Return whether any crash is recorded; without one, no keys need to be computed."""
+        return bool(self._ledger) or bool(self._parts)
+
     def _status(self, job: Job) -> FingerprintStatus:
         """Return the stricter status of the fingerprint and of the prompt parts of a request."""
         status = self._ledger.status(job.fingerprint)
@@ -131,7 +137,7 @@
 
     def is_suspected(self, job: Job) -> bool:
         """Return whether a request may crash workers, so that it is not repeated."""
-        return bool(self._ledger) and self._status(job) is not FingerprintStatus.FREE
+        return self._has_crashes() and self._status(job) is not FingerprintStatus.FREE
 
     def _ended_incarnations(self) -> set[Incarnation]:
         """Return the worker incarnations in the registry that are recorded as crashed.
@@ -146,13 +152,13 @@
 
     def record_lost_response(self, job: Job, worker: WorkerInfo) -> None:
         """Start to check whether a worker that lost a response has crashed."""
-        keys = {key for part in _part_keys(job) for key in part.all()}
+        keys = set()
         began_at = job.attempt_began_answer_at
-        if began_at and self._clock() - began_at > PART_CRASH_SECONDS:
-            keys = set()
-        for part, part_id in zip(_part_keys(job), job.shared_part_ids, strict=True):
-            for key in part.all():
-                self.part_reports.name(key, part_id)
+        if not began_at or self._clock() - began_at <= PART_CRASH_SECONDS:
+            for part, part_id in zip(_part_keys(job), job.shared_part_ids, strict=True):
+                for key in part.all():
+                    self.part_reports.name(key, part_id)
+                    keys.add(key)
         self._evidence.record_lost_response(
             job.fingerprint, worker, job.on_trial, job.last_sent_at, keys, job.trial_keys
         )
--- a/src/wheelslip/streams/version_link.py
+++ b/src/wheelslip/streams/version_link.py
@@ -47,7 +47,6 @@
 QUERY_SECONDS = (0.08, 0.12)
 """Times to wait for replies after the first and the second send of a query."""
 
-
 QUERIES_PER_SECOND = 50.0
 MAX_QUERIES_AT_ONCE = 200.0
 """Rate limit of the streams that a node asks others for: each query reaches all nodes. Those above it
