--- a/standins/asyncio_http.py
+++ b/standins/asyncio_http.py
@@ -147,6 +147,7 @@
     :ivar address: ``HOST:PORT``; empty before the first start.
     :ivar silent: read requests without ever responding to them.
     :ivar accepted_connections: number of connections accepted so far.
+    :ivar running: it was started and not stopped since.
     """
 
     def __init__(self, handler: Handler):
@@ -156,6 +157,7 @@
         self.address = ""
         self.silent = False
         self.accepted_connections = 0
+        self.running = False
 
     async def start(self, port: int = 0) -> None:
         """Start listening.
@@ -165,6 +167,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, bound_port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{bound_port}"
+        self.running = True
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = ServerConnection(reader, writer)
@@ -192,5 +195,6 @@
 
     async def stop(self) -> None:
         """Stop listening and abort all open connections."""
+        self.running = False
         self._server.close()
         self.reset_all()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -225,6 +225,10 @@
         )
 
     async def _handle(self, request: StandInRequest, connection: ServerConnection) -> None:
+        if not self.server.running:
+            # The process has ended; the request was received before.
+            connection.reset()
+            return
         expected = request.headers.get("wheelslip-expect-instance", self.id)
         version = request.headers.get("wheelslip-expect-version", str(self.version))
         if expected != self.id or (self.model and version != str(self.version)):
