Nodes that stand still for a moment are waited for when the origin of a stream is asked for

Cause: the query ended after a fixed time, also if nodes had not replied. Change: it ends after 0.2 s if all nodes that were asked have replied, else after 0.6 s, with two more sends. Evidence: a unit test with a node that is silent for 0.25 s fails before. Conclusion: unknown means that nobody knows, or does not answer within 0.6 s.

--- a/src/wheelslip/streams/version_link.py
+++ b/src/wheelslip/streams/version_link.py
@@ -44,8 +44,12 @@
 
 QUERY_COALESCE_SECONDS = 0.005
 
-QUERY_SECONDS = (0.08, 0.12)
-"""Times to wait for replies after the first and the second send of a query."""
+QUERY_SECONDS = (0.08, 0.12, 0.2, 0.2)
+"""Times to wait for replies after each send of a query."""
+
+MIN_QUERIES = 2
+"""Number of sends after which a query ends once all nodes that were asked directly have replied; until
+then, followers of relays may reply. Nodes that stand still for a moment are waited for."""
 
 QUERIES_PER_SECOND = 50.0
 MAX_QUERIES_AT_ONCE = 200.0
@@ -58,7 +62,7 @@
 
     def __init__(self):
         self.found: asyncio.Future[StreamOrigin | None] = asyncio.get_running_loop().create_future()
-        self.replies = 0
+        self.replied: set[str] = set()
         self.versions_differ = False
 
 
@@ -211,7 +215,7 @@
             return query.found.result()
         self.unknown += 1
         sole = self.history.sole_version(service)
-        if sole is None or query.versions_differ or not query.replies:
+        if sole is None or query.versions_differ or not query.replied:
             return None
         return StreamOrigin(service, sole)
 
@@ -226,13 +230,18 @@
             self.queried += 1
             asyncio.get_running_loop().call_later(sum(QUERY_SECONDS), self._end_query, key, query)
         # Without a key, replies only tell whether versions differ.
-        for seconds in QUERY_SECONDS if key else QUERY_SECONDS[:1]:
+        for sends, seconds in enumerate(QUERY_SECONDS if key else QUERY_SECONDS[:1]):
+            if sends >= MIN_QUERIES and query.replied >= set(self._asked_directly()):
+                break
             self._send_soon(key, service)
             await asyncio.wait([query.found], timeout=seconds)
             if query.found.done():
                 break
         return query
 
+    def _asked_directly(self) -> list[str]:
+        return self._without_self([*self._peers(), *self._relays(), *self._followers()])
+
     def _end_query(self, key: str, query: _Query) -> None:
         if self._queries.get(key) is query:
             del self._queries[key]
@@ -248,7 +257,7 @@
 
     def _send_queries(self, service: str) -> None:
         keys = self._unasked.pop(service)
-        addresses = self._without_self([*self._peers(), *self._relays(), *self._followers()])
+        addresses = self._asked_directly()
         for start in range(0, len(keys), KEYS_PER_QUERY):
             part = OriginQuery(self._address, service, keys[start : start + KEYS_PER_QUERY])
             self._socket.send_to(addresses, QUERY, part)
@@ -269,7 +278,7 @@
             query = self._queries.get(key)
             if query is None:
                 continue
-            query.replies += 1
+            query.replied.add(sender)
             query.versions_differ = query.versions_differ or message.versions_differ
             if key in message.origins and not query.found.done():
                 query.found.set_result(message.origins[key])
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -245,3 +245,20 @@
         connection.close.assert_called_once_with()
 
     asyncio.run(play())
+
+
+def test_node_that_stands_still_for_a_moment_is_waited_for():
+    """A record was called unknown when its node replied after 0.2 s."""
+
+    async def play():
+        network = Network()
+        asker = make_link(network, "a", ("a", "b"))
+        holder = make_link(network, "b", ("a", "b"))
+        holder.records.record(["k"], V1, 30.0)
+        network.dead.add("b")
+        found = asyncio.create_task(asker.find_origin("k", "s"))
+        await asyncio.sleep(0.25)
+        network.dead.clear()
+        assert await found == V1
+
+    asyncio.run(play())
