Crashes beside suspected prompt parts are no evidence against the fingerprints of other requests

Cause: all of them had one body and so one fingerprint. Beside a deadly part that was not suspected yet, two of their trials ended with the worker, which proves a fingerprint; a refused one was not looked at again when the part became suspected. Change: crashes that suspected parts explain are left out when the status of a fingerprint without these parts is found. Conclusion: sound requests of one body stay free.

--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -112,15 +112,14 @@
 
     def _status(self, job: Job) -> FingerprintStatus:
         """Return the stricter status of the fingerprint and of the prompt parts of a request."""
-        status = self._ledger.status(job.fingerprint)
-        if status is FingerprintStatus.REFUSED or not self._parts:
-            return status
+        if not self._parts:
+            return self._ledger.status(job.fingerprint)
         parts_status = self._parts.status(_part_keys(job))
-        if parts_status is not FingerprintStatus.FREE or status is FingerprintStatus.FREE:
-            return parts_status
-        # Requests that ran beside suspected parts only need no trial.
-        crashed = {crash.incarnation for crash in self._ledger.crashes(job.fingerprint)}
-        return FingerprintStatus.FREE if self._parts.explains(crashed) else status
+        if parts_status is FingerprintStatus.FREE:
+            # Crashes beside suspected parts of other requests are no evidence against this one.
+            return self._ledger.status(job.fingerprint, self._parts.explained())
+        status = self._ledger.status(job.fingerprint)
+        return status if status is FingerprintStatus.REFUSED else parts_status
 
     def _refusal(self, job: Job) -> WheelslipError:
         keys = {key for part in _part_keys(job) for key in part.all()}
--- a/src/wheelslip/crashes/ledger.py
+++ b/src/wheelslip/crashes/ledger.py
@@ -117,24 +117,29 @@
             for incarnation, record in self._uncleared(fingerprint).items()
         ]
 
-    def status(self, fingerprint: str) -> FingerprintStatus:
-        """Return how requests with a fingerprint are handled now."""
-        count = len(self._uncleared(fingerprint))
+    def status(
+        self, fingerprint: str, explained: frozenset[Incarnation] = frozenset()
+    ) -> FingerprintStatus:
+        """Return how requests with a fingerprint are handled now.
+
+        :param explained: crashes that have another cause.
+        """
+        count = len(self._uncleared(fingerprint, explained))
         if count < TRIAL_THRESHOLD:
             return FingerprintStatus.FREE
-        if count < REFUSAL_THRESHOLD or self.refused_seconds(fingerprint) <= 0:
+        if count < REFUSAL_THRESHOLD or self.refused_seconds(fingerprint, explained) <= 0:
             return FingerprintStatus.TRIAL
         return (
             FingerprintStatus.REFUSED
-            if self._is_proven_cause(fingerprint)
+            if self._is_proven_cause(fingerprint, explained)
             else FingerprintStatus.TRIAL
         )
 
-    def _is_proven_cause(self, fingerprint: str) -> bool:
+    def _is_proven_cause(self, fingerprint: str, explained: frozenset[Incarnation]) -> bool:
         """Return whether workers crashed when nothing else can have been the cause."""
         alone = [
             incarnation
-            for incarnation, record in self._uncleared(fingerprint).items()
+            for incarnation, record in self._uncleared(fingerprint, explained).items()
             if record.alone
         ]
         if len(alone) >= ALONE_REFUSAL_THRESHOLD:
@@ -183,11 +188,12 @@
         others = self._fingerprints.get(incarnation, set()) - {fingerprint}
         return any(incarnation in self._uncleared(other) for other in others)
 
-    def refused_seconds(self, fingerprint: str) -> float:
+    def refused_seconds(
+        self, fingerprint: str, explained: frozenset[Incarnation] = frozenset()
+    ) -> float:
         """Return the time until the refusal period ends, 0 if there is none."""
-        times = [
-            record.recorded_at for record in self._uncleared(fingerprint).values() if record.alone
-        ]
+        records = self._uncleared(fingerprint, explained).values()
+        times = [record.recorded_at for record in records if record.alone]
         if not times:
             return 0.0
         seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2 ** (len(times) - 1))
@@ -205,10 +211,12 @@
             self.status(fingerprint) is FingerprintStatus.REFUSED for fingerprint in self._records
         )
 
-    def _uncleared(self, fingerprint: str) -> dict[Incarnation, _CrashRecord]:
-        cleared = self._cleared.get(fingerprint, set())
+    def _uncleared(
+        self, fingerprint: str, explained: frozenset[Incarnation] = frozenset()
+    ) -> dict[Incarnation, _CrashRecord]:
+        left_out = self._cleared.get(fingerprint, set()) | explained
         records = self._records.get(fingerprint, {})
-        return {key: record for key, record in records.items() if key not in cleared}
+        return {key: record for key, record in records.items() if key not in left_out}
 
     def _trim(self) -> None:
         oldest = self._clock() - RETENTION_SECONDS
--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -250,10 +250,9 @@
             has_suspect = has_suspect or bool(suspects & set(keys))
         return frozenset(chosen) if has_suspect else frozenset()
 
-    def explains(self, incarnations: set[Incarnation]) -> bool:
-        """Return whether suspected parts were lost in all of some crashes."""
-        explained = set().union(*(self._uncleared[key] for key in self.suspects()))
-        return bool(incarnations) and incarnations <= explained
+    def explained(self) -> frozenset[Incarnation]:
+        """Return the crashes in which suspected parts were lost."""
+        return frozenset().union(*(self._uncleared[key] for key in self.suspects()))
 
     def _proven_at(self, key: str, keys: set[str]) -> list[Incarnation]:
         """Return the crashes of trials that prove some keys, of which one is the first."""
--- a/tests/unit/forwarding/test_part_ledger.py
+++ b/tests/unit/forwarding/test_part_ledger.py
@@ -172,8 +172,17 @@
     world = World()
     for _ in range(3):
         world.crash("dead")
-    assert world.ledger.explains({Incarnation("w1"), Incarnation("w3")})
-    assert not world.ledger.explains({Incarnation("w1"), Incarnation("elsewhere")})
+    explained = world.ledger.explained()
+    assert explained == {Incarnation("w1"), Incarnation("w2"), Incarnation("w3")}
+    for number in (1, 2, 3):
+        world.requests.record(Crash("sound", Incarnation(f"w{number}"), alone=True))
+    world.now += 2.0
+    assert world.requests.status("sound") is REFUSED
+    assert world.requests.status("sound", explained) is FREE
+    for number in (1, 2, 3):
+        world.requests.record(Crash("sound", Incarnation(f"elsewhere{number}"), alone=True))
+    world.now += 2.0
+    assert world.requests.status("sound", explained) is REFUSED
 
 
 def test_ledger_is_bounded_and_keeps_parts_with_most_crashes(monkeypatch):
