The ledger of parts keeps no index of tenants' keys that nothing reads

Cause: the index served a rule that the common order of explanations replaced. Change: it is removed; no behaviour changes. Conclusion: less state. Left: reports.py and part_reports.py keep and trim their crashes alike (one base could serve both).

--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -86,11 +86,6 @@
     return PartKeys(f"s{part_hash}", f"t{part_hash}{tenant_hash}")
 
 
-def _shared_key_of(key: str) -> str | None:
-    """Return the shared key of a tenant's key, ``None`` for other keys."""
-    return f"s{key[1:17]}" if key.startswith("t") else None
-
-
 class PartCrash(NamedTuple):
     """A worker incarnation that ended while it ran a request with a part.
 
@@ -127,7 +122,6 @@
         self._trial_keys: dict[Incarnation, set[str]] = {}
         self._next_trim_at = 0.0
         self._answered_at: dict[str, float] = {}
-        self._tenant_keys: dict[str | None, set[str]] = {}
         self._suspects: frozenset[str] | None = None
         self._candidates: frozenset[str] = frozenset()
 
@@ -148,7 +142,6 @@
         self._last_crash_at[crash.key] = now
         if crash.on_trial:
             self._trial_keys.setdefault(crash.incarnation, set()).add(crash.key)
-        self._add_tenant_key(crash.key)
         answered_at = self._answered_at.get(crash.key, float("-inf"))
         if answered_at > now - EVIDENCE_DELAY_SECONDS and not crash.on_trial:
             self.clear([crash])
@@ -156,11 +149,6 @@
         self._trim()
         return True
 
-    def _add_tenant_key(self, key: str) -> None:
-        shared = _shared_key_of(key)
-        if shared is not None:
-            self._tenant_keys.setdefault(shared, set()).add(key)
-
     def clear(self, crashes: Iterable[PartCrash]) -> None:
         """Record crashes that a complete answer has cleared, at this node or another."""
         for crash in crashes:
@@ -343,8 +331,3 @@
         for incarnation in self._uncleared.pop(key, {}):
             self._remove_trial_key(incarnation, key)
         self._cleared.pop(key, None)
-        shared = _shared_key_of(key)
-        tenant_keys = self._tenant_keys.get(shared, set())
-        tenant_keys.discard(key)
-        if not tenant_keys:
-            self._tenant_keys.pop(shared, None)
