Trials beside parts that crash workers elsewhere too do not prove a fingerprint

Cause: two crashes on trial prove a fingerprint whatever else ran at the workers. The part was not suspected yet, so requests with it ran freely beside the trials; the refused fingerprint was then never answered, and explained the crashes of the part. Change: a crash is left out of the proof if a part of other requests was lost there that has uncleared crashes without this request. The request stays on trial, so an answer clears it or a crash without such a part proves it. The refusal's text and Retry-After come from the parts only while these are refused. Figures: unit test refused before, on trial after.

--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -115,19 +115,32 @@
         if not self._parts:
             return self._ledger.status(job.fingerprint)
         parts_status = self._parts.status(_part_keys(job))
+        status = self._fingerprint_status(job, parts_status)
+        if parts_status is FingerprintStatus.FREE or status is FingerprintStatus.REFUSED:
+            return status
+        return parts_status
+
+    def _fingerprint_status(self, job: Job, parts_status: FingerprintStatus) -> FingerprintStatus:
+        """Return the status of a fingerprint without crashes that other requests explain."""
+        explained: frozenset[Incarnation] = frozenset()
         if parts_status is FingerprintStatus.FREE:
             # Crashes beside suspected parts of other requests are no evidence against this one.
-            return self._ledger.status(job.fingerprint, self._parts.explained())
-        status = self._ledger.status(job.fingerprint)
-        return status if status is FingerprintStatus.REFUSED else parts_status
+            explained = self._parts.explained()
+        status = self._ledger.status(job.fingerprint, explained)
+        if status is not FingerprintStatus.REFUSED:
+            return status
+        crashes = [crash.incarnation for crash in self._ledger.crashes(job.fingerprint)]
+        ambiguous = self._parts.other_causes(crashes, _all_keys(job))
+        if self._ledger.status(job.fingerprint, explained | ambiguous) is status:
+            return status
+        return FingerprintStatus.TRIAL
 
     def _refusal(self, job: Job) -> WheelslipError:
-        keys = {key for part in _part_keys(job) for key in part.all()}
-        seconds = self._ledger.refused_seconds(job.fingerprint)
-        subject = "this request"
-        if self._ledger.status(job.fingerprint) is not FingerprintStatus.REFUSED:
-            seconds = self._parts.refused_seconds(keys)
-            subject = "requests with a part of this prompt"
+        seconds = self._parts.refused_seconds(_all_keys(job))
+        subject = "requests with a part of this prompt"
+        if seconds <= 0:
+            seconds = self._ledger.refused_seconds(job.fingerprint)
+            subject = "this request"
         return WheelslipError(
             ErrorKind.REQUEST_CRASHES_ENGINES,
             f"engines crashed while running {subject}",
@@ -175,10 +188,10 @@
         if self._ledger and self._ledger.crashes(job.fingerprint):
             self.reports.add_completed_run(job.fingerprint)
         if job.shared_part_ids:
-            keys = [key for part in _part_keys(job) for key in part.all()]
+            keys = _all_keys(job)
             if self._ledger:
-                keys.append(job.fingerprint)
-            self.part_reports.add_answer(keys)
+                keys.add(job.fingerprint)
+            self.part_reports.add_answer(sorted(keys))
 
     def end_trial(self, trial_lock: TrialLock, job: Job) -> None:
         """Release a trial lock in the background, once the result is known and was reported."""
@@ -201,3 +214,7 @@
     tenant = job.tenant.name if job.tenant is not None else ""
     isolated = job.tenant is not None and job.tenant.isolated
     return [part_keys(part_id, tenant, isolated) for part_id in job.shared_part_ids]
+
+
+def _all_keys(job: Job) -> set[str]:
+    return {key for part in _part_keys(job) for key in part.all()}
--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -242,6 +242,24 @@
         """Return the crashes in which suspected parts were lost."""
         return frozenset().union(*(self._uncleared[key] for key in self.suspects()))
 
+    def other_causes(
+        self, crashes: Iterable[Incarnation], keys: set[str]
+    ) -> frozenset[Incarnation]:
+        """Return the crashes of a request that parts of other requests may explain.
+
+        These are parts that were lost there and also in crashes without the request.
+
+        :param crashes: of the request.
+        :param keys: of its own parts.
+        """
+        crashes = frozenset(crashes)
+        others = [
+            records.keys()
+            for key, records in self._uncleared.items()
+            if key not in keys and not records.keys() <= crashes
+        ]
+        return crashes.intersection(frozenset().union(*others))
+
     def _proven_at(self, key: str, keys: set[str]) -> list[Incarnation]:
         """Return the crashes of trials that prove some keys, of which one is the first."""
         return [
--- a/tests/unit/forwarding/test_part_ledger.py
+++ b/tests/unit/forwarding/test_part_ledger.py
@@ -235,3 +235,34 @@
     guard.record_lost_response(job, Mock())
     keys = guard._evidence.record_lost_response.call_args.args[4]
     assert bool(keys) is counted
+
+
+@pytest.mark.parametrize("elsewhere", [True, False], ids=["other crashes too", "the same crashes"])
+def test_request_on_trial_beside_part_that_also_crashes_elsewhere_is_not_refused(elsewhere):
+    world = World()
+    world.requests = CrashLedger(lambda: world.now)
+    guard = CrashGuard("n1", Mock(), Mock(), lambda: world.now, random.Random(1))
+    guard._ledger, guard._parts = world.requests, world.ledger
+    sound = Mock(shared_part_ids=["system"], fingerprint="sound", tenant=None)
+    world.crash("dead", wait=0.0, bodies=["sound"])
+    for _ in range(2):
+        world.crash("dead", wait=0.0)
+        world.requests.record(Crash("sound", Incarnation(f"w{world.count}"), alone=True))
+    if elsewhere:
+        world.crash("dead", wait=0.0)
+    assert guard._status(sound) is (TRIAL if elsewhere else REFUSED)
+    world.answer("dead")
+    assert guard._status(sound) is REFUSED
+
+
+def test_request_on_trial_is_refused_for_crashes_at_which_its_own_parts_were_lost():
+    world = World()
+    guard = CrashGuard("n1", Mock(), Mock(), lambda: world.now, random.Random(1))
+    guard._ledger, guard._parts = world.requests, world.ledger
+    deadly = Mock(shared_part_ids=["system"], fingerprint="deadly", tenant=None)
+    world.crash("system", wait=0.0, tenant="", bodies=["deadly"])
+    for _ in range(2):
+        world.crash("system", wait=0.0, tenant="")
+        world.requests.record(Crash("deadly", Incarnation(f"w{world.count}"), alone=True))
+    world.crash("system", wait=0.0, tenant="")
+    assert guard._status(deadly) is REFUSED
