A stream without length or chunks that ends before its first event is lost, not complete

Cause: the end of the connection is the end of such an answer, so a crash looked like an orderly end. Change: without any event, now or in an earlier attempt, the end of the connection is a lost response: a resumable stream is sent to another worker, another one is answered 502. Framed streams and resumed ones that have no further events are complete as before.

--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -337,6 +337,9 @@
             del event
         if splitter.incomplete:
             raise PeerLost("stream ended inside an event")
+        has_events = self.had_first_token or self._job.last_delivered_id is not None
+        if not has_events and _ends_with_connection(response):
+            raise PeerLost("connection ended before the first event")
         self._release_connection(metadata)
         self._record_outcome(failed=False)
         self._start_stream(response)
@@ -374,3 +377,9 @@
         ids = [event.id for event in new_events if event.id is not None]
         if ids:
             self._job.last_delivered_id = ids[-1]
+
+
+def _ends_with_connection(response: h11.Response) -> bool:
+    """Return whether a response has neither a length nor chunks that mark its end."""
+    names = {name for name, _ in response.headers}
+    return names.isdisjoint({b"content-length", b"transfer-encoding"})
