Soak: an unframed stream whose worker breaks off between events may look complete

Of a stream without length or chunks only the end of its connection tells the end. Change: such a stream may be short if the last run of its request was sent without framing and broke off, has an event and no gap. Orderly ends, framed streams, gaps and streams without events are violations as before.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -105,6 +105,7 @@
     :ivar version: weights version of the worker at the start.
     :ivar closed_early: the connection was closed by its client before the end.
     :ivar ended: processing has ended without a crash.
+    :ivar unframed: the response ends with its connection.
     :ivar began_at: in seconds of the monotonic clock.
     """
 
@@ -113,6 +114,7 @@
     version: int
     closed_early: bool = False
     ended: bool = False
+    unframed: bool = False
     began_at: float = field(default_factory=time.monotonic)
 
     def shared_parts(self) -> list[str]:
@@ -358,7 +360,8 @@
     async def _send_stream(self, run: Run, connection: ServerConnection) -> None:
         first = int(run.request.headers.get("last-event-id", "0")) + 1
         headers = [*self._headers(run.request_id), ("Content-Type", "text/event-stream")]
-        if self.faults.unframed:
+        run.unframed = self.faults.unframed
+        if run.unframed:
             connection.send_raw(_raw_head(200, headers))
             send, end = connection.send_raw, connection.close
         else:
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -80,6 +80,25 @@
     assert len(record.violations) == 1
 
 
+@pytest.mark.parametrize(
+    ("numbers", "run", "is_allowed"),
+    [
+        ([1, 2], Run("r1", None, 1, unframed=True), True),
+        ([1, 2], Run("r1", None, 1, unframed=True, ended=True, closed_early=True), True),
+        ([1, 2], Run("r1", None, 1, unframed=True, ended=True), False),
+        ([1, 2], Run("r1", None, 1, closed_early=True), False),
+        ([1, 3], Run("r1", None, 1, unframed=True), False),
+        ([], Run("r1", None, 1, unframed=True), False),
+    ],
+)
+def test_stream_may_lack_its_end_only_if_its_worker_broke_off_without_framing(
+    checker, record, numbers, run, is_allowed
+):
+    record.workers["e0"].runs.append(run)
+    record_call(checker, path="/resumed/x", body=stream_body(numbers))
+    assert (record.violations == []) is is_allowed
+
+
 def test_response_of_another_request_is_violation(checker, record):
     record_call(checker, body=b"answer of p0 to r2")
     assert len(record.violations) == 1
