Soak with rate limits: every run has windows in which a limit applies

Nothing was broken: the check counts a request only at a node that has forwarded the limit, undisturbed since, and 3 s after the worker announced it. Change: after the faults, when all nodes serve, both plain workers announce 6 a second for 7 s while two nodes send more. Conclusion: the run no longer depends on when faults happen to end.

--- a/bench/forwarding_limits.py
+++ b/bench/forwarding_limits.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from bench.forwarding_callers import Callers
 from bench.forwarding_judge import CONTACT_SECONDS
 from bench.forwarding_record import AnnouncedLimit, Call, Component, Record
 from bench.forwarding_series import draw_workers, inject_in_series
@@ -43,6 +44,13 @@
 GRACE_SECONDS = 0.5
 """Requests of a node are counted from this time after it first forwarded the limit."""
 
+UNDISTURBED_RATE = "6"
+UNDISTURBED_SECONDS = CONTACT_SECONDS + WINDOW_SECONDS
+UNDISTURBED_NODES = 2
+CALLERS_PER_NODE = 2
+UNDISTURBED_PAUSE_SECONDS = 0.02
+"""Announcement after all faults, so that every run has windows in which a limit applies."""
+
 
 class LimitFaults:
     """Lets workers announce rate limits.
@@ -67,6 +75,31 @@
             lambda: lambda series_rng: self._announce_series(series_rng, until),
         )
 
+    async def announce_undisturbed(self, callers: Callers) -> None:
+        """Announce a limit at both plain workers while some nodes send more than it allows.
+
+        All faults have ended and all nodes serve.
+        """
+        world = self._world
+        workers = [
+            worker
+            for worker in world.site.workers.values()
+            if world.service_of[worker.id] == "plain"
+        ]
+        for worker in workers:
+            self._announce(worker, UNDISTURBED_RATE)
+        nodes = self._rng.sample(world.nodes, min(UNDISTURBED_NODES, len(world.nodes)))
+        ends_at = time.monotonic() + UNDISTURBED_SECONDS
+
+        async def send(node: str) -> None:
+            while time.monotonic() < ends_at:
+                await callers.call(node, "/safe/x", world.keys[-1])
+                await asyncio.sleep(UNDISTURBED_PAUSE_SECONDS)
+
+        await asyncio.gather(*(send(node) for node in nodes * CALLERS_PER_NODE))
+        for worker in workers:
+            self._announce(worker, "")
+
     async def _announce_series(self, rng: random.Random, until: float) -> None:
         workers = draw_workers(
             self._world, rng, WHOLE_SERVICE_SHARE, lambda worker: not worker.announced_limit
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -158,6 +158,8 @@
         if self._power:
             await self.world.lose_power()
         await self._settle()
+        if self.limits is not None:
+            await self.limits.announce_undisturbed(self.callers)
         lag_task.cancel()
         self._check()
 
