Soak: requests during crowds are compared where their workers are available, in every run

Cause: the check compared all requests in periods in which most connections go to one node with those at all other times. Change: requests are compared if at least half of the workers of their service had been started, were not withdrawn, disrupted, cut off or in a backoff since the contact time before, and no engine had other weights to load. So that every run has such requests, nodes are compared once more after all faults, 5 s without and 5 s with a crowd.

--- a/bench/forwarding_crowds.py
+++ b/bench/forwarding_crowds.py
@@ -4,17 +4,23 @@
 import random
 import time
 from collections import Counter
+from http import HTTPStatus
 from typing import NamedTuple
 
+from bench.forwarding_availability import WorkerAvailability
 from bench.forwarding_callers import Callers
 from bench.forwarding_judge import CONTACT_SECONDS, RunChecker
 from bench.forwarding_record import Call, Record
-from bench.forwarding_world import World
+from bench.forwarding_world import SERVICES, World
 
 TO_ONE_NODE = 0.9
 EXTRA_CALLERS = 12
 PAUSE_SECONDS = (1.0, 4.0)
 CROWD_SECONDS = (4.0, 8.0)
+COMPARED_SECONDS = CONTACT_SECONDS + 2.0
+"""Duration of each part of the comparison without faults. Requests are compared from the contact time
+after the start of a part."""
+
 SERVED_SHARE = 0.75
 MIN_CALLS = 20
 
@@ -46,18 +52,35 @@
         """
         while time.monotonic() < until:
             await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
-            node = self._rng.choice(self._world.nodes)
-            began_at = time.monotonic()
-            ends_at = began_at + self._rng.uniform(*CROWD_SECONDS)
-            self._world.crowded_node = (node, TO_ONE_NODE)
-            extra = [self._callers.use_new_connections(ends_at) for _ in range(EXTRA_CALLERS)]
-            await asyncio.gather(*extra)
-            self._world.crowded_node = None
-            self.periods.append(Crowd(node, began_at, time.monotonic()))
+            await self._crowd_one_node(self._rng.uniform(*CROWD_SECONDS))
+
+    async def run_undisturbed(self) -> None:
+        """Send requests to all nodes and then most of them to one.
+
+        All faults have ended and all nodes serve.
+        """
+        await self._send(COMPARED_SECONDS)
+        await self._crowd_one_node(COMPARED_SECONDS)
+
+    async def _crowd_one_node(self, seconds: float) -> None:
+        node = self._rng.choice(self._world.nodes)
+        began_at = time.monotonic()
+        self._world.crowded_node = (node, TO_ONE_NODE)
+        await self._send(seconds)
+        self._world.crowded_node = None
+        self.periods.append(Crowd(node, began_at, time.monotonic()))
+
+    async def _send(self, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        callers = [self._callers.use_new_connections(until) for _ in range(EXTRA_CALLERS)]
+        await asyncio.gather(*callers)
 
 
 class CrowdChecker:
-    """Checks that requests are served as before while most connections go to one node.
+    """Checks that requests are served as at other times while most connections go to one node.
+
+    Requests with a revoked key are left out, and those of a service of which most workers were
+    unavailable: the share of these depends on the faults of the period.
 
     :ivar checked: number of calls compared.
     """
@@ -66,13 +89,14 @@
         self._record = record
         self._checker = checker
         self._periods = periods
+        self._availability = WorkerAvailability(record, Counter(SERVICES.values()))
         self.checked: Counter[str] = Counter()
 
     def check(self) -> None:
         """Check the complete record."""
         within, outside = [], []
         for call in self._record.calls:
-            if not self._checker.was_undisrupted(call.node, call.ended_at):
+            if not self._is_compared(call):
                 continue
             (within if self._is_crowded(call) else outside).append(call)
         self.checked["calls while most go to one node"] += len(within)
@@ -85,6 +109,13 @@
                 f"{expected:.2f} of {len(outside)} at other times"
             )
 
+    def _is_compared(self, call: Call) -> bool:
+        return (
+            call.status != HTTPStatus.UNAUTHORIZED
+            and self._checker.was_undisrupted(call.node, call.ended_at)
+            and self._availability.has_majority(call.path, call.sent_at, call.ended_at)
+        )
+
     def _is_crowded(self, call: Call) -> bool:
         return any(
             crowd.began_at + CONTACT_SECONDS < call.sent_at < crowd.ended_at
--- a/bench/forwarding_record.py
+++ b/bench/forwarding_record.py
@@ -138,6 +138,7 @@
     """Everything that is recorded in one run.
 
     :ivar workers: all workers that were ever started, by the name of their incarnation.
+    :ivar worker_started_at: when they were started, by the same name.
     :ivar violations: descriptions of broken guarantees.
     :ivar other_request_ids: requests that are checked by their callers and are no calls here.
     """
@@ -152,6 +153,7 @@
     announced_limits: list[AnnouncedLimit] = field(default_factory=list)
     process_starts: list[ProcessStart] = field(default_factory=list)
     workers: dict[str, PlatformWorker] = field(default_factory=dict)
+    worker_started_at: dict[str, float] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
     other_request_ids: set[str] = field(default_factory=set)
 
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -160,6 +160,8 @@
         await self._settle()
         if self.limits is not None:
             await self.limits.announce_undisturbed(self.callers)
+        if self.crowds is not None:
+            await self.crowds.run_undisturbed()
         lag_task.cancel()
         self._check()
 
--- a/bench/forwarding_world.py
+++ b/bench/forwarding_world.py
@@ -284,6 +284,7 @@
         self.site.workers[name] = self.record.workers[incarnation] = worker
         for node, how in self._cut_nodes.items():
             self.cut_paths(node, how)
+        self.record.worker_started_at[incarnation] = time.monotonic()
         self.write_entry(name, "ready")
 
     def draw_node(self, rng: random.Random) -> str:
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench.forwarding_crests import CrestChecker
+from bench.forwarding_crowds import MIN_CALLS, Crowd, CrowdChecker
 from bench.forwarding_judge import (
     CONTACT_SECONDS,
     DRAIN_SECONDS,
@@ -551,3 +552,29 @@
     record.node_outages.append(NodeOutage("n0", 11.0, 13.0))
     CrestChecker(record, checker).check()
     assert record.violations == []
+
+
+@pytest.mark.parametrize(
+    ("unavailable", "path", "status", "is_violation"),
+    [
+        ([], "/plain/x", 503, True),
+        ([], "/plain/x", 401, False),
+        ([], "/plain/x", 200, False),
+        (["p0"], "/plain/x", 503, True),
+        (["p0", "p1"], "/plain/x", 503, False),
+        (["p0", "p1"], "/stream/x", 503, True),
+    ],
+)
+def test_requests_that_are_served_less_while_most_go_to_one_node_are_violation(
+    checker, record, unavailable, path, status, is_violation
+):
+    record.workers |= {name: PlatformWorker(name, model="m") for name in ("e1", "e2")}
+    record.worker_started_at = dict.fromkeys(record.workers, 0.0)
+    crowd = Crowd("n0", 100.0, 110.0)
+    for name in unavailable:
+        record.disruptions.append(Disruption(Component.WORKER, name, 102.0, 108.0))
+    for number in range(2 * MIN_CALLS):
+        at, now = (50.0, 200) if number % 2 else (105.0, status)
+        record.calls.append(Call("n0", f"r{number}", path, "key-1", at, at, now, b"", True))
+    CrowdChecker(record, checker, [crowd]).check()
+    assert bool(record.violations) is is_violation
