--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -10,7 +10,8 @@
 - It is not suspected if the crashes have a better explanation: requests that were repeated, one
   tenant that used it, or parts that were answered less recently or never.
 - Suspected parts run in trials, one at a time. The suspected parts of a request whose trial crashed
-  its worker are proven together: requests that contain all of them are refused for a while.
+  its worker are proven together once this has happened twice: requests that contain all of them are
+  refused for a while.
 
 The module does no I/O; the clock is injected.
 """
@@ -39,6 +40,10 @@
 
 SUSPICION_MOMENTS = 2
 
+PROOF_TRIALS = 2
+"""Number of trials that ended with a crash from which parts are refused. Another request may have crashed
+the worker of one trial."""
+
 REPEATED_CRASHES = 2
 """Number of crashes without other explanation from which a repeated request explains them."""
 
@@ -213,9 +218,9 @@
             for key in keys
             for incarnation in self._proven_at(key, keys)
         ]
-        if not times:
+        if len(times) < PROOF_TRIALS:
             return 0.0
-        seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2 ** (len(times) - 1))
+        seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2 ** (len(times) - PROOF_TRIALS))
         return max(0.0, max(times) + seconds - self._clock())
 
     def refused_keys(self) -> set[str]:
