Requests for brittle workers wait for the dispatcher instead of a choice by the node

Cause, traced: the dispatcher, slow but alive, did not reply within 0.06 to 0.3 s (67 times in 4 s). Each time a node chose a worker by its own requests and reports up to a second old, while the dispatcher granted all slots of the worker to others. Change: a request for a brittle service waits for a reply, 0.25 s a query at least, without the backoff from the dispatcher; concurrent queries without a reply count once, and after three in a row the next dispatcher is asked. A node chooses by itself only when all have failed. Two new unit tests failed before (a slow dispatcher, a failed one).

--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,7 +32,11 @@
     WorkerGrant,
     WorkerQuery,
 )
-from wheelslip.peers.dispatcher_health import DispatcherHealth, DispatcherUnavailable
+from wheelslip.peers.dispatcher_health import (
+    DispatcherHealth,
+    DispatcherSilent,
+    DispatcherUnavailable,
+)
 from wheelslip.peers.queue_link import QueueLink, QueueOutcome, QueueTerms, QueueUnavailable
 from wheelslip.routing.caches.fleet_memory import CachedPrompt
 from wheelslip.routing.dispatcher import Dispatcher, Progress, QueryId
@@ -45,6 +50,10 @@
 MAX_SENDS = 2
 """Maximum number of times a query is sent, since datagrams may be lost."""
 
+REQUIRED_REPLY_SECONDS = 0.25
+"""Minimum time to wait for a reply that is required, so that a slow dispatcher is not replaced while
+the requests that it has granted run."""
+
 MAX_METERS_QUERIED = 2
 """Maximum number of other meters that are queried to charge a request."""
 
@@ -164,17 +173,23 @@
     ) -> Grant | None:
         """Return a grant, or ``None`` if no worker is available now.
 
+        Requests for brittle workers wait until a dispatcher replies or all have failed. If nodes
+        chose these workers themselves, they would send more than the workers can take.
+
         :param terms: if given, the request waits in the queue of the dispatcher when no worker can
             start it now.
         :raises DispatcherUnavailable: if this node has to choose a worker itself.
         :raises Overloaded: if no worker can start the request in time.
         :raises TenantLimited: if the tenant has exceeded its rate limit.
         """
-        try:
-            return await self._request_grant(query, terms)
-        except DispatcherUnavailable:
-            self.local_choices += 1
-            raise
+        is_required = query.service in self._records.brittle
+        while True:
+            try:
+                return await self._request_grant(query, terms, is_required)
+            except DispatcherUnavailable as exc:
+                if not (is_required and isinstance(exc, DispatcherSilent)):
+                    self.local_choices += 1
+                    raise
 
     async def charge(self, query: PlacementQuery) -> None:
         """Charge a request whose worker this node chooses itself to its tenant's rate limit.
@@ -197,8 +212,10 @@
         self._last_query_number += 1
         return QueryId(self.incarnation, self._last_query_number)
 
-    async def _request_grant(self, query: PlacementQuery, terms: QueueTerms | None) -> Grant | None:
-        address = self._health.choose(self._dispatchers_of(query.service))
+    async def _request_grant(
+        self, query: PlacementQuery, terms: QueueTerms | None, is_required: bool = False
+    ) -> Grant | None:
+        address = self._health.choose(self._dispatchers_of(query.service), is_required)
         query_id = self._next_query_id()
         sends = 0
         try:
@@ -208,7 +225,8 @@
                 # The query would not name all workers of other versions.
                 raise DispatcherUnavailable
             query = self._without_uncharged(address, query)
-            reply, sends = await self._send_query(address, WorkerQuery.of(query_id, query))
+            message = WorkerQuery.of(query_id, query)
+            reply, sends = await self._send_query(address, message, is_required)
             self._update_dispatcher(query.service, address, reply.dispatcher)
             return self._process_reply(query_id, address, query, reply)
         except Overloaded as refusal:
@@ -268,10 +286,13 @@
             grant.queued = True
         return grant
 
-    async def _send_query(self, address: str, message: WorkerQuery) -> tuple[WorkerGrant, int]:
+    async def _send_query(
+        self, address: str, message: WorkerQuery, is_required: bool = False
+    ) -> tuple[WorkerGrant, int]:
         """Send a query, again after a timeout; return the reply and the number of messages sent.
 
-        :raises DispatcherUnavailable: if no reply is received in time.
+        :param is_required: wait longer, as the node does not choose a worker itself.
+        :raises DispatcherSilent: if no reply is received in time.
         """
         fut = asyncio.get_running_loop().create_future()
         self._pending[message.query_number] = fut
@@ -279,7 +300,10 @@
         try:
             for sends in range(1, MAX_SENDS + 1):
                 self._socket.send(address, QUERY, message)
-                await asyncio.wait([fut], timeout=self._health.timeout_seconds(address))
+                timeout = self._health.timeout_seconds(address)
+                if is_required:
+                    timeout = max(timeout, REQUIRED_REPLY_SECONDS)
+                await asyncio.wait([fut], timeout=timeout)
                 if fut.done():
                     self._health.record_reply(address, self._clock() - sent_at)
                     return fut.result(), sends
@@ -291,8 +315,8 @@
             raise
         finally:
             del self._pending[message.query_number]
-        self._health.record_timeout(address)
-        raise DispatcherUnavailable
+        self._health.record_timeout(address, sent_at if is_required else math.inf)
+        raise DispatcherSilent
 
     def _process_reply(
         self, query_id: QueryId, address: str, query: PlacementQuery, reply: WorkerGrant
--- a/src/wheelslip/peers/dispatcher_health.py
+++ b/src/wheelslip/peers/dispatcher_health.py
@@ -1,5 +1,6 @@
 """Availability of dispatchers as observed by one node."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,15 +23,21 @@
     """Raised when no dispatcher is available or none replies in time."""
 
 
+class DispatcherSilent(DispatcherUnavailable):
+    """Raised when the dispatcher to query did not reply in time; it may still be alive."""
+
+
 @dataclass
 class _Peer:
     """State of one dispatcher.
 
     :ivar timeouts: consecutive queries without a reply.
+    :ivar timed_out_at: time of the last one.
     """
 
     round_trip: RoundTrip = field(default_factory=RoundTrip)
     timeouts: int = 0
+    timed_out_at: float = float("-inf")
     backoff_until: float = 0.0
     skipped_until: float = 0.0
 
@@ -50,19 +57,20 @@
         """Return the timeout for a reply of a dispatcher."""
         return self._peer(address).round_trip.timeout_seconds
 
-    def choose(self, addresses: list[str]) -> str:
+    def choose(self, addresses: list[str], ignore_backoff: bool = False) -> str:
         """Return the dispatcher to query.
 
         :param addresses: dispatchers in order of preference.
-        :raises DispatcherUnavailable: if the preferred dispatcher is in backoff or none is left.
+        :raises DispatcherSilent: if the preferred dispatcher is in backoff.
+        :raises DispatcherUnavailable: if none is left.
         """
         now = self._clock()
         for address in addresses:
             peer = self._peer(address)
             if peer.skipped_until > now:
                 continue
-            if peer.backoff_until > now:
-                raise DispatcherUnavailable
+            if peer.backoff_until > now and not ignore_backoff:
+                raise DispatcherSilent
             return address
         raise DispatcherUnavailable
 
@@ -90,10 +98,17 @@
         peer.timeouts = 0
         log_event(LogEvent.DISPATCHER_LOST, dispatcher=address, misses=peer.timeouts)
 
-    def record_timeout(self, address: str) -> None:
-        """Record a query without a reply and back off from the dispatcher."""
+    def record_timeout(self, address: str, sent_at: float = math.inf) -> None:
+        """Record a query without a reply and back off from the dispatcher.
+
+        :param sent_at: the query is ignored if an earlier one timed out after this time; concurrent
+            queries are lost together.
+        """
         now = self._clock()
         peer = self._peer(address)
+        if sent_at < peer.timed_out_at:
+            return
+        peer.timed_out_at = now
         peer.timeouts += 1
         peer.round_trip.back_off()
         peer.backoff_until = now + self._random.uniform(*BACKOFF_SECONDS)
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -22,6 +22,7 @@
 from wheelslip.peers.dispatcher_health import DispatcherHealth, DispatcherUnavailable
 from wheelslip.peers.queue_link import QueueLink, QueueTerms, QueueUnavailable
 from wheelslip.peers.queue_server import QueueServer
+from wheelslip.peers.round_trip import MAX_TIMEOUT_SECONDS
 from wheelslip.routing.dispatcher import Progress, QueryId
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
@@ -141,6 +142,9 @@
 class FakeRecords:
     """Worker records that accept the only worker."""
 
+    def __init__(self):
+        self.brittle: set[str] = set()
+
     def worker(self, worker_id):
         return WORKER
 
@@ -177,12 +181,13 @@
             lambda *wait: self.waits.append(wait),
             clock,
         )
+        self.records = FakeRecords()
         self.link = DispatchLink(
             f"d-{address}",
             address,
             self.socket,
             self.dispatcher,
-            FakeRecords(),
+            self.records,
             lambda service: list(dispatchers),
             self.health,
             list,
@@ -693,3 +698,40 @@
         assert not fleet.first.server._addresses
 
     in_fleet(run)
+
+
+@pytest.mark.parametrize("brittle", [True, False])
+def test_request_for_brittle_workers_waits_for_a_slow_dispatcher(brittle):
+    async def run(fleet):
+        fleet.first.dispatcher.grant = lambda query_id, query: Placement(WORKER)
+        fleet.node.records.brittle = {"s"} if brittle else set()
+        fleet.network.silent.add(FIRST)
+        requests = [fleet.node.request() for _ in range(4)]
+        # Longer than a node waits for a reply that it does not require.
+        await asyncio.sleep(2 * MAX_TIMEOUT_SECONDS * dispatch_link.MAX_SENDS)
+        fleet.network.silent.clear()
+        results = await asyncio.gather(*requests, return_exceptions=True)
+        if not brittle:
+            assert all(isinstance(result, DispatcherUnavailable) for result in results)
+            return
+        assert [result.dispatcher for result in results] == 4 * [FIRST]
+        assert fleet.node.link.local_choices == 0
+
+    in_fleet(run)
+
+
+def test_request_for_brittle_workers_goes_to_the_next_dispatcher_if_one_fails(monkeypatch):
+    monkeypatch.setattr(dispatch_link, "REQUIRED_REPLY_SECONDS", 0.03)
+
+    async def run(fleet):
+        fleet.second.dispatcher.grant = lambda query_id, query: Placement(WORKER)
+        fleet.node.records.brittle = {"s"}
+        fleet.network.silent.add(FIRST)
+        grant = await fleet.node.request()
+        assert grant.dispatcher == SECOND
+        fleet.network.silent.add(SECOND)
+        with pytest.raises(DispatcherUnavailable):
+            await fleet.node.request()
+        assert fleet.node.link.local_choices == 1
+
+    in_fleet(run)
