Crash reports by fingerprint and by part share what they keep

Change: ReportedCrashes holds them for both. The test of the bound sets it at the object, where it is kept now; its assertions are unchanged. Conclusion: no change of behaviour.

--- a/src/wheelslip/crashes/part_reports.py
+++ b/src/wheelslip/crashes/part_reports.py
@@ -10,6 +10,7 @@
 
 from wheelslip.crashes.part_ledger import PartCrash, PartLedger
 from wheelslip.crashes.report_key import ReportKey
+from wheelslip.crashes.reported_crashes import ReportedCrashes
 from wheelslip.deployment import Incarnation
 from wheelslip.events import LogEvent, log_event
 from wheelslip.registry.interface import KeyValueStore
@@ -28,8 +29,6 @@
 MAX_NAMED_PARTS = 1024
 """Maximum number of parts whose names this node remembers for the log."""
 
-_CrashId = tuple[str, Incarnation]
-
 
 class PartReport(msgspec.Struct):
     """Report of one node: keys of parts by the incarnation that crashed.
@@ -63,8 +62,9 @@
         self._report_key = ReportKey(
             PARTS_PREFIX + node, store, registry, random_source, self._encode
         )
-        self._crashes: dict[_CrashId, PartCrash] = {}
-        self._cleared: dict[_CrashId, PartCrash] = {}
+        self._reported: ReportedCrashes[PartCrash] = ReportedCrashes(
+            MAX_REPORTED, lambda key: len(ledger.crashes(key))
+        )
         self._names: dict[str, str] = {}
         self._logged_refusals: set[str] = set()
         self.run = self._report_key.run
@@ -74,8 +74,7 @@
         """Record and report crashes that this node observed."""
         for crash in crashes:
             self._ledger.record(crash)
-            self._crashes[crash[:2]] = crash
-        self._trim()
+            self._reported.add(crash)
         self._report_key.mark_changed()
         self._log_refusals()
 
@@ -83,8 +82,8 @@
         """Clear the crashes of the parts of a request that this node has answered completely."""
         is_written = False
         for crash in self._ledger.record_answer(keys):
-            self._cleared[crash[:2]] = crash
-            count = sum(each.key == crash.key for each in self._cleared.values())
+            self._reported.clear(crash)
+            count = sum(each.key == crash.key for each in self._reported.cleared())
             is_written = is_written or count >= MIN_WRITTEN_CLEARING
         if is_written:
             self._report_key.mark_changed()
@@ -96,15 +95,6 @@
         if len(self._names) > MAX_NAMED_PARTS:
             del self._names[next(iter(self._names))]
 
-    def _trim(self) -> None:
-        while len(self._cleared) > MAX_REPORTED:
-            del self._cleared[next(iter(self._cleared))]
-        while len(self._crashes) > MAX_REPORTED:
-            del self._crashes[min(self._crashes, key=self._crash_count)]
-
-    def _crash_count(self, crash_id: _CrashId) -> int:
-        return len(self._ledger.crashes(crash_id[0]))
-
     def entry_changed(self, key: str) -> None:
         """Process a change of a system entry; keys other than part reports are ignored."""
         if not key.startswith(PARTS_PREFIX):
@@ -112,13 +102,10 @@
         report = self._registry.system_record(key, PartReport)
         crashes, cleared = _decode(report) if report is not None else ([], [])
         if key == self._report_key.key:
-            if self._crashes.keys() - {crash[:2] for crash in crashes}:
+            if not self._reported.is_contained_in(crashes):
                 # The store has returned from a copy without the last report.
                 self._report_key.mark_changed()
-            # Keep what the previous process of this node has reported.
-            self._crashes = {crash[:2]: crash for crash in crashes} | self._crashes
-            self._cleared = {crash[:2]: crash for crash in cleared} | self._cleared
-            self._trim()
+            self._reported.restore(crashes, cleared)
         for crash in crashes:
             self._ledger.record(crash)
         if cleared:
@@ -138,11 +125,11 @@
         self._logged_refusals = refused
 
     def _encode(self) -> bytes:
-        trials = [crash for crash in self._crashes.values() if crash.on_trial]
+        crashes = self._reported.crashes()
         report = PartReport(
-            _by_incarnation(self._crashes.values()),
-            _by_incarnation(trials),
-            _by_incarnation(self._cleared.values()),
+            _by_incarnation(crashes),
+            _by_incarnation(crash for crash in crashes if crash.on_trial),
+            _by_incarnation(self._reported.cleared()),
         )
         return msgspec.json.encode(report)
 
--- a/src/wheelslip/crashes/reports.py
+++ b/src/wheelslip/crashes/reports.py
@@ -13,7 +13,7 @@
 
 from wheelslip.crashes.ledger import MAX_FINGERPRINTS, Crash, CrashLedger, FingerprintStatus
 from wheelslip.crashes.report_key import ReportKey
-from wheelslip.deployment import Incarnation
+from wheelslip.crashes.reported_crashes import ReportedCrashes
 from wheelslip.events import LogEvent, log_event
 from wheelslip.registry.interface import KeyValueStore
 from wheelslip.registry.registry import Registry
@@ -24,9 +24,6 @@
 """Maximum number of crashes, and of clearings, in the report of one node. Crashes of the fingerprints
 with the fewest crashes are evicted first."""
 
-_CrashKey = tuple[str, Incarnation]
-"""Identifies a crash: the request fingerprint and the incarnation that ended."""
-
 
 class CrashReport(msgspec.Struct):
     """Report of one node, oldest entries first.
@@ -58,8 +55,9 @@
         self._registry = registry
         self._ledger = ledger
         self._report_key = ReportKey(self._key, store, registry, random_source, self._encode)
-        self._crashes: dict[_CrashKey, Crash] = {}
-        self._cleared: dict[_CrashKey, Crash] = {}
+        self._reported: ReportedCrashes[Crash] = ReportedCrashes(
+            MAX_REPORTED, lambda fingerprint: len(ledger.crashes(fingerprint))
+        )
         self._unreported_clearings: set[str] = set()
         self._logged_refusals: set[str] = set()
 
@@ -68,8 +66,7 @@
     def add(self, crash: Crash) -> None:
         """Record and report a crash that this node observed."""
         self._record_crash(crash)
-        self._crashes[crash[:2]] = crash
-        self._trim()
+        self._reported.add(crash)
         self._mark_changed()
 
     def add_completed_run(self, fingerprint: str) -> None:
@@ -82,8 +79,7 @@
         is_free = self._ledger.status(fingerprint) is FingerprintStatus.FREE
         self._ledger.clear(crashes)
         for crash in crashes:
-            self._cleared[crash[:2]] = crash
-        self._trim()
+            self._reported.clear(crash)
         if is_free:
             self._unreported_clearings.add(fingerprint)
         else:
@@ -93,39 +89,18 @@
     def _mark_changed(self) -> None:
         self._report_key.mark_changed()
 
-    def _trim(self) -> None:
-        while len(self._cleared) > MAX_REPORTED:
-            del self._cleared[next(iter(self._cleared))]
-        while len(self._crashes) > MAX_REPORTED:
-            del self._crashes[min(self._crashes, key=self._crash_count)]
-
-    def _crash_count(self, key: _CrashKey) -> int:
-        return len(self._ledger.crashes(key[0]))
-
     # Reports in the registry view
 
     def entry_changed(self, key: str) -> None:
         """Process a change of a system entry; keys other than crash reports are ignored."""
         if not key.startswith(CRASHES_PREFIX):
             return
-        report = self._registry.system_record(key, CrashReport)
-        if key == self._key and self._lacks_crashes(report):
-            # The store has returned from a copy without the last report.
-            self._mark_changed()
-        if report is None:
-            return
+        report = self._registry.system_record(key, CrashReport) or CrashReport()
         if key == self._key:
-            # Keep what the previous process of this node has reported.
-            self._crashes = {crash[:2]: crash for crash in report.crashes} | self._crashes
-            self._cleared = {crash[:2]: crash for crash in report.cleared} | self._cleared
-            self._trim()
-        self._apply_report(report)
-
-    def _lacks_crashes(self, report: CrashReport | None) -> bool:
-        stored = [] if report is None else report.crashes
-        return bool(self._crashes.keys() - {crash[:2] for crash in stored})
-
-    def _apply_report(self, report: CrashReport) -> None:
+            if not self._reported.is_contained_in(report.crashes):
+                # The store has returned from a copy without the last report.
+                self._mark_changed()
+            self._reported.restore(report.crashes, report.cleared)
         for crash in report.crashes:
             self._record_crash(crash)
         self._ledger.clear(report.cleared)
@@ -169,5 +144,5 @@
 
     def _encode(self) -> bytes:
         self._unreported_clearings.clear()
-        report = CrashReport(list(self._crashes.values()), list(self._cleared.values()))
+        report = CrashReport(self._reported.crashes(), self._reported.cleared())
         return msgspec.json.encode(report)
--- a/tests/unit/forwarding/test_crash_reports.py
+++ b/tests/unit/forwarding/test_crash_reports.py
@@ -125,7 +125,7 @@
 
 
 def test_report_is_bounded_and_refused_fingerprint_is_evicted_last(node, store, monkeypatch):
-    monkeypatch.setattr(crash_reports, "MAX_REPORTED", 20)
+    monkeypatch.setattr(node.reports._reported, "_maximum", 20)
     for number in range(3):
         node.reports.add(crash(number))
     for number in range(100):
