Soak: one record of its options

Change: SoakOptions names them once; run_seed and the command line take its fields, and an unknown one is an error that names it. Conclusion: no change of what runs contain.

--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 from collections import Counter
+from typing import NamedTuple
 
 import fire
 
@@ -57,22 +58,42 @@
 """Lag of this process from which a warning is printed; results are not discarded."""
 
 
+class SoakOptions(NamedTuple):
+    """What a run contains beside the faults of all runs.
+
+    :ivar nodes: number of nodes; drawn from the seed when 0.
+    :ivar restarts: whether to restart workers under their ids and to write invalid entries.
+    :ivar deadly: whether a caller sends requests that crash workers.
+    :ivar notices: whether workers announce in responses that they leave or need a backoff.
+    :ivar older: commit of this repository that all nodes run at first; they are upgraded during the
+        run, and some are rolled back in between. Empty for none.
+    :ivar limits: whether workers announce rate limits in responses.
+    :ivar crests: whether callers send bursts above the capacity of the workers.
+    :ivar paths: whether nodes lose their paths to workers, and the store returns from older copies.
+    :ivar versions: whether workers of several software versions serve.
+    :ivar crowds: whether most new connections go to one node from time to time.
+    :ivar power: whether all nodes lose power at the same moment after the other faults.
+    """
+
+    nodes: int = 0
+    restarts: bool = True
+    deadly: bool = False
+    notices: bool = False
+    older: str = ""
+    limits: bool = False
+    crests: bool = False
+    paths: bool = False
+    versions: bool = False
+    crowds: bool = False
+    power: bool = False
+
+
 class Soak:
     """One randomised run.
 
     :param seed: of all random sources of the run.
     :param folder: directory for settings and logs of nodes.
-    :param nodes: number of nodes; drawn from the seed when 0.
-    :param restarts: whether to restart workers under their ids and to write invalid entries.
-    :param deadly: whether a caller sends requests that crash workers.
-    :param notices: whether workers announce in responses that they leave or need a backoff.
-    :param older_checkout: path of a checkout of an older build that all nodes run at first.
-    :param limits: whether workers announce rate limits in responses.
-    :param crests: whether callers send bursts above the capacity of the workers.
-    :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
-    :param versions: whether workers of several software versions serve.
-    :param crowds: whether most new connections go to one node from time to time.
-    :param power: whether all nodes lose power at the same moment after the other faults.
+    :param older_checkout: path of a checkout of the older build that all nodes run at first.
     :ivar longest_lag: longest delay of this process's event loop, in seconds.
     :ivar longest_lag_at: when it was observed, in seconds since the start of the run.
     """
@@ -81,29 +102,22 @@
         self,
         seed: int,
         folder: pathlib.Path,
-        nodes: int = 0,
-        restarts: bool = True,
-        deadly: bool = False,
-        notices: bool = False,
+        options: SoakOptions,
         older_checkout: pathlib.Path | None = None,
-        limits: bool = False,
-        crests: bool = False,
-        paths: bool = False,
-        versions: bool = False,
-        crowds: bool = False,
-        power: bool = False,
     ):
-        if crests and older_checkout is not None:
+        if options.crests and older_checkout is not None:
             raise ValueError("older builds refuse the setting for the queue")
         rng = random.Random(seed)
         drawn_count, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
         self.record = Record()
-        self.world = World(folder, self.record, nodes or drawn_count, zones, crests, paths)
+        self.world = World(
+            folder, self.record, options.nodes or drawn_count, zones, options.crests, options.paths
+        )
         self.checker = RunChecker(self.record)
-        restart_rng = random.Random(f"{seed} restarts") if restarts else None
+        restart_rng = random.Random(f"{seed} restarts") if options.restarts else None
         self.faults = FaultInjector(self.world, rng, restart_rng)
         callers = min(MAX_CALLERS, max(MIN_CALLERS, len(self.world.nodes)))
-        callers = CALLERS_BESIDE_CRESTS if crests else callers
+        callers = CALLERS_BESIDE_CRESTS if options.crests else callers
         persistent_count = callers // 2
         # Separate from the source of the faults, whose order must not depend on callers.
         caller_rng = random.Random(~seed)
@@ -112,25 +126,27 @@
         )
         crash_rng = random.Random(f"{seed} deadly")
         self.crashing_caller = (
-            CrashingCaller(self.world, self.callers, crash_rng) if deadly else None
+            CrashingCaller(self.world, self.callers, crash_rng) if options.deadly else None
         )
         notice_rng = random.Random(f"{seed} notices")
-        self.notices = NoticeFaults(self.world, self.faults, notice_rng) if notices else None
+        self.notices = (
+            NoticeFaults(self.world, self.faults, notice_rng) if options.notices else None
+        )
         limit_rng = random.Random(f"{seed} limits")
-        self.limits = LimitFaults(self.world, limit_rng) if limits else None
+        self.limits = LimitFaults(self.world, limit_rng) if options.limits else None
         upgrade_rng = random.Random(f"{seed} builds")
         self.upgrade = (
             RollingUpgrade(self.world, older_checkout, upgrade_rng) if older_checkout else None
         )
         crest_rng = random.Random(f"{seed} crests")
-        self.crests = CrestCallers(self.world, self.callers, crest_rng) if crests else None
+        self.crests = CrestCallers(self.world, self.callers, crest_rng) if options.crests else None
         path_rng = random.Random(f"{seed} paths")
-        self.paths = PathFaults(self.world, path_rng) if paths else None
+        self.paths = PathFaults(self.world, path_rng) if options.paths else None
         version_rng = random.Random(f"{seed} versions")
-        self.versions = VersionedStreams(self.world, version_rng) if versions else None
+        self.versions = VersionedStreams(self.world, version_rng) if options.versions else None
         crowd_rng = random.Random(f"{seed} crowds")
-        self.crowds = Crowds(self.world, self.callers, crowd_rng) if crowds else None
-        self._power = power
+        self.crowds = Crowds(self.world, self.callers, crowd_rng) if options.crowds else None
+        self._power = options.power
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -254,44 +270,16 @@
         return ", ".join(f"{path} {status}: {n}" for (path, status), n in sorted(outcomes.items()))
 
 
-async def run_seed(
-    seed: int,
-    seconds: float,
-    folder: pathlib.Path,
-    nodes: int = 0,
-    restarts: bool = True,
-    deadly: bool = False,
-    notices: bool = False,
-    older: str = "",
-    limits: bool = False,
-    crests: bool = False,
-    paths: bool = False,
-    versions: bool = False,
-    crowds: bool = False,
-    power: bool = False,
-) -> Soak:
+async def run_seed(seed: int, seconds: float, folder: pathlib.Path, **options) -> Soak:
     """Perform one run and check it.
 
-    :param older: commit of the older build that all nodes run at first; empty for none.
-    :return: the finished run; see :class:`Soak` for the other parameters.
+    :param options: fields of :class:`SoakOptions`.
+    :return: the finished run.
     """
-    checkout = check_out(older, folder) if older else None
+    run_options = SoakOptions(**options)
+    checkout = check_out(run_options.older, folder) if run_options.older else None
     try:
-        soak = Soak(
-            seed,
-            folder,
-            nodes,
-            restarts,
-            deadly,
-            notices,
-            checkout,
-            limits,
-            crests,
-            paths,
-            versions,
-            crowds,
-            power,
-        )
+        soak = Soak(seed, folder, run_options, checkout)
         try:
             await soak.run(seconds)
         finally:
@@ -302,62 +290,19 @@
     return soak
 
 
-def main(
-    seed: int = 1,
-    seconds: float = 30.0,
-    nodes: int = 0,
-    folder: str = "",
-    restarts: bool = True,
-    deadly: bool = False,
-    notices: bool = False,
-    older: str = "",
-    limits: bool = False,
-    crests: bool = False,
-    paths: bool = False,
-    versions: bool = False,
-    crowds: bool = False,
-    power: bool = False,
-) -> None:
+def main(seed: int = 1, seconds: float = 30.0, folder: str = "", **options) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
     :param seed: determines kinds and order of faults.
     :param seconds: how long faults are injected.
-    :param nodes: number of nodes; drawn from the seed when 0.
     :param folder: directory for settings and logs of nodes; a temporary one when empty.
-    :param restarts: whether to restart workers under their ids and to write invalid entries.
-    :param deadly: whether a caller sends requests that crash workers.
-    :param notices: whether workers announce in responses that they leave or need a backoff.
-    :param older: commit of this repository that all nodes run at first; they are upgraded during
-        the run, and some are rolled back in between.
-    :param limits: whether workers announce rate limits in responses.
-    :param crests: whether callers send bursts above the capacity of the workers.
-    :param paths: whether nodes lose their paths to workers, and the store returns from older copies.
-    :param versions: whether workers of several software versions serve.
-    :param crowds: whether most new connections go to one node from time to time.
-    :param power: whether all nodes lose power at the same moment after the other faults.
+    :param options: flags named as the fields of :class:`SoakOptions`.
     """
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
-    older = str(older)
-    soak = asyncio.run(
-        run_seed(
-            seed,
-            seconds,
-            logs,
-            nodes,
-            restarts,
-            deadly,
-            notices,
-            older,
-            limits,
-            crests,
-            paths,
-            versions,
-            crowds,
-            power,
-        )
-    )
+    options["older"] = str(options.get("older", ""))
+    soak = asyncio.run(run_seed(seed, seconds, logs, **options))
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
         f"of this process {soak.longest_lag:.3f} s at {soak.longest_lag_at} s"
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -28,7 +28,7 @@
     Record,
     Revocation,
 )
-from bench.forwarding_soak import Soak
+from bench.forwarding_soak import Soak, SoakOptions
 from standins.platform_worker import BackoffRequest, PlatformWorker, Run
 
 
@@ -528,7 +528,7 @@
 
 
 def test_failure_report_shows_only_logs_of_nodes_named_in_violations(tmp_path):
-    soak = Soak(1, tmp_path, nodes=12)
+    soak = Soak(1, tmp_path, SoakOptions(nodes=12))
     for node in ("n1", "n11"):
         (tmp_path / f"{node}.log").write_text(f"a line of {node}\n")
     soak.record.violations.append("LIMIT p0 through n11 at 3.0 s")
