Grants and the reports about them leave the dispatch link

Change: peers/grant_reports.py keeps the grants and reports them; the link queries. The ranking of parts is a function of its own. Conclusion: no change of behaviour.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -690,7 +690,7 @@
         "late grant of a former dispatcher kept",
         FORWARDING,
         "peers/dispatch_link.py",
-        "elif reply.worker and reply.query_number not in self._grants:",
+        "elif reply.worker and not self._reports.has_grant(reply.query_number):",
         "elif False:",
         "../unit/forwarding/test_queue_link.py"
         "::test_silent_dispatcher_is_left_and_its_late_grant_is_returned",
--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -16,7 +16,7 @@
 The module does no I/O; the clock is injected.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from functools import lru_cache
 from itertools import groupby
 from typing import NamedTuple
@@ -288,12 +288,7 @@
         suspects: set[str] = set()
         explained: set[Incarnation] = set()
         explained_by_requests: set[Incarnation] = set()
-
-        def order(key: str) -> tuple[float, int, int]:
-            return self._order(key, crashes[key])
-
-        for _, group in groupby(sorted(crashes, key=order), key=order):
-            keys = list(group)
+        for keys in self._ranked(crashes):
             repeated = [
                 key
                 for key in keys
@@ -310,7 +305,16 @@
         )
         return frozenset(suspects)
 
-    def _order(self, key: str, crashes: set[Incarnation]) -> tuple[float, int, int]:
+    def _ranked(self, crashes: dict[str, set[Incarnation]]) -> Iterator[list[str]]:
+        """Return groups of keys that explain crashes equally well, the best first."""
+
+        def rank(key: str) -> tuple[float, int, int]:
+            return self._rank(key, crashes[key])
+
+        for _, group in groupby(sorted(crashes, key=rank), key=rank):
+            yield list(group)
+
+    def _rank(self, key: str, crashes: set[Incarnation]) -> tuple[float, int, int]:
         """Return the sort key of a part's key or a fingerprint; narrower ones come first."""
         scope = _SCOPES.get(key[0], 0) if key in self._uncleared else 0
         return self._answered_at.get(key, float("-inf")), -len(crashes), scope
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -5,8 +5,9 @@
 from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.deployment import Incarnation
 from wheelslip.job import Job
-from wheelslip.peers.dispatch_link import DispatchLink, Grant
+from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
+from wheelslip.peers.grant_reports import Grant
 from wheelslip.peers.queue_link import QueueTerms
 from wheelslip.registry.registry import Registry
 from wheelslip.routing.dispatcher import Progress
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -2,33 +2,21 @@
 
 Every node can be a dispatcher; all nodes derive the dispatcher of a service from the store in the
 same way. If it does not reply in time, the node chooses a worker itself and backs off from that
-dispatcher; after several timeouts in a row the next dispatcher is used. Nodes report their running
-requests and recently cached prompts to a new dispatcher, so that it can rebuild the state of the
-previous one.
+dispatcher; after several timeouts in a row the next dispatcher is used.
 """
 
 import asyncio
 import contextlib
 import math
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import NamedTuple
 
 from wheelslip.deployment import CachePlan, Incarnation
 from wheelslip.events import LogEvent, log_event
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
-    CACHED_PROMPTS,
     GRANT,
-    ITEMS_PER_DATAGRAM,
     MAX_EXCLUDED,
-    PROGRESS,
     QUERY,
-    RUNNING,
-    CachedPromptsReport,
-    ProgressReport,
-    RunningReport,
     WorkerGrant,
     WorkerQuery,
 )
@@ -37,10 +25,9 @@
     DispatcherSilent,
     DispatcherUnavailable,
 )
+from wheelslip.peers.grant_reports import Grant, GrantReports
 from wheelslip.peers.queue_link import QueueLink, QueueOutcome, QueueTerms, QueueUnavailable
-from wheelslip.routing.caches.fleet_memory import CachedPrompt
 from wheelslip.routing.dispatcher import Dispatcher, Progress, QueryId
-from wheelslip.routing.fleet_choice import RunningRequest
 from wheelslip.routing.limits.named_limits import WorkerRateLimits
 from wheelslip.routing.limits.tenant_limits import TenantLimited
 from wheelslip.routing.overload import Overloaded
@@ -57,56 +44,10 @@
 MAX_METERS_QUERIED = 2
 """Maximum number of other meters that are queried to charge a request."""
 
-RUNNING_REPORT_SECONDS = 1.0
-"""Interval between reports of running requests."""
-
-CACHED_PROMPT_SECONDS = 8.0
-"""Time for which a cached prompt is reported to new dispatchers; under load, workers evict it
-after about as long."""
-
 UNCHARGED_EXCLUSION_SECONDS = 1.0
 """Time for which rate-limited workers are excluded from queries to a dispatcher that granted one
 without charging its limit: it may lack the limits, or its build may not support them."""
 
-MAX_CACHED_PROMPTS = 256
-"""Maximum number of recorded prompts."""
-
-
-class _RecentPrompt(NamedTuple):
-    """A prompt that a worker has cached, recorded for a new dispatcher."""
-
-    expires_at: float
-    service: str
-    prompt: CachedPrompt
-
-
-@dataclass
-class Grant:
-    """A worker granted to one request of this node.
-
-    :ivar dispatcher: address of the node that issued the grant.
-    :ivar queued: the request may have waited for the grant in the queue of the dispatcher.
-    """
-
-    query_id: QueryId
-    dispatcher: str
-    service: str
-    placement: Placement
-    had_first_token: bool = False
-    queued: bool = False
-
-    def as_running_request(self) -> RunningRequest:
-        """Return the request as reported to a dispatcher."""
-        placement = self.placement
-        return RunningRequest(
-            self.query_id.number,
-            placement.worker.info.id,
-            placement.weights_version,
-            placement.chain,
-            0 if self.had_first_token else placement.prefill_tokens,
-            placement.held_tokens,
-        )
-
 
 class DispatchLink:
     """Requests grants from dispatchers and reports the progress of granted requests.
@@ -155,14 +96,14 @@
         self._limits = limits
         self._report_limits = report_limits
         self._queue = queue
-        queue.follow = self._update_dispatcher
+        self._reports = GrantReports(incarnation, address, socket, dispatcher, queue, clock)
+        self.report_progress = self._reports.report_progress
+        self.run = self._reports.run
+        queue.follow = self._reports.follow_dispatcher
         self._uncharged_until: dict[str, float] = {}
         self._clock = clock
         self._last_query_number = 0
         self._pending: dict[int, asyncio.Future[WorkerGrant]] = {}
-        self._grants: dict[int, Grant] = {}
-        self._current_dispatchers: dict[str, tuple[str, str]] = {}
-        self._recent_prompts: deque[_RecentPrompt] = deque(maxlen=MAX_CACHED_PROMPTS)
         self.grants_received = 0
         self.local_choices = 0
         self.uncharged_grants = 0
@@ -227,7 +168,7 @@
             query = self._without_uncharged(address, query)
             message = WorkerQuery.of(query_id, query)
             reply, sends = await self._send_query(address, message, is_required)
-            self._update_dispatcher(query.service, address, reply.dispatcher)
+            self._reports.follow_dispatcher(query.service, address, reply.dispatcher)
             return self._process_reply(query_id, address, query, reply)
         except Overloaded as refusal:
             if terms is None or not self._queue.has_queue(address):
@@ -240,7 +181,7 @@
 
     def _ask_locally(self, query_id: QueryId, query: PlacementQuery) -> Grant | None:
         placement = self._dispatcher.grant(query_id, query)
-        self._update_dispatcher(query.service, self._address, self.incarnation)
+        self._reports.follow_dispatcher(query.service, self._address, self.incarnation)
         return self._record_grant(query_id, self._address, query.service, placement)
 
     def _without_uncharged(self, address: str, query: PlacementQuery) -> PlacementQuery:
@@ -277,10 +218,10 @@
         if isinstance(decision, Exception):
             raise decision
         if isinstance(decision, WorkerGrant):
-            self._update_dispatcher(query.service, address, decision.dispatcher)
+            self._reports.follow_dispatcher(query.service, address, decision.dispatcher)
             grant = self._process_reply(query_id, address, query, decision)
         else:
-            self._update_dispatcher(query.service, address, self.incarnation)
+            self._reports.follow_dispatcher(query.service, address, self.incarnation)
             grant = self._record_grant(query_id, address, query.service, decision)
         if grant is not None:
             grant.queued = True
@@ -311,7 +252,7 @@
             if fut.done() and fut.result().worker:
                 # The grant arrived at the moment of the cancellation.
                 query_id = QueryId(message.node, message.query_number)
-                self._send_progress(address, query_id, Progress.UNUSED)
+                self._reports.send_progress(address, query_id, Progress.UNUSED)
             raise
         finally:
             del self._pending[message.query_number]
@@ -332,7 +273,7 @@
             self._records.adopt_weights(worker, query.model, reply.weights_version)
         if worker is None or not self._records.accepts(worker, query):
             # In this node's view the worker is not available for the request.
-            self._send_progress(address, query_id, Progress.UNUSED)
+            self._reports.send_progress(address, query_id, Progress.UNUSED)
             raise DispatcherUnavailable
         if not reply.charged and self._limits.rate(reply.worker) is not None:
             self._return_uncharged_grant(address, query_id, reply.worker)
@@ -365,7 +306,7 @@
         log_event(LogEvent.GRANT_UNCOUNTED, dispatcher=address, incarnation=worker)
         self._uncharged_until[address] = self._clock() + UNCHARGED_EXCLUSION_SECONDS
         self._report_limits(address)
-        self._send_progress(address, query_id, Progress.UNUSED)
+        self._reports.send_progress(address, query_id, Progress.UNUSED)
 
     def _record_grant(
         self, query_id: QueryId, address: str, service: str, placement: Placement | None
@@ -374,85 +315,9 @@
             return None
         self.grants_received += 1
         grant = Grant(query_id, address, service, placement)
-        self._grants[query_id.number] = grant
+        self._reports.add(grant)
         return grant
 
-    def report_progress(self, grant: Grant, progress: Progress) -> None:
-        """Report progress to the dispatchers; all values but ``FIRST_TOKEN`` end the grant."""
-        if progress is Progress.FIRST_TOKEN:
-            grant.had_first_token = True
-            self._record_cached_prompt(grant)
-        else:
-            self._grants.pop(grant.query_id.number, None)
-        current, _ = self._current_dispatchers.get(grant.service, (grant.dispatcher, ""))
-        for address in {grant.dispatcher, current}:
-            self._send_progress(address, grant.query_id, progress)
-
-    def _record_cached_prompt(self, grant: Grant) -> None:
-        placement = grant.placement
-        if placement.chain:
-            prompt = CachedPrompt(placement.worker.info.id, placement.chain)
-            self._recent_prompts.append(
-                _RecentPrompt(self._clock() + CACHED_PROMPT_SECONDS, grant.service, prompt)
-            )
-
-    def _send_progress(self, address: str, query_id: QueryId, progress: Progress) -> None:
-        if address == self._address:
-            self._dispatcher.record_progress(query_id, progress)
-            self._queue.capacity_changed()
-        else:
-            self._socket.send(address, PROGRESS, ProgressReport(*query_id, progress))
-
-    async def run(self) -> None:
-        """Report running requests to the dispatchers periodically until cancelled."""
-        while True:
-            await asyncio.sleep(RUNNING_REPORT_SECONDS)
-            services = {grant.service for grant in self._grants.values()}
-            # A grant whose final report was lost ends when it is not listed. Without a report it
-            # would hold its slot for as long as this node's waiting requests are renewed.
-            for service in services | self._queue.services():
-                self._report_running(service)
-
-    def _update_dispatcher(self, service: str, address: str, incarnation: str) -> None:
-        """Record the dispatcher of a service and report the state of this node if it is new."""
-        if self._current_dispatchers.get(service) == (address, incarnation):
-            return
-        self._current_dispatchers[service] = (address, incarnation)
-        log_event(LogEvent.DISPATCHER_FOLLOWED, dispatcher=address, workload=service)
-        self._report_running(service)
-        self._report_cached_prompts(service, address)
-
-    def _report_cached_prompts(self, service: str, address: str) -> None:
-        now = self._clock()
-        prompts = [
-            recent.prompt
-            for recent in self._recent_prompts
-            if recent.service == service and now < recent.expires_at
-        ]
-        for start in range(0, len(prompts), ITEMS_PER_DATAGRAM):
-            part = prompts[start : start + ITEMS_PER_DATAGRAM]
-            if address == self._address:
-                self._dispatcher.record_cached_prompts(part)
-            else:
-                self._socket.send(address, CACHED_PROMPTS, CachedPromptsReport(part))
-
-    def _report_running(self, service: str) -> None:
-        address, _ = self._current_dispatchers.get(service, ("", ""))
-        grants = [grant for grant in self._grants.values() if grant.service == service]
-        query_numbers = list(self._grants)
-        if not address:
-            return
-        for start in range(0, max(1, len(grants)), ITEMS_PER_DATAGRAM):
-            part = [
-                grant.as_running_request() for grant in grants[start : start + ITEMS_PER_DATAGRAM]
-            ]
-            if address == self._address:
-                self._dispatcher.reconcile_running(self.incarnation, query_numbers, part)
-            else:
-                self._socket.send(
-                    address, RUNNING, RunningReport(self.incarnation, query_numbers, part)
-                )
-
     def _handle_reply(self, reply: WorkerGrant, sender: str) -> None:
         fut = self._pending.get(reply.query_number)
         if fut is not None and not fut.done():
@@ -462,8 +327,8 @@
             return
         elif self._queue.deliver_reply(reply):
             return
-        elif reply.worker and reply.query_number not in self._grants:
+        elif reply.worker and not self._reports.has_grant(reply.query_number):
             # The query timed out or was cancelled, so the grant is not used.
-            self._send_progress(
+            self._reports.send_progress(
                 sender, QueryId(self.incarnation, reply.query_number), Progress.UNUSED
             )
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -7,7 +7,7 @@
 import pytest
 
 from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
-from wheelslip.peers import dispatch_link, queue_link
+from wheelslip.peers import dispatch_link, grant_reports, queue_link
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatch_messages import (
     ENQUEUE,
@@ -648,7 +648,7 @@
 def test_node_whose_requests_wait_reports_that_it_runs_none(monkeypatch):
     """After a lost final report its grant would otherwise hold a slot for as long as the node
     renews waiting requests, forever if it was the only slot."""
-    monkeypatch.setattr(dispatch_link, "RUNNING_REPORT_SECONDS", 0.01)
+    monkeypatch.setattr(grant_reports, "RUNNING_REPORT_SECONDS", 0.01)
 
     async def run(fleet):
         reports = []
