--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -728,6 +728,77 @@
         "if True:",
         "../unit/forwarding/test_worker_room.py::test_workers_get_no_more_than_their_capacity",
     ),
+    Mutation(
+        "stream continued at any software version",
+        FORWARDING,
+        (
+            Edit(
+                "routing/placement.py",
+                'return self.software_version in ("", worker.software_version)',
+                "return True",
+            ),
+            Edit(
+                "forwarding/assignment.py",
+                "if worker.info.software_version != job.required_version",
+                "if False",
+            ),
+        ),
+        "tests/probe/forwarding/test_streams_keep_software_version.py"
+        "::test_stream_whose_worker_breaks_keeps_version_inside_one_answer",
+    ),
+    _single_edit(
+        "software version not kept from the first event on",
+        FORWARDING,
+        "forwarding/attempt.py",
+        "self._job.required_version = self._placement.worker.info.software_version",
+        "pass",
+        "forwarding/test_streams_keep_software_version.py"
+        "::test_stream_whose_worker_breaks_keeps_version_inside_one_answer",
+    ),
+    _single_edit(
+        "deadly prompt parts not suspected",
+        FORWARDING,
+        "crashes/part_ledger.py",
+        "return moments >= SUSPICION_MOMENTS",
+        "return False",
+        "forwarding/test_prompt_parts_that_crash_workers.py"
+        "::test_several_deadly_parts_stop_reaching_workers",
+    ),
+    _single_edit(
+        "prompt part proven by one trial",
+        FORWARDING,
+        "crashes/part_ledger.py",
+        "PROOF_TRIALS = 2",
+        "PROOF_TRIALS = 1",
+        "../unit/forwarding/test_part_ledger.py::test_one_trial_does_not_prove_a_part",
+    ),
+    _single_edit(
+        "fingerprint proven beside parts that crash elsewhere too",
+        FORWARDING,
+        "crashes/guard.py",
+        "ambiguous = self._parts.other_causes(crashes, _all_keys(job))",
+        "ambiguous = frozenset()",
+        "../unit/forwarding/test_part_ledger.py"
+        "::test_request_on_trial_beside_part_that_also_crashes_elsewhere_is_not_refused",
+    ),
+    _single_edit(
+        "unframed stream without events taken for complete",
+        FORWARDING,
+        "forwarding/attempt.py",
+        "if not has_events and _ends_with_connection(response):",
+        "if False:",
+        "forwarding/test_unframed_streams.py"
+        "::test_stream_without_events_is_complete_only_if_its_framing_says_so",
+    ),
+    _single_edit(
+        "brittle workers chosen without the dispatcher",
+        FORWARDING,
+        "peers/dispatch_link.py",
+        "is_required = query.service in self._records.brittle",
+        "is_required = False",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_request_for_brittle_workers_waits_for_a_slow_dispatcher",
+    ),
 )
 
 
