Trials of two different requests prove a prompt part

Cause: with two trials of any requests, those of a request that was suspected by its fingerprint counted for no part. A client with few bodies under one deadly part would then have each body tried until it is refused by itself. Change: a crash on trial names the fingerprint of its request, in the ledger and in reports (older reports lack it, and each of their trials counts as another request). Parts are refused after trials of two different requests; one body alone, however often it is tried, proves none, which is what the traced case needs. The unit tests of this follow.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -765,12 +765,12 @@
         "::test_several_deadly_parts_stop_reaching_workers",
     ),
     _single_edit(
-        "prompt part proven by one trial",
+        "prompt part proven by trials of one request",
         FORWARDING,
         "crashes/part_ledger.py",
-        "PROOF_TRIALS = 2",
-        "PROOF_TRIALS = 1",
-        "../unit/forwarding/test_part_ledger.py::test_one_trial_does_not_prove_a_part",
+        "PROOF_REQUESTS = 2",
+        "PROOF_REQUESTS = 1",
+        "../unit/forwarding/test_part_ledger.py::test_trials_of_one_request_do_not_prove_a_part",
     ),
     _single_edit(
         "fingerprint proven beside parts that crash elsewhere too",
--- a/src/wheelslip/crashes/evidence.py
+++ b/src/wheelslip/crashes/evidence.py
@@ -45,7 +45,8 @@
 
     :param on_crash: called for each fingerprint that lost a response at a crashed worker.
     :param on_parts_crash: called with the incarnation of a crashed worker, the keys of the prompt
-        parts that lost responses there, and those of them that were on trial.
+        parts that lost responses there, and the fingerprints of the requests that were on trial for
+        some of them, by key.
     :param reached_by_peer: returns whether another node can connect to a worker.
     :param reported_ended_at: returns when this node recorded the end of an incarnation from crash
         reports, or None.
@@ -58,8 +59,8 @@
         reported_ended_at: Callable[[Incarnation], float | None] = lambda incarnation: None,
         clock: Callable[[], float] = steady_seconds,
         reached_by_peer: Callable[[WorkerInfo], Awaitable[bool]] | None = None,
-        on_parts_crash: Callable[[Incarnation, set[str], set[str]], None] = (
-            lambda incarnation, keys, trial_keys: None
+        on_parts_crash: Callable[[Incarnation, set[str], dict[str, str]], None] = (
+            lambda incarnation, keys, tried: None
         ),
     ):
         self._on_parts_crash = on_parts_crash
@@ -71,7 +72,7 @@
         self._ended_at: dict[Incarnation, float] = {}
         self._suspected: dict[Incarnation, dict[str, bool]] = {}
         self._lost_parts: dict[Incarnation, set[str]] = {}
-        self._trial_parts: dict[Incarnation, set[str]] = {}
+        self._tried: dict[Incarnation, dict[str, str]] = {}
         self._checks: dict[Incarnation, asyncio.Task] = {}
 
     def record_lost_response(
@@ -97,7 +98,7 @@
         fingerprints = self._suspected.setdefault(worker.id, {})
         fingerprints[fingerprint] = alone or fingerprints.get(fingerprint, False)
         self._lost_parts.setdefault(worker.id, set()).update(part_keys)
-        self._trial_parts.setdefault(worker.id, set()).update(trial_keys)
+        self._tried.setdefault(worker.id, {}).update(dict.fromkeys(trial_keys, fingerprint))
         if worker.id not in self._checks:
             task = asyncio.get_running_loop().create_task(self._check(worker))
             self._checks[worker.id] = task
@@ -127,7 +128,7 @@
             del self._checks[worker.id]
             self._suspected.pop(worker.id, None)
             self._lost_parts.pop(worker.id, None)
-            self._trial_parts.pop(worker.id, None)
+            self._tried.pop(worker.id, None)
 
     def _record_ended(self, worker: WorkerInfo) -> None:
         self._ended_at[worker.id] = self._clock()
@@ -145,7 +146,7 @@
             self._on_crash(Crash(fingerprint, worker.id, alone))
         keys = self._lost_parts[worker.id]
         if keys:
-            self._on_parts_crash(worker.id, keys, self._trial_parts[worker.id])
+            self._on_parts_crash(worker.id, keys, self._tried[worker.id])
 
     async def _refuses(self, worker: WorkerInfo) -> bool:
         """Return whether connections to the address of a worker are refused."""
--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -103,18 +103,9 @@
                 "its trial run must wait",
             )
         job.excluded |= self._ended_incarnations()
-        job.trial_keys = self._trial_keys(job)
+        job.trial_keys = self._parts.trial_keys(_part_keys(job))
         return trial_lock
 
-    def _trial_keys(self, job: Job) -> frozenset[str]:
-        """Return the keys of the parts that a crash in the trial of a request proves.
-
-        A request that is suspected itself proves none, as its crash has a narrower explanation.
-        """
-        if self._ledger.status(job.fingerprint) is not FingerprintStatus.FREE:
-            return frozenset()
-        return self._parts.trial_keys(_part_keys(job))
-
     def _has_crashes(self) -> bool:
         """Return whether any crash is recorded; without one, no keys need to be computed."""
         return bool(self._ledger) or bool(self._parts)
@@ -185,11 +176,11 @@
         )
 
     def _record_parts_crash(
-        self, incarnation: Incarnation, keys: set[str], trial_keys: set[str]
+        self, incarnation: Incarnation, keys: set[str], tried: dict[str, str]
     ) -> None:
         """Record and report the crash of a worker by the prompt parts that ran there."""
         self.part_reports.add(
-            PartCrash(key, incarnation, key in trial_keys) for key in sorted(keys)
+            PartCrash(key, incarnation, tried.get(key, "")) for key in sorted(keys)
         )
 
     def record_completed_run(self, job: Job) -> None:
--- a/src/wheelslip/crashes/part_ledger.py
+++ b/src/wheelslip/crashes/part_ledger.py
@@ -9,9 +9,9 @@
 - A part is suspected after several crashes at different moments without such an answer in between.
 - It is not suspected if the crashes have a better explanation: requests that were repeated, one
   tenant that used it, or parts that were answered less recently or never.
-- Suspected parts run in trials, one at a time. The suspected parts of a request whose trial crashed
-  its worker are proven together once this has happened twice: requests that contain all of them are
-  refused for a while.
+- Suspected parts run in trials, one at a time. If trials of two different requests crashed their
+  workers, the suspected parts that these had are proven together: requests that contain all of them
+  are refused for a while.
 
 The module does no I/O; the clock is injected.
 """
@@ -40,9 +40,9 @@
 
 SUSPICION_MOMENTS = 2
 
-PROOF_TRIALS = 2
-"""Number of trials that ended with a crash from which parts are refused. Another request may have crashed
-the worker of one trial."""
+PROOF_REQUESTS = 2
+"""Number of different requests whose trials crashed workers from which parts are refused. Something else
+in a single request may be the cause, or another request at its worker."""
 
 REPEATED_CRASHES = 2
 """Number of crashes without other explanation from which a repeated request explains them."""
@@ -94,17 +94,17 @@
 class PartCrash(NamedTuple):
     """A worker incarnation that ended while it ran a request with a part.
 
-    :ivar on_trial: the part was suspected, and the request was on trial.
+    :ivar tried: fingerprint of the request if it was on trial for the part; empty otherwise.
     """
 
     key: str
     incarnation: Incarnation
-    on_trial: bool = False
+    tried: str = ""
 
 
 class _Record(NamedTuple):
     recorded_at: float
-    on_trial: bool
+    tried: str
 
 
 class PartLedger:
@@ -140,15 +140,15 @@
             return False
         records = self._uncleared.setdefault(crash.key, {})
         current = records.get(crash.incarnation)
-        if current is not None and current.on_trial >= crash.on_trial:
+        if current is not None and (current.tried or not crash.tried):
             return False
         now = self._clock()
-        records[crash.incarnation] = _Record(now, crash.on_trial)
+        records[crash.incarnation] = _Record(now, crash.tried)
         self._last_crash_at[crash.key] = now
-        if crash.on_trial:
+        if crash.tried:
             self._trial_keys.setdefault(crash.incarnation, set()).add(crash.key)
         answered_at = self._answered_at.get(crash.key, float("-inf"))
-        if answered_at > now - EVIDENCE_DELAY_SECONDS and not crash.on_trial:
+        if answered_at > now - EVIDENCE_DELAY_SECONDS and not crash.tried:
             self.clear([crash])
         self._suspects = None
         self._trim()
@@ -192,7 +192,7 @@
     def crashes(self, key: str) -> list[PartCrash]:
         """Return the crashes of a part that are not cleared, the oldest first."""
         return [
-            PartCrash(key, incarnation, record.on_trial)
+            PartCrash(key, incarnation, record.tried)
             for incarnation, record in self._uncleared.get(key, {}).items()
         ]
 
@@ -213,15 +213,12 @@
 
     def refused_seconds(self, keys: set[str]) -> float:
         """Return the time for which requests with some keys are still refused, 0 for none."""
-        times = [
-            self._uncleared[key][incarnation].recorded_at
-            for key in keys
-            for incarnation in self._proven_at(key, keys)
-        ]
-        if len(times) < PROOF_TRIALS:
+        trials = [trial for key in keys for trial in self._trials(key, keys)]
+        if len({trial.tried for trial in trials}) < PROOF_REQUESTS:
             return 0.0
-        seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2 ** (len(times) - PROOF_TRIALS))
-        return max(0.0, max(times) + seconds - self._clock())
+        doublings = len(trials) - PROOF_REQUESTS
+        seconds = min(MAX_REFUSAL_SECONDS, BASE_REFUSAL_SECONDS * 2**doublings)
+        return max(0.0, max(trial.recorded_at for trial in trials) + seconds - self._clock())
 
     def refused_keys(self) -> set[str]:
         """Return the keys of parts that are refused now on their own."""
@@ -265,12 +262,12 @@
         ]
         return crashes.intersection(frozenset().union(*others))
 
-    def _proven_at(self, key: str, keys: set[str]) -> list[Incarnation]:
-        """Return the crashes of trials that prove some keys, of which one is the first."""
+    def _trials(self, key: str, keys: set[str]) -> list[_Record]:
+        """Return the crashes in trials for some keys or fewer, of which one key is the first."""
         return [
-            incarnation
+            record
             for incarnation, record in self._uncleared.get(key, {}).items()
-            if record.on_trial
+            if record.tried
             and self._trial_keys[incarnation] <= keys
             and min(self._trial_keys[incarnation]) == key
         ]
--- a/src/wheelslip/crashes/part_reports.py
+++ b/src/wheelslip/crashes/part_reports.py
@@ -36,11 +36,13 @@
     :ivar crashes: parts of the requests that were lost there.
     :ivar trials: those of them that were on trial.
     :ivar cleared: parts that were answered completely later.
+    :ivar tried: fingerprint of the request on trial.
     """
 
     crashes: dict[Incarnation, list[str]] = {}
     trials: dict[Incarnation, list[str]] = {}
     cleared: dict[Incarnation, list[str]] = {}
+    tried: dict[Incarnation, str] = {}
 
 
 class PartReports:
@@ -128,8 +130,9 @@
         crashes = self._reported.crashes()
         report = PartReport(
             _by_incarnation(crashes),
-            _by_incarnation(crash for crash in crashes if crash.on_trial),
+            _by_incarnation(crash for crash in crashes if crash.tried),
             _by_incarnation(self._reported.cleared()),
+            {crash.incarnation: crash.tried for crash in crashes if crash.tried},
         )
         return msgspec.json.encode(report)
 
@@ -144,7 +147,7 @@
 def _decode(report: PartReport) -> tuple[list[PartCrash], list[PartCrash]]:
     """Return the crashes of a report and those that are cleared."""
     crashes = [
-        PartCrash(key, incarnation, key in report.trials.get(incarnation, ()))
+        PartCrash(key, incarnation, _tried(report, key, incarnation))
         for incarnation, keys in report.crashes.items()
         for key in keys
     ]
@@ -152,3 +155,13 @@
         PartCrash(key, incarnation) for incarnation, keys in report.cleared.items() for key in keys
     ]
     return crashes, cleared
+
+
+def _tried(report: PartReport, key: str, incarnation: Incarnation) -> str:
+    """Return the fingerprint of the request that was on trial for a part, empty if none was.
+
+    Reports of older builds lack it; each of their trials counts as one of another request.
+    """
+    if key not in report.trials.get(incarnation, ()):
+        return ""
+    return report.tried.get(incarnation, incarnation)
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -121,7 +121,10 @@
             "rollout record", RolloutRecord(12, [INCARNATION], {INCARNATION: {"m": 3}}, ["i-2"])
         ),
         Sample("crash report", CrashReport([crash], [crash])),
-        Sample("part report", PartReport({INCARNATION: ["s1"]}, {INCARNATION: ["s1"]}, {})),
+        Sample(
+            "part report",
+            PartReport({INCARNATION: ["s1"]}, {INCARNATION: ["s1"]}, {}, {INCARNATION: "c0ffee"}),
+        ),
         Sample("streams", RecordBatch(origin, 25, ["9f86d081884c7d65"])),
         Sample("stream query", OriginQuery("10.0.0.3:7300", "engines", ["9f86d081884c7d65"], True)),
         Sample(
--- a/tests/unit/forwarding/test_part_ledger.py
+++ b/tests/unit/forwarding/test_part_ledger.py
@@ -1,15 +1,15 @@
 """Which prompt parts are suspected, refused and cleared after crashes of workers."""
 
-import asyncio
 import random
-from unittest.mock import AsyncMock, Mock
+from unittest.mock import Mock
 
 import pytest
 
-from wheelslip.crashes import part_ledger
+from wheelslip.crashes import part_ledger, part_reports
 from wheelslip.crashes.guard import CrashGuard
 from wheelslip.crashes.ledger import BASE_REFUSAL_SECONDS, Crash, CrashLedger, FingerprintStatus
 from wheelslip.crashes.part_ledger import MOMENT_SECONDS, PartCrash, PartLedger, part_keys
+from wheelslip.crashes.part_reports import PartReport
 from wheelslip.deployment import Incarnation
 
 FREE, TRIAL, REFUSED = FingerprintStatus
@@ -28,7 +28,7 @@
     def keys(self, names, tenant="a", isolated=False):
         return [part_keys(name, tenant, isolated) for name in names.split()]
 
-    def crash(self, *lost, wait=APART, trial=False, bodies=(), **caller):
+    def crash(self, *lost, wait=APART, trial="", bodies=(), **caller):
         """Crash a worker under requests with the named parts."""
         self.now += wait
         self.count += 1
@@ -37,14 +37,14 @@
             parts = self.keys(names, **caller)
             tried = self.ledger.trial_keys(parts) if trial else ()
             for key in (key for part in parts for key in part.all()):
-                self.ledger.record(PartCrash(key, incarnation, key in tried))
+                self.ledger.record(PartCrash(key, incarnation, trial if key in tried else ""))
         for body in bodies:
             self.requests.record(Crash(body, incarnation))
 
     def prove(self, names, **caller):
-        """Crash workers in as many trials as prove the named parts."""
-        for _ in range(part_ledger.PROOF_TRIALS):
-            self.crash(names, trial=True, **caller)
+        """Crash workers in trials of as many requests as prove the named parts."""
+        for number in range(part_ledger.PROOF_REQUESTS):
+            self.crash(names, trial=f"request {number}", **caller)
 
     def answer(self, names, body="", **caller):
         keys = [key for part in self.keys(names, **caller) for key in part.all()]
@@ -63,8 +63,8 @@
         world.answer("system other")
     assert world.status("system dead") is TRIAL
     assert world.status("system other") is FREE
-    for _ in range(part_ledger.PROOF_TRIALS):
-        world.crash("system dead", "system other", trial=True)
+    for number in range(part_ledger.PROOF_REQUESTS):
+        world.crash("system dead", "system other", trial=f"request {number}")
     assert world.status("system dead") is REFUSED
     assert world.status("new dead") is REFUSED
     assert world.status("system other") is FREE
@@ -116,7 +116,7 @@
     assert world.status("dead") is REFUSED
     world.now += 1
     assert world.status("dead") is TRIAL
-    world.crash("dead", trial=True, wait=0.0)
+    world.crash("dead", trial="another", wait=0.0)
     world.now += 2 * BASE_REFUSAL_SECONDS - 1
     assert world.status("dead") is REFUSED
     world.now += 1
@@ -275,26 +275,18 @@
     assert guard._status(deadly) is REFUSED
 
 
-@pytest.mark.parametrize(("crashes", "names_part"), [(1, True), (2, False)])
-def test_trial_of_repeated_request_is_no_evidence_against_its_parts(crashes, names_part):
-    world = World()
-    guard = CrashGuard("n1", Mock(), Mock(workers={}), lambda: world.now, random.Random(1))
-    guard._ledger, guard._parts = world.requests, world.ledger
-    guard._trial_locks = Mock(acquire=AsyncMock())
-    for _ in range(3):
-        world.crash("system", tenant="")
-    for number in range(crashes):
-        world.requests.record(Crash("deadly", Incarnation(f"elsewhere{number}")))
-    job = Mock(shared_part_ids=["system"], fingerprint="deadly", tenant=None, excluded=set())
-    asyncio.run(guard.admit(job, "engines"))
-    assert bool(job.trial_keys) is names_part
-
-
-def test_one_trial_does_not_prove_a_part():
+def test_trials_of_one_request_do_not_prove_a_part():
     world = World()
     for _ in range(3):
         world.crash("system")
-    world.crash("system", trial=True)
-    assert world.status("system") is TRIAL
-    world.crash("system", trial=True)
+    for _ in range(3):
+        world.crash("system", trial="deadly")
+        assert world.status("system") is TRIAL
+    world.crash("system", trial="another")
     assert world.status("system") is REFUSED
+
+
+def test_trials_in_reports_of_older_builds_count_as_different_requests():
+    report = PartReport({"w1": ["s1"], "w2": ["s1"]}, {"w1": ["s1"], "w2": ["s1"]})
+    crashes, _ = part_reports._decode(report)
+    assert len({crash.tried for crash in crashes}) == 2 and all(crash.tried for crash in crashes)
