Stand-in worker: a run whose process has ended did not end in order

Its worker e1 ended under a deadly part within 0.1 s of the end of the stream (306 at the node). The other coroutine of the stand-in sent the last event to an aborted connection and recorded an orderly end. Change: a run counts as ended only while its process lives. Conclusion: the check's exception covers what it was made for; nothing else of it changes.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -301,7 +301,8 @@
         else:
             await self._send_plain(run, connection)
         await connection.stop_watching()
-        run.ended = True
+        # A process that has ended cannot send the rest of its responses.
+        run.ended = self.server.running
 
     def _triggers_crash(self, run: Run) -> bool:
         tenant = run.request.headers.get("wheelslip-tenant-id", "")
