Soak: only requests with revoked keys are left out of the comparison in crowds, not all that got 401

Change: a request is left out if its key had been revoked. The case of a 401 with a valid key is a violation in the tests now; two new cases hold what is left out.

--- a/bench/forwarding_crowds.py
+++ b/bench/forwarding_crowds.py
@@ -4,14 +4,13 @@
 import random
 import time
 from collections import Counter
-from http import HTTPStatus
 from typing import NamedTuple
 
 from bench.forwarding_availability import WorkerAvailability
 from bench.forwarding_callers import Callers
 from bench.forwarding_judge import CONTACT_SECONDS, RunChecker
 from bench.forwarding_record import Call, Record
-from bench.forwarding_world import SERVICES, World
+from bench.forwarding_world import REVOCATION_MS, SERVICES, World
 
 TO_ONE_NODE = 0.9
 EXTRA_CALLERS = 12
@@ -111,11 +110,19 @@
 
     def _is_compared(self, call: Call) -> bool:
         return (
-            call.status != HTTPStatus.UNAUTHORIZED
+            not self._has_revoked_key(call)
             and self._checker.was_undisrupted(call.node, call.ended_at)
             and self._availability.has_majority(call.path, call.sent_at, call.ended_at)
         )
 
+    def _has_revoked_key(self, call: Call) -> bool:
+        """Return whether the key of a call had been revoked, or was, before the call ended."""
+        return any(
+            revocation.key == call.key
+            and call.ended_at >= revocation.deadline - REVOCATION_MS / 1000
+            for revocation in self._record.revocations
+        )
+
     def _is_crowded(self, call: Call) -> bool:
         return any(
             crowd.began_at + CONTACT_SECONDS < call.sent_at < crowd.ended_at
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -558,7 +558,7 @@
     ("unavailable", "path", "status", "is_violation"),
     [
         ([], "/plain/x", 503, True),
-        ([], "/plain/x", 401, False),
+        ([], "/plain/x", 401, True),
         ([], "/plain/x", 200, False),
         (["p0"], "/plain/x", 503, True),
         (["p0", "p1"], "/plain/x", 503, False),
@@ -578,3 +578,15 @@
         record.calls.append(Call("n0", f"r{number}", path, "key-1", at, at, now, b"", True))
     CrowdChecker(record, checker, [crowd]).check()
     assert bool(record.violations) is is_violation
+
+
+@pytest.mark.parametrize(("revoked_key", "is_violation"), [("key-1", False), ("other", True)])
+def test_requests_with_revoked_keys_are_not_compared(record, checker, revoked_key, is_violation):
+    record.worker_started_at = dict.fromkeys(record.workers, 0.0)
+    record.revocations.append(Revocation(revoked_key, 100.0))
+    for number in range(2 * MIN_CALLS):
+        at, status = (50.0, 200) if number % 2 else (105.0, 401)
+        call = Call("n0", f"r{number}", "/plain/x", "key-1", at, at, status, b"", True)
+        record.calls.append(call)
+    CrowdChecker(record, checker, [Crowd("n0", 100.0, 110.0)]).check()
+    assert bool(record.violations) is is_violation
