Review: the version of a stream is taken from a stale entry of a restarted worker

Looked for: orders of events in which the version that is recorded for a stream isn't the one of the process that began it (ORDER). While the store is down, a worker starts again under its id with other software, runs streams and crashes.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -78,6 +79,7 @@
         self.processes = {}
         self.workers = {}
         self.services = {}
+        self.ended = []
         self.started_at = {}
         self.model = PlatformStoreModel(time.monotonic)
         self.store = StoreServer(self.model)
@@ -160,6 +162,30 @@
         self.model.put(f"servers/{name}", worker.entry(service, zone, state))
         self.record(f"worker {name}: entry {state}")
 
+    async def crash(self, name):
+        """End a worker like a killed process; its entry stays until its lease runs out."""
+        await self.workers[name].server.stop()
+        self.record(f"worker {name}: crashes")
+        self.ended.append(self.workers[name])
+
+    def store_away(self, away):
+        """Let the store answer 503 to every call, or serve again."""
+        self.store.error_status = 503 if away else 0
+        if away:
+            self.store.server.reset_all()
+        self.record(f"store: {'down' if away else 'back'}")
+
+    def record_runs(self):
+        """Record what each worker ran."""
+        for worker in {id(worker): worker for worker in [*self.ended, *self.workers.values()]}.values():
+            for run in worker.runs:
+                last = run.request.headers.get("last-event-id", "-")
+                resumes = run.request.headers.get("resumes", "-")
+                self.record(
+                    f"worker {worker.id} ({worker.software_version}, born {worker.born}) ran "
+                    f"{run.request_id}, Last-Event-Id {last}, Resumes {resumes}"
+                )
+
     def remove_entry(self, name):
         self.model.remove(f"servers/{name}")
         self.record(f"worker {name}: entry gone")
@@ -356,6 +382,61 @@
     return answer
 
 
+def events_of(body):
+    """Return the id and the software version of each whole event."""
+    found = []
+    for block in body.split(b"\n\n")[:-1]:
+        lines = block.decode().splitlines()
+        number = next(int(line[4:]) for line in lines if line.startswith("id: "))
+        version = next(line[2:] for line in lines if line.startswith(": "))
+        found.append((number, version))
+    return found
+
+
+async def stream_client(world, number, seconds, results, names=None):
+    """One client: a stream, taken up again a few times on new connections after it broke off."""
+    names = names or world.names
+    until = time.monotonic() + seconds
+    events, first_id, tries = [], "", 0
+    while tries < 4 and time.monotonic() < until - 0.2:
+        name = names[(number + tries) % len(names)]
+        if not await world.is_ready(name):
+            # The platform hands no new connection to a node that isn't in.
+            await asyncio.sleep(0.1)
+            continue
+        tries += 1
+        request_id = f"{random.getrandbits(64):016x}"
+        headers = {
+            "Wheelslip-Model-Id": "m",
+            "Wheelslip-Token-Usage": "900,13",
+            "Wheelslip-Prefix-Hash": f"{number:08x}:600,{number + 4096:08x}:300",
+        }
+        if events:
+            headers |= {"Last-Event-Id": events[-1][0], "Resumes": first_id}
+        world.record(f"client {number}: sends {request_id} to {name}, {headers}")
+        answer = await attempt(
+            world.front(name),
+            "/ledger-match/a",
+            request_id,
+            until - time.monotonic(),
+            body=b"x" * 200,
+            **headers,
+        )
+        got = events_of(answer.body) if answer.status == 200 else []
+        if got and not events:
+            first_id = request_id
+        events += got
+        world.record(
+            f"client {number}: {request_id}: status {answer.status}, events {got}, "
+            f"complete {answer.complete}, {answer.error}"
+        )
+        if answer.status == 200 and answer.complete:
+            break
+        wait = float(answer.headers.get("retry-after", 0.1))
+        await asyncio.sleep(min(wait, max(0.0, (until - time.monotonic()) / 3)))
+    results.append(events)
+
+
 def engine_worker(name, software_version, **fields):
     """Return a model worker whose events name its software version."""
     worker = PlatformWorker(
