--- a/review/1/case.py
+++ b/review/1/case.py
@@ -54,7 +54,7 @@
         if restart is not None:
             await restart
         world.record_runs()
-        mixed = [events for events in results if len({version for _, version in events}) > 1]
+        mixed = [stream for stream in results if len(stream.versions) > 1]
         record(f"{len(mixed)} of {STREAMS} streams hold events of two software versions")
         return len(mixed) > 2
     finally:
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -208,6 +208,14 @@
         lines += ["[bounds]", *(f"{key} = {value}" for key, value in STRICT_BOUNDS.items())]
         return "\n".join(lines) + "\n"
 
+    def relay_nodes(self):
+        """Return the nodes that act as relays, by the store's keys, longest tenure first."""
+        prefix = "wheelslip/relay/"
+        items = [item for key, item in self.model.items.items() if key.startswith(prefix)]
+        items.sort(key=lambda item: item.created_revision)
+        by_address = {f"{self.address_of(name)}:{self._ports[2]}": name for name in self.names}
+        return [by_address[item.value.decode()] for item in items]
+
     async def start_node(self, name):
         path = self.folder / f"{name}.toml"
         path.write_text(self._settings(name))
@@ -393,16 +401,36 @@
     return found
 
 
+class Stream:
+    """What a client got of one stream, over all its tries.
+
+    :ivar events: id and software version of each event.
+    :ivar taken_up_at: nodes to which it was sent once more after its first event.
+    :ivar went_on: it brought further events after that.
+    """
+
+    def __init__(self):
+        self.events = []
+        self.taken_up_at = []
+        self.went_on = False
+
+    @property
+    def versions(self):
+        return {version for _, version in self.events}
+
+
 async def stream_client(world, number, seconds, results, names=None):
     """One client: a stream, taken up again a few times on new connections after it broke off."""
-    names = names or world.names
+    names = world.names if names is None else names
     until = time.monotonic() + seconds
-    events, first_id, tries = [], "", 0
+    stream, first_id, tries = Stream(), "", 0
+    position = number if names is world.names else 0
     while tries < 4 and time.monotonic() < until - 0.2:
-        name = names[(number + tries) % len(names)]
+        name = names[position % len(names)]
+        position += 1
         if not await world.is_ready(name):
             # The platform hands no new connection to a node that isn't in.
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
             continue
         tries += 1
         request_id = f"{random.getrandbits(64):016x}"
@@ -411,8 +439,9 @@
             "Wheelslip-Token-Usage": "900,13",
             "Wheelslip-Prefix-Hash": f"{number:08x}:600,{number + 4096:08x}:300",
         }
-        if events:
-            headers |= {"Last-Event-Id": events[-1][0], "Resumes": first_id}
+        if stream.events:
+            stream.taken_up_at.append(name)
+            headers |= {"Last-Event-Id": stream.events[-1][0], "Resumes": first_id}
         world.record(f"client {number}: sends {request_id} to {name}, {headers}")
         answer = await attempt(
             world.front(name),
@@ -423,9 +452,11 @@
             **headers,
         )
         got = events_of(answer.body) if answer.status == 200 else []
-        if got and not events:
+        if got and not stream.events:
             first_id = request_id
-        events += got
+        elif got:
+            stream.went_on = True
+        stream.events += got
         world.record(
             f"client {number}: {request_id}: status {answer.status}, events {got}, "
             f"complete {answer.complete}, {answer.error}"
@@ -434,7 +465,7 @@
             break
         wait = float(answer.headers.get("retry-after", 0.1))
         await asyncio.sleep(min(wait, max(0.0, (until - time.monotonic()) / 3)))
-    results.append(events)
+    results.append(stream)
 
 
 def engine_worker(name, software_version, **fields):
