--- a/review/common/world.py
+++ b/review/common/world.py
@@ -88,7 +88,7 @@
         pid = os.getpid()
         self._host = f"127.{1 + (pid >> 8) % 120}.{pid % 250}"
         self._ports = self._free_ports(4)
-        self._heartbeats = {}
+        self._misses = dict.fromkeys(self.names, 0)
 
     # Addresses
 
@@ -261,6 +261,18 @@
         except (OSError, TimeoutError):
             return False
 
+    async def ask_every_second(self):
+        """Ask each node once a second, like the platform, until cancelled."""
+        while True:
+            await asyncio.gather(*map(self._ask, self.names), asyncio.sleep(1.0))
+
+    async def _ask(self, name):
+        self._misses[name] = 0 if await self.is_ready(name) else self._misses[name] + 1
+
+    async def is_in(self, name):
+        """Return whether the platform hands new connections to a node: it missed less than twice."""
+        return self._misses[name] < 2
+
     async def wait_ready(self, seconds=30.0):
         deadline = time.monotonic() + seconds
         for name in self.names:
@@ -419,8 +431,12 @@
         return {version for _, version in self.events}
 
 
-async def stream_client(world, number, seconds, results, names=None):
-    """One client: a stream, taken up again a few times on new connections after it broke off."""
+async def stream_client(world, number, seconds, results, names=None, is_in=None):
+    """One client: a stream, taken up again a few times on new connections after it broke off.
+
+    :param is_in: returns whether the platform hands new connections to a node; by default it asks.
+    """
+    is_in = is_in or world.is_ready
     names = world.names if names is None else names
     until = time.monotonic() + seconds
     stream, first_id, tries = Stream(), "", 0
@@ -428,7 +444,7 @@
     while tries < 4 and time.monotonic() < until - 0.2:
         name = names[position % len(names)]
         position += 1
-        if not await world.is_ready(name):
+        if not await is_in(name):
             # The platform hands no new connection to a node that isn't in.
             await asyncio.sleep(0.05)
             continue
