--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,6 +16,7 @@
 
 
 async def scenario(record: Record, trouble: bool) -> bool:
+    """Play the case, and return whether the rule was broken."""
     world = World(record, nodes=3)
     try:
         await world.start_store()
@@ -41,11 +42,11 @@
         await asyncio.sleep(0.3)
         for name in ("s0", "s1"):
             world.write_entry(name, "draining")
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(1.6)
         restart = None
         if trouble:
             restart = asyncio.create_task(world.kill_and_restart(world.names, 1.0))
-        await asyncio.sleep(1.2)
+        await asyncio.sleep(0.6)
         for name in ("s0", "s1"):
             world.remove_entry(name)
             await world.workers[name].server.stop()
