Streams keep their software version after all nodes have ended

What callers saw: after all nodes were killed while the last workers of an older software version left, every stream that one of those had begun went on at a worker of the newer version, with status 200. Where two versions both stayed, none of the streams could be taken up.

Cause: records of streams and the versions in use were in the memory of nodes alone. A node that has just started knows no other version, and took the replies of nodes as young as itself as evidence that there was none.

Change: the software versions at which streams of a service may begin are registered in the store before the first stream begins there (streams/version_register.py), so a young node knows all of them. While there is one, an unknown stream began at it, the base version. Once there are several, records of streams are saved in the store (streams/saved_records.py), through relays and in batches; those of other versions than the base version before their first event is forwarded, so that "no record" still means the base version. After 60 s, or when the base version has left, all are saved and an unknown stream is refused. A node reads the store before it asks others.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -507,7 +507,7 @@
         "backoff ignored in worker choice",
         FORWARDING,
         "forwarding/assignment.py",
-        "self._registry.withheld(service) | job.excluded",
+        "self._registry.withheld(service)\n            | job.excluded",
         "frozenset(job.excluded)",
         "forwarding/test_said_in_answers.py"
         "::test_backoff_of_only_worker_gives_callers_staggered_retry_times",
@@ -516,8 +516,8 @@
         "backoff not checked before a request is sent",
         FORWARDING,
         "forwarding/forwarder.py",
-        "if not self._registry.may_begin(worker.id, assignment.placement.rate_limit_charged):",
-        "if not self._registry.accepts_requests(worker.id):",
+        "self._registry.may_begin(worker.id, assignment.placement.rate_limit_charged)",
+        "self._registry.accepts_requests(worker.id)",
         "forwarding/test_said_in_answers.py"
         "::test_waiting_requests_are_not_sent_all_at_once_after_backoff",
     ),
@@ -738,9 +738,9 @@
                 "return True",
             ),
             Edit(
-                "forwarding/assignment.py",
-                "if worker.info.software_version != job.required_version",
-                "if False",
+                "forwarding/stream_continuation.py",
+                "            return frozenset({job.required_version})",
+                "            return None",
             ),
         ),
         "tests/probe/forwarding/test_streams_keep_software_version.py"
@@ -749,12 +749,39 @@
     _single_edit(
         "software version not kept from the first event on",
         FORWARDING,
-        "forwarding/attempt.py",
-        "self._job.required_version = self._placement.worker.info.software_version",
-        "pass",
+        "forwarding/stream_continuation.py",
+        "job.required_version = version = worker.software_version",
+        "version = worker.software_version",
         "forwarding/test_streams_keep_software_version.py"
         "::test_stream_whose_worker_breaks_keeps_version_inside_one_answer",
     ),
+    _single_edit(
+        "streams of several versions not saved in the store",
+        FORWARDING,
+        "streams/version_link.py",
+        "confirmed = await self.saved.save(keys, origin)",
+        "confirmed = True",
+        "forwarding/test_streams_after_all_nodes_end.py"
+        "::test_streams_of_versions_that_stay_go_on_after_all_nodes_end",
+    ),
+    _single_edit(
+        "version register not read when a stream is unknown",
+        FORWARDING,
+        "streams/version_link.py",
+        "registered = await self.register.read(services)",
+        'registered = RegisteredVersions(frozenset(), "")',
+        "forwarding/test_streams_after_all_nodes_end.py"
+        "::test_streams_of_only_version_go_on_after_all_nodes_end",
+    ),
+    _single_edit(
+        "versions of earlier nodes not kept in the register",
+        FORWARDING,
+        "streams/version_register.py",
+        "versions, base = {*record.versions, *seen.in_view}, record.base",
+        'versions, base = set(seen.in_view), next(iter(seen.in_view), "")',
+        "forwarding/test_streams_after_all_nodes_end.py"
+        "::test_streams_are_refused_if_all_workers_were_replaced_while_no_node_ran",
+    ),
     _single_edit(
         "deadly prompt parts not suspected",
         FORWARDING,
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -146,6 +146,9 @@
     :param allowance: this node's share of the rate limits of workers.
     :param uses_dispatcher: returns whether the dispatcher chooses workers.
     :param uses_queue: returns whether requests wait in the queue of the dispatcher.
+    :param excluded_by_version: returns the workers of a service at which a request may not run
+        because of their software version. They are excluded by name, as dispatchers receive no
+        required version.
     """
 
     def __init__(
@@ -159,6 +162,7 @@
         allowance: WorkerAllowance,
         uses_dispatcher: Callable[[], bool],
         uses_queue: Callable[[], bool],
+        excluded_by_version: Callable[[Job, str], frozenset[Incarnation]],
         clock: Callable[[], float],
     ):
         self._zone = zone
@@ -171,6 +175,7 @@
         self._local_choice = RateLimitedChoice(records, allowance)
         self._uses_dispatcher = uses_dispatcher
         self._uses_queue = uses_queue
+        self._excluded_by_version = excluded_by_version
         self._clock = clock
 
     async def assign(self, job: Job, service: str) -> Assignment | None:
@@ -257,22 +262,11 @@
             self._zone,
             self._pool.idle_workers(),
             # Reported to this node only; the dispatcher may still grant these workers to others.
-            self._registry.withheld(service) | job.excluded | self._other_versions(job, service),
+            self._registry.withheld(service)
+            | job.excluded
+            | self._excluded_by_version(job, service),
             job.attempts_sent > 0,
             job.tenant.name if limit else "",
             units,
             software_version=job.required_version,
         )
-
-    def _other_versions(self, job: Job, service: str) -> frozenset[Incarnation]:
-        """Return the workers of other software versions than the one that a stream requires.
-
-        They are excluded by name as well, as dispatchers receive no required version.
-        """
-        if not job.required_version:
-            return frozenset()
-        return frozenset(
-            worker.info.id
-            for worker in self._registry.workers_of(service)
-            if worker.info.software_version != job.required_version
-        )
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -19,6 +19,7 @@
 from wheelslip.forwarding.caller_connection import CallerConnection
 from wheelslip.forwarding.event_stream import EventSplitter, StreamEvent
 from wheelslip.forwarding.metrics import ForwardingMetrics
+from wheelslip.forwarding.stream_continuation import StreamContinuation
 from wheelslip.job import BufferedResponse, Job
 from wheelslip.registry.answer_notices import ResponseSource
 from wheelslip.registry.interface import RequestDialect
@@ -65,6 +66,7 @@
     dialect: RequestDialect
     registry: Registry
     pool: WorkerPool
+    streams: StreamContinuation
     metrics: ForwardingMetrics
     clock: Callable[[], float]
 
@@ -332,7 +334,7 @@
             event = await self._connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
-            self._process_stream_data(response, splitter, bytes(event.data))
+            await self._process_stream_data(response, splitter, bytes(event.data))
             # Not kept while the next event is awaited: it is not counted.
             del event
         if splitter.incomplete:
@@ -346,20 +348,20 @@
         self._caller.write_end()
         return AttemptOutcome.ANSWERED
 
-    def _process_stream_data(
+    async def _process_stream_data(
         self, response: h11.Response, splitter: EventSplitter, data: bytes
     ) -> None:
         events = splitter.feed(data)
         self._caller.memory.process(len(data))
         self._caller.memory.set_buffered(self._kept_bytes() + splitter.buffered_bytes)
-        self._forward_events(response, events)
+        await self._forward_events(response, events)
 
     def _start_stream(self, response: h11.Response) -> None:
         if not self._caller.response_started:
             headers = [*end_to_end_headers(response), (b"Transfer-Encoding", b"chunked")]
             self._caller.write_head(response.status_code, headers)
 
-    def _forward_events(self, response: h11.Response, events: list[StreamEvent]) -> None:
+    async def _forward_events(self, response: h11.Response, events: list[StreamEvent]) -> None:
         last_id = self._job.last_delivered_id
         new_events = [
             event
@@ -369,8 +371,8 @@
         if not new_events:
             return
         if not self.had_first_token:
+            await self._services.streams.record_first_event(self._job, self._placement.worker.info)
             self.had_first_token = True
-            self._job.required_version = self._placement.worker.info.software_version
             self._record_first_token()
         self._start_stream(response)
         self._caller.write_body(b"".join(event.raw for event in new_events))
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -98,7 +98,7 @@
         self._bounds = bounds
         self._clock = clock
         self._admission = Admission(dialect, registry, bounds)
-        self._services = AttemptServices(dialect, registry, pool, metrics, clock)
+        self._services = AttemptServices(dialect, registry, pool, streams, metrics, clock)
         self._splits: dict[str, WeightedRoundRobin] = {}
         self._retry_budgets: dict[str, RetryWindow] = {}
         self._retry_schedules: dict[str, RetrySchedule] = {}
@@ -380,12 +380,15 @@
             assignment.record_unused()
             job.failure_reason = "the engine has restarted"
             return AttemptOutcome.NOT_SENT
-        if not self._registry.may_begin(worker.id, assignment.placement.rate_limit_charged):
+        may_begin = self._registry.may_begin(worker.id, assignment.placement.rate_limit_charged)
+        if not may_begin or not self._streams.may_begin_at(job, worker):
             # The worker's state may have changed while the connection was opened. Nothing is
             # awaited between this check and the write of the request.
             connection.close()
             assignment.record_unused()
-            job.failure_reason = "the engine is leaving, in backoff or rate limited"
+            job.failure_reason = (
+                "the engine is leaving, in backoff, rate limited or of another software version"
+            )
             return AttemptOutcome.WITHHELD
         return await self._run_attempt(job, assignment, connection, caller)
 
@@ -409,7 +412,6 @@
             connection.close()
             assignment.record_unused()
             raise
-        self._streams.record_attempt(job, assignment.placement.worker.info)
         incarnation = job.last_incarnation = assignment.placement.worker.info.id
         job.last_sent_at = self._clock()
         job.attempt_began_answer_at = 0.0
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -55,8 +55,10 @@
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.speeds.worker_speed import SpeedEstimates
 from wheelslip.routing.worker_choice import WorkerPlacement
+from wheelslip.streams.saved_records import STREAMS_PREFIX, SavedStreamRecords
 from wheelslip.streams.version_link import StreamVersionLink
-from wheelslip.streams.version_records import StreamRecords, VersionHistory
+from wheelslip.streams.version_records import StreamRecords
+from wheelslip.streams.version_register import VersionRegister
 from wheelslip.tunnels.connector import WorkerConnector
 from wheelslip.tunnels.direct_paths import DirectPaths
 from wheelslip.tunnels.peers import TunnelPeers
@@ -71,6 +73,12 @@
 
 STOP_POLL_SECONDS = 0.05
 
+RELAY_REGISTER_SECONDS = (0.1, 0.3)
+"""Range of the time for which relays leave an update of the version register to the first one."""
+
+FOLLOWER_REGISTER_SECONDS = (0.5, 2.0)
+"""The same for nodes that are not relays."""
+
 MAX_REFERRALS = 6
 """Maximum number of other nodes that a reply about a tunnel names."""
 
@@ -99,7 +107,7 @@
         self._clock = clock
         self._random = random_source = random.Random()
         store = OrderedStore(make_store(lambda: self.settings.store.address))
-        self._registry = Registry(documents, self.bounds, clock)
+        self._registry = Registry(documents, self.bounds, clock, STREAMS_PREFIX)
         control.on_response = self._registry.notices.record_response
         section = self.settings.node
         self._table = table = LoadTable()
@@ -131,7 +139,6 @@
         self._placement.brittle = self._fleet.brittle = self._registry.notices.brittle
         own_loads = self._placement.own_loads
         self._registry.view.on_removed = self._forget_worker
-        self._version_history = VersionHistory(self._registry.view.software_versions, clock)
         self._rollout_view = RolloutView(self._registry, clock)
         self._crash_guard = CrashGuard(
             section.name,
@@ -235,6 +242,22 @@
             table,
             own_loads,
         )
+        self._stream_versions = StreamVersionLink(
+            section.peers,
+            self._datagrams,
+            StreamRecords(clock),
+            SavedStreamRecords(store, incarnation, clock),
+            VersionRegister(
+                store, self._registry, self._resumable_services, self._register_delay, clock
+            ),
+            self._peer_addresses,
+            lambda: self._relay.addresses_by_tenure() if self._relay else [],
+            self._feed.recent_followers,
+            self._stream_writers,
+            clock,
+            random_source,
+        )
+        self._streams = StreamContinuation(self._stream_versions, self._registry, control, clock)
         assigner = WorkerAssigner(
             section.zone,
             self._registry,
@@ -245,20 +268,9 @@
             self._meter.allowance,
             lambda: self.settings.routing.dispatch,
             self._uses_queue,
+            self._streams.excluded_workers,
             clock,
         )
-        self._stream_versions = StreamVersionLink(
-            section.peers,
-            self._datagrams,
-            StreamRecords(clock),
-            self._version_history,
-            self._peer_addresses,
-            lambda: self._relay.addresses_by_tenure() if self._relay else [],
-            self._feed.recent_followers,
-            clock,
-            random_source,
-        )
-        self._streams = StreamContinuation(self._stream_versions, self._registry, control, clock)
         self._forwarder = Forwarder(
             requests,
             self._registry,
@@ -416,6 +428,33 @@
         }
         return sorted(others - {section.peers})
 
+    def _resumable_services(self) -> set[str]:
+        """Return the services whose streams may be taken up."""
+        cfg = self._registry.configuration
+        routes = [route for each in (cfg.routes if cfg else {}).values() for route in each]
+        return {part.service for route in routes if route.resumable for part in route.split}
+
+    def _register_delay(self) -> float:
+        """Return how long this node leaves an update of the version register to other nodes."""
+        relays = self._relay.addresses_by_tenure() if self._relay else []
+        own = self.settings.node.peers
+        if not self._relay or relays[:1] == [own]:
+            return 0.0
+        if own in relays or not relays:
+            return self._random.uniform(*RELAY_REGISTER_SECONDS)
+        return self._random.uniform(*FOLLOWER_REGISTER_SECONDS)
+
+    def _stream_writers(self) -> list[str]:
+        """Return the nodes that save records of streams: relays, the nearest first."""
+        own = self.settings.node.peers
+        if self._relay is None:
+            return [own]
+        relays = self._relay.addresses_by_tenure()
+        nearest = own if own in relays else self._relay.node_to_follow()
+        others = [address for address in relays if address != nearest]
+        ordered = [nearest, *others] if nearest else others
+        return ordered if own in ordered else [*ordered, own]
+
     def _referrals(self) -> list[str]:
         """Return some other nodes that may serve tunnels."""
         addresses = self._peer_addresses()
@@ -469,6 +508,7 @@
             "streams_taken_up": lambda: float(self._streams.taken_up),
             "streams_refused": lambda: float(self._streams.refused),
             "stream_records": lambda: float(len(self._stream_versions.records)),
+            "stream_records_saved": lambda: float(self._stream_versions.saved.saved),
             "stream_origins_queried": lambda: float(self._stream_versions.queried),
             "stream_origins_unknown": lambda: float(self._stream_versions.unknown),
             "engine_paths_lost": lambda: float(self._paths.lost_count),
@@ -481,7 +521,6 @@
 
     def _forget_worker(self, info: WorkerInfo) -> None:
         incarnation = info.id
-        self._version_history.record_left(info.service, info.software_version)
         self._pool.close_idle(incarnation)
         self._paths.forget(incarnation)
         self._placement.forget(incarnation)
@@ -524,6 +563,8 @@
             ("registry", self._sync.run),
             ("lease", self._lease.run),
             ("rollout", self._rollout.run),
+            ("software versions", self._stream_versions.register.run),
+            ("saved streams", self._stream_versions.saved.run),
             ("crashes", self._crash_guard.reports.run),
             ("part crashes", self._crash_guard.part_reports.run),
             ("pool", self._pool.sweep),
--- a/src/wheelslip/registry/registry.py
+++ b/src/wheelslip/registry/registry.py
@@ -65,6 +65,7 @@
 
     :param bounds: returns the bounds in force.
     :param clock: steady clock in seconds.
+    :param ignored_prefix: prefix of keys that are no part of the view.
     :ivar entry_log: latest value of every key of the store.
     :ivar health: availability of the store.
     :ivar configuration: the configuration in force; ``None`` before the first one was read.
@@ -80,12 +81,14 @@
         dialect: RegistryDialect,
         bounds: Callable[[], BoundsSection],
         clock: Callable[[], float],
+        ignored_prefix: str = "\0",
     ):
         self._dialect = dialect
         self._bounds = bounds
         self._clock = clock
         self._started = clock()
         self.entry_log = EntryLog()
+        self._ignored_prefix = ignored_prefix
         self._system_entries: dict[str, tuple[bytes, int]] = {}
         self._named: dict[str, list[_NamedVersion]] = {}
         self.health = StoreHealth()
@@ -209,7 +212,7 @@
 
         :param value: ``None`` when the key was removed.
         """
-        if not self.entry_log.apply(key, value, revision):
+        if key.startswith(self._ignored_prefix) or not self.entry_log.apply(key, value, revision):
             return
         if value is None:
             self._remove(key)
--- a/src/wheelslip/streams/messages.py
+++ b/src/wheelslip/streams/messages.py
@@ -9,6 +9,8 @@
 REPLY = "stream_reply"
 BACKUP_QUERY = "backup_query"
 BACKUP_REPLY = "backup_reply"
+SAVE = "stream_save"
+SAVED = "stream_saved"
 
 KEYS_PER_BATCH = 48
 KEYS_PER_QUERY = 16
@@ -63,3 +65,22 @@
     """Names some followers of a relay."""
 
     addresses: list[str]
+
+
+class SaveRequest(NamedTuple):
+    """Asks a relay to save records of streams in the store.
+
+    :ivar address: where to send the confirmation, ``IP:PORT``.
+    :ivar number: identifies the request at its sender.
+    """
+
+    address: str
+    number: int
+    origin: StreamOrigin
+    keys: list[str]
+
+
+class SaveConfirmation(NamedTuple):
+    """Tells that the records of a :class:`SaveRequest` are in the store."""
+
+    number: int
--- a/src/wheelslip/streams/version_link.py
+++ b/src/wheelslip/streams/version_link.py
@@ -1,14 +1,19 @@
-"""Exchange of stream records between nodes.
+"""Records of streams at other nodes and in the store.
 
-A node sends the records of its streams to two backups, so that they outlast it. A node that is to
-continue a stream of which it has no record asks all nodes: relays forward the query to their
-followers, and only nodes that have the record reply to a forwarded one.
+While versions differ, a node has the records of its streams saved in the store, through a relay, so
+that few nodes write. It also sends them to two backups, which know them while the store is away. A
+node that is to continue a stream of which it has no record reads the store. If that does not tell,
+it asks all nodes: relays forward the query to their followers, and only nodes that have the record
+reply to a forwarded one.
 """
 
 import asyncio
+import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
+from wheelslip.keyvalue.model import KeyValueError
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.routing.limits.token_bucket import TokenBucket
 from wheelslip.streams.messages import (
@@ -19,13 +24,19 @@
     QUERY,
     RECORDS,
     REPLY,
+    SAVE,
+    SAVED,
     BackupQuery,
     BackupReply,
     OriginQuery,
     OriginReply,
     RecordBatch,
+    SaveConfirmation,
+    SaveRequest,
 )
-from wheelslip.streams.version_records import StreamOrigin, StreamRecords, VersionHistory
+from wheelslip.streams.saved_records import SavedStreamRecords
+from wheelslip.streams.version_records import StreamOrigin, StreamRecords
+from wheelslip.streams.version_register import RegisteredVersions, VersionRegister
 
 BACKUPS = 2
 """Number of other nodes that hold the records of a node's streams."""
@@ -51,12 +62,27 @@
 """Number of sends after which a query ends once all nodes that were asked directly have replied; until
 then, followers of relays may reply. Nodes that stand still for a moment are waited for."""
 
+STORE_READ_SECONDS = 0.4
+"""Time to wait for the store before the other nodes are asked."""
+
+SAVE_ATTEMPT_SECONDS = 0.12
+"""Time after which the next relay is asked to save a record."""
+
+MAX_SAVE_ATTEMPTS = 5
+
 QUERIES_PER_SECOND = 50.0
 MAX_QUERIES_AT_ONCE = 200.0
 """Rate limit of the streams that a node asks others for: each query reaches all nodes. Those above it
 are treated as unknown. A worker that ends breaks at most some 50 streams of one node."""
 
 
+class KnownOrigin(NamedTuple):
+    """Origin of a stream, and how it is known, as described for event 210."""
+
+    origin: StreamOrigin
+    known_by: str
+
+
 class _Query:
     """A query in progress, shared by all requests that continue the same stream."""
 
@@ -73,8 +99,11 @@
     :param peers: returns the addresses of the nodes that this node knows.
     :param relays: returns the addresses of the relays.
     :param followers: returns the addresses of the followers of this node.
+    :param writers: returns the addresses of the nodes that save records, in the order in which this
+        node asks them; this node's own address for itself.
     :ivar records: of this node's streams and of those for which it is a backup.
-    :ivar history: software versions in use.
+    :ivar saved: records in the store.
+    :ivar register: versions in use.
     :ivar queried: number of streams that other nodes were asked for.
     :ivar unknown: number of these that no node knew.
     """
@@ -84,20 +113,24 @@
         address: str,
         socket: DatagramSocket,
         records: StreamRecords,
-        history: VersionHistory,
+        saved: SavedStreamRecords,
+        register: VersionRegister,
         peers: Callable[[], list[str]],
         relays: Callable[[], list[str]],
         followers: Callable[[], list[str]],
+        writers: Callable[[], list[str]],
         clock: Callable[[], float],
         random_source: random.Random,
     ):
         self._address = address
         self._socket = socket
         self.records = records
-        self.history = history
+        self.saved = saved
+        self.register = register
         self._peers = peers
         self._relays = relays
         self._followers = followers
+        self._writers = writers
         self._clock = clock
         self._random = random_source
         self._referred: list[str] = []
@@ -105,7 +138,9 @@
         self._backups_until = 0.0
         self._unsent: dict[tuple[StreamOrigin, int], list[str]] = {}
         self._has_unsent = asyncio.Event()
-        self._urgent = asyncio.Event()
+        self._save_numbers = itertools.count(1)
+        self._unconfirmed: dict[int, asyncio.Future[bool]] = {}
+        self._tasks: set[asyncio.Task] = set()
         self._queries: dict[str, _Query] = {}
         self._unasked: dict[str, list[str]] = {}
         self._budget = TokenBucket(QUERIES_PER_SECOND, MAX_QUERIES_AT_ONCE, MAX_QUERIES_AT_ONCE)
@@ -116,43 +151,31 @@
         socket.register(REPLY, OriginReply, self._handle_reply)
         socket.register(BACKUP_QUERY, BackupQuery, self._handle_backup_query)
         socket.register(BACKUP_REPLY, BackupReply, self._handle_backup_reply)
+        socket.register(SAVE, SaveRequest, self._handle_save)
+        socket.register(SAVED, SaveConfirmation, self._handle_confirmation)
 
     # Records of this node's streams
 
-    def record(
-        self, keys: Iterable[str], origin: StreamOrigin, seconds: float, urgent: bool = False
-    ) -> None:
-        """Record the origin of streams here and at the backups.
-
-        :param urgent: send it without delay, because it replaces an earlier origin.
-        """
-        keys = list(keys)
+    def record(self, keys: Iterable[str], origin: StreamOrigin, seconds: float) -> None:
+        """Record the origin of streams here."""
         self.records.record(keys, origin, seconds)
+
+    def back_up(self, keys: Iterable[str], origin: StreamOrigin, seconds: float) -> None:
+        """Send the origin of streams to the backups."""
         if not self._address:
             return
         self._unsent.setdefault((origin, int(seconds) + 1), []).extend(keys)
         self._has_unsent.set()
-        if urgent:
-            self._urgent.set()
 
     async def run(self) -> None:
         """Send new records to the backups until cancelled."""
         while True:
             await self._has_unsent.wait()
-            await self._pause(COALESCE_SECONDS)
+            await asyncio.sleep(COALESCE_SECONDS)
             self._has_unsent.clear()
-            self._urgent.clear()
             self._send_records()
             self.records.remove_expired()
-            await self._pause(MIN_SEND_INTERVAL_SECONDS)
-
-    async def _pause(self, seconds: float) -> None:
-        """Wait for a time, or until an urgent record has to be sent."""
-        urgent = asyncio.ensure_future(self._urgent.wait())
-        try:
-            await asyncio.wait([urgent], timeout=seconds)
-        finally:
-            urgent.cancel()
+            await asyncio.sleep(MIN_SEND_INTERVAL_SECONDS)
 
     def _send_records(self) -> None:
         unsent, self._unsent = self._unsent, {}
@@ -191,33 +214,90 @@
     def _handle_records(self, message: RecordBatch, sender: str) -> None:
         self.records.record(message.keys, message.origin, message.seconds)
 
+    # Records in the store
+
+    async def save(self, keys: Sequence[str], origin: StreamOrigin) -> bool:
+        """Have records saved in the store, and return whether that was confirmed."""
+        writers = self._writers()
+        for writer, _ in zip(itertools.cycle(writers), range(MAX_SAVE_ATTEMPTS), strict=False):
+            if writer == self._address:
+                confirmed = await self.saved.save(keys, origin)
+            else:
+                confirmed = await self._request_save(writer, keys, origin)
+            if confirmed:
+                return True
+        return False
+
+    def save_soon(self, keys: Sequence[str], origin: StreamOrigin) -> asyncio.Task[bool]:
+        """Have records saved without waiting for it."""
+        task = asyncio.create_task(self.save(keys, origin))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _request_save(self, writer: str, keys: Sequence[str], origin: StreamOrigin) -> bool:
+        number = next(self._save_numbers)
+        confirmed = self._unconfirmed[number] = asyncio.get_running_loop().create_future()
+        self._socket.send(writer, SAVE, SaveRequest(self._address, number, origin, list(keys)))
+        try:
+            async with asyncio.timeout(SAVE_ATTEMPT_SECONDS):
+                return await confirmed
+        except TimeoutError:
+            return False
+        finally:
+            del self._unconfirmed[number]
+
+    def _handle_save(self, message: SaveRequest, sender: str) -> None:
+        task = asyncio.create_task(self._save_for(message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _save_for(self, message: SaveRequest) -> None:
+        if await self.saved.save(message.keys, message.origin):
+            self._socket.send(message.address, SAVED, SaveConfirmation(message.number))
+
+    def _handle_confirmation(self, message: SaveConfirmation, sender: str) -> None:
+        confirmed = self._unconfirmed.get(message.number)
+        if confirmed is not None and not confirmed.done():
+            confirmed.set_result(True)
+
     # Streams that this node continues
 
-    async def find_origin(self, key: str, service: str) -> StreamOrigin | None:
-        """Return the origin of a stream, as far as this node or another one knows it.
+    async def find_origin(self, key: str, services: Sequence[str]) -> KnownOrigin | None:
+        """Return the origin of a stream, as far as this node, the store or another node knows it.
 
         :param key: key of the stream; empty if the caller did not name it.
-        :param service: service that is about to continue the stream.
-        :return: ``None`` if several versions are in use and no node knows the origin.
+        :param services: services of the route, the one that is about to continue the stream first.
+        :return: ``None`` if several versions are in use and the origin is not known.
         """
         origin = self.records.find(key) if key else None
         if origin is not None:
-            return origin
-        if self.history.is_complete or not self._address:
-            sole = self.history.sole_version(service)
-            if sole is not None:
-                return StreamOrigin(service, sole)
-        if not self._address or not self._may_ask(key):
+            return KnownOrigin(origin, "record")
+        registered = None
+        try:
+            async with asyncio.timeout(STORE_READ_SECONDS):
+                registered = await self.register.read(services)
+                origin = await self.saved.find(key) if key else None
+        except (KeyValueError, TimeoutError):
+            registered = None
+        if origin is not None:
+            return KnownOrigin(origin, "store")
+        if registered is not None and _implies_base(key, registered):
+            return KnownOrigin(StreamOrigin(services[0], registered.base), "base")
+        if self._address and self._may_ask(key):
+            query = await self._ask(key, services[0])
+            if query.found.done():
+                return KnownOrigin(query.found.result(), "node")
             self.unknown += 1
-            return None
-        query = await self._ask(key, service)
-        if query.found.done():
-            return query.found.result()
-        self.unknown += 1
-        sole = self.history.sole_version(service)
-        if sole is None or query.versions_differ or not query.replied:
-            return None
-        return StreamOrigin(service, sole)
+            if registered is None and query.replied and not query.versions_differ:
+                sole = self._sole_version(services)
+                if sole:
+                    return KnownOrigin(StreamOrigin(services[0], sole), "sole")
+        return None
+
+    def _sole_version(self, services: Sequence[str]) -> str:
+        registered = self.register.registered(services)
+        return "" if registered.differ else registered.base
 
     def _may_ask(self, key: str) -> bool:
         return key in self._queries or not self._budget.acquire(1.0, self._clock())
@@ -266,7 +346,7 @@
         known = {key: self.records.find(key) for key in message.keys}
         origins = {key: origin for key, origin in known.items() if origin is not None}
         if origins or not message.forwarded:
-            differ = len(self.history.versions(message.service)) > 1
+            differ = self.register.registered([message.service]).differ
             reply = OriginReply(origins, message.keys, differ)
             self._socket.send(message.address, REPLY, reply)
         if not message.forwarded and len(origins) < len(message.keys):
@@ -282,3 +362,11 @@
             query.versions_differ = query.versions_differ or message.versions_differ
             if key in message.origins and not query.found.done():
                 query.found.set_result(message.origins[key])
+
+
+def _implies_base(key: str, registered: RegisteredVersions) -> bool:
+    """Return whether a stream without a saved record began at the base version.
+
+    :param key: empty if it is not known which stream it is, so that its record cannot be found.
+    """
+    return bool(registered.base) and (bool(key) or not registered.differ)
--- a/src/wheelslip/streams/version_records.py
+++ b/src/wheelslip/streams/version_records.py
@@ -11,9 +11,6 @@
 MAX_RECORD_SECONDS = 600.0
 """Upper bound of the time for which a stream is recorded."""
 
-HISTORY_SECONDS = 60.0
-"""Time for which a software version counts as in use after its last worker has left."""
-
 
 class StreamOrigin(NamedTuple):
     """Service and software version of the worker that began a stream."""
@@ -64,40 +61,3 @@
         expired = [key for key, record in self._records.items() if record.expires_at <= now]
         for key in expired:
             del self._records[key]
-
-
-class VersionHistory:
-    """Software versions that this node has seen in each service.
-
-    :param in_view: returns the versions of the workers of a service that are in the view now.
-    """
-
-    def __init__(self, in_view: Callable[[str], set[str]], clock: Callable[[], float]):
-        self._in_view = in_view
-        self._clock = clock
-        self._started_at = clock()
-        self._left_at: dict[str, dict[str, float]] = {}
-
-    def record_left(self, service: str, version: str) -> None:
-        """Record that a worker of a version has left the view."""
-        now = self._clock()
-        left_at = self._left_at.setdefault(service, {})
-        left_at[version] = now
-        for old in [key for key, at in left_at.items() if now - at > HISTORY_SECONDS]:
-            del left_at[old]
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether this node runs long enough to have seen all versions in use."""
-        return self._clock() - self._started_at >= HISTORY_SECONDS
-
-    def versions(self, service: str) -> set[str]:
-        """Return the versions in use now or within :data:`HISTORY_SECONDS`."""
-        oldest = self._clock() - HISTORY_SECONDS
-        left_at = self._left_at.get(service, {})
-        return self._in_view(service) | {version for version, at in left_at.items() if at > oldest}
-
-    def sole_version(self, service: str) -> str | None:
-        """Return the only version that this node has seen, ``None`` without or with several."""
-        versions = self.versions(service)
-        return next(iter(versions)) if len(versions) == 1 else None
--- a/tests/probe/forwarding/test_streams_keep_software_version.py
+++ b/tests/probe/forwarding/test_streams_keep_software_version.py
@@ -146,7 +146,11 @@
     await asyncio.gather(*(task for _, task in begun))
     hold_streams(begun[0][0].site, None)
     streams = [stream for stream, _ in begun]
-    assert all(stream.events and not stream.complete for stream in streams)
+    assert all(stream.events and not stream.complete for stream in streams), [
+        (stream.refusals, len(stream.events), stream.complete)
+        for stream in streams
+        if not stream.events or stream.complete
+    ]
     return streams
 
 
--- a/tests/unit/forwarding/test_confirm_after_wait.py
+++ b/tests/unit/forwarding/test_confirm_after_wait.py
@@ -65,6 +65,7 @@
         Mock(),
         lambda: True,
         lambda: True,
+        lambda job, service: frozenset(),
         lambda: 0.0,
     )
     assigner._local_choice = Mock(choose=Mock(return_value=Placement(WORKER)))
--- a/tests/unit/forwarding/test_request_without_memory.py
+++ b/tests/unit/forwarding/test_request_without_memory.py
@@ -63,7 +63,7 @@
 def test_buffer_of_a_failed_attempt_is_released_when_it_ends(clock):
     """The request may wait for its next worker for seconds, without the data."""
     caller, job = make_caller(clock), make_job(b"", 0)
-    services = AttemptServices(Mock(), Mock(), Mock(), Mock(), clock)
+    services = AttemptServices(Mock(), Mock(), Mock(), Mock(), Mock(), clock)
     attempt = Attempt(services, job, Mock(), Mock(), caller)
     caller.memory.set_buffered(5000)
     attempt.finish()
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -9,17 +9,12 @@
 
 from wheelslip.deployment import Incarnation, Worker, WorkerInfo, WorkerState
 from wheelslip.forwarding.forwarder import Forwarder
+from wheelslip.keyvalue.model import KeyValueUnavailable
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.streams import messages, version_link
-from wheelslip.streams.version_link import StreamVersionLink
-from wheelslip.streams.version_records import (
-    HISTORY_SECONDS,
-    MAX_RECORDS,
-    StreamOrigin,
-    StreamRecords,
-    VersionHistory,
-    stream_key,
-)
+from wheelslip.streams.version_link import KnownOrigin, StreamVersionLink
+from wheelslip.streams.version_records import MAX_RECORDS, StreamOrigin, StreamRecords, stream_key
+from wheelslip.streams.version_register import RegisteredVersions
 from wheelslip.wire import encode_frame
 
 V1, V2 = StreamOrigin("s", "v1"), StreamOrigin("s", "v2")
@@ -73,23 +68,79 @@
             self.send(address, kind, message)
 
 
-def make_link(network, address, relays=(), followers=(), versions=("v1", "v2"), clock=None):
+class Register:
+    """Registered versions; the store is away unless ``store_versions`` is set."""
+
+    def __init__(self, versions, store_versions=None):
+        self._versions = _registered(versions)
+        self._store_versions = store_versions
+
+    def registered(self, services):
+        return self._versions
+
+    async def read(self, services):
+        if self._store_versions is None:
+            raise KeyValueUnavailable("away")
+        return self._store_versions
+
+
+class Saved:
+    """Saved records, none of which is confirmed while the store is away."""
+
+    def __init__(self, store):
+        self.store = store
+
+    async def save(self, keys, origin):
+        if self.store is not None:
+            self.store |= dict.fromkeys(keys, origin)
+        return self.store is not None
+
+    async def find(self, key):
+        if self.store is None:
+            raise KeyValueUnavailable("away")
+        return self.store.get(key)
+
+
+def _registered(versions, base=None):
+    base = (versions[0] if len(versions) == 1 else "") if base is None else base
+    return RegisteredVersions(frozenset(versions), base)
+
+
+def make_link(
+    network,
+    address,
+    relays=(),
+    followers=(),
+    versions=("v1", "v2"),
+    clock=None,
+    store=None,
+    store_versions=None,
+    writers=(),
+):
     clock = clock or Clock()
     return StreamVersionLink(
         address,
         network.socket(address),
         StreamRecords(clock),
-        VersionHistory(lambda service: set(versions), clock),
+        Saved(store),
+        Register(versions, store_versions),
         lambda: [],
         lambda: list(relays),
         lambda: list(followers),
+        lambda: list(writers),
         clock,
         random.Random(1),
     )
 
 
+async def origin_of(link, key):
+    known = await link.find_origin(key, ["s"])
+    return known.origin if known is not None else None
+
+
 async def publish(link, *keys, origin=V1):
     link.record(keys, origin, 30.0)
+    link.back_up(keys, origin, 30.0)
     task = asyncio.create_task(link.run())
     await asyncio.sleep(0.05)
     task.cancel()
@@ -107,7 +158,7 @@
         assert len(holders) == version_link.BACKUPS
         (asker,) = set("bcd") - set(holders)
         network.dead = {"a", holders[0]}
-        assert await links[asker].find_origin("k", "s") == V1
+        assert await origin_of(links[asker], "k") == V1
 
     asyncio.run(play())
 
@@ -120,7 +171,7 @@
         holder = make_link(network, "f3", ("r1", "r2"))
         asker = make_link(network, "f1", ("r1", "r2"))
         holder.records.record(["k"], V2, 30.0)
-        assert await asker.find_origin("k", "s") == V2
+        assert await origin_of(asker, "k") == V2
         assert not [each for each in network.sent if each[0] == "f2"], "f2 knows nothing"
 
     asyncio.run(play())
@@ -158,7 +209,7 @@
         asker = make_link(network, "a", ("a", "b"), versions=versions)
         if peer_versions:
             make_link(network, "b", ("a", "b"), versions=peer_versions)
-        assert await asker.find_origin("k", "s") == expected
+        assert await origin_of(asker, "k") == expected
         assert asker.unknown == 1
 
     asyncio.run(play())
@@ -169,7 +220,7 @@
         network = Network()
         asker = make_link(network, "a", ("a", "b"))
         make_link(network, "b", ("a", "b")).records.record(["k"], V2, 30.0)
-        found = await asyncio.gather(*(asker.find_origin("k", "s") for _ in range(8)))
+        found = await asyncio.gather(*(origin_of(asker, "k") for _ in range(8)))
         assert found == [V2] * 8
         assert [kind for *_, kind, _ in network.sent] == [messages.QUERY, messages.REPLY]
 
@@ -187,17 +238,6 @@
     assert len(records) == 0
 
 
-def test_version_counts_as_in_use_for_a_while_after_its_last_worker_has_left():
-    clock = Clock()
-    in_view = {"v1", "v2"}
-    history = VersionHistory(lambda service: in_view, clock)
-    in_view.discard("v1")
-    history.record_left("s", "v1")
-    assert history.sole_version("s") is None
-    clock.now += HISTORY_SECONDS + 1
-    assert history.sole_version("s") == "v2" and history.is_complete
-
-
 def test_largest_datagrams_fit_into_one_packet():
     keys = [stream_key(str(number)) for number in range(messages.KEYS_PER_BATCH)]
     origin = StreamOrigin("s" * 24, "v" * 12)
@@ -206,6 +246,7 @@
         messages.RecordBatch(origin, 600, keys),
         messages.OriginQuery("127.100.100.100:65535", "s" * 24, asked, True),
         messages.OriginReply(dict.fromkeys(asked, origin), asked, True),
+        messages.SaveRequest("127.100.100.100:65535", 2**31, origin, keys[:2]),
     ):
         assert len(encode_frame(("stream_reply", message))) <= MAX_DATAGRAM_BYTES
 
@@ -228,7 +269,7 @@
         make_link(network, "b", ("a", "b")).records.record(["known"], V1, 30.0)
         limit = int(version_link.MAX_QUERIES_AT_ONCE)
         keys = [stream_key(str(number)) for number in range(2 * limit)]
-        found = await asyncio.gather(*(asker.find_origin(key, "s") for key in keys))
+        found = await asyncio.gather(*(origin_of(asker, key) for key in keys))
         assert found == [None] * len(keys) and asker.queried == limit
 
     asyncio.run(play())
@@ -256,9 +297,64 @@
         holder = make_link(network, "b", ("a", "b"))
         holder.records.record(["k"], V1, 30.0)
         network.dead.add("b")
-        found = asyncio.create_task(asker.find_origin("k", "s"))
+        found = asyncio.create_task(origin_of(asker, "k"))
         await asyncio.sleep(0.25)
         network.dead.clear()
         assert await found == V1
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("saved", "registered", "key", "expected"),
+    [
+        ({"k": V2}, _registered(("v1", "v2"), "v1"), "k", KnownOrigin(V2, "store")),
+        ({"k": V2}, _registered(("v1",)), "k", KnownOrigin(V2, "store")),
+        ({}, _registered(("v1", "v2"), "v1"), "k", KnownOrigin(V1, "base")),
+        ({}, _registered(("v1", "v2"), ""), "k", None),
+        ({}, _registered(("v1", "v2"), "v1"), "", None),
+        ({}, _registered(("v1",)), "", KnownOrigin(V1, "base")),
+        ({}, _registered((), ""), "k", None),
+    ],
+    ids=[
+        "saved",
+        "saved, its version is not registered any more",
+        "unsaved, with a base version",
+        "unsaved, without a base version",
+        "unnamed while versions differ",
+        "unnamed with one version",
+        "nothing registered",
+    ],
+)
+def test_store_tells_origin_of_stream_that_no_node_knows(saved, registered, key, expected):
+    async def play():
+        network = Network()
+        link = make_link(network, "a", ("a", "b"), store=saved, store_versions=registered)
+        make_link(network, "b", ("a", "b"))
+        assert await link.find_origin(key, ["s"]) == expected
+
+    asyncio.run(play())
+
+
+def test_record_is_saved_through_next_relay_when_the_first_has_ended():
+    async def play():
+        network = Network()
+        store = {}
+        link = make_link(network, "f", ("r1", "r2"), writers=("r1", "r2"))
+        for relay in ("r1", "r2"):
+            make_link(network, relay, ("r1", "r2"), store=store)
+        network.dead.add("r1")
+        assert await link.save(["k"], V2)
+        assert store == {"k": V2}
+
+    asyncio.run(play())
+
+
+def test_save_is_not_confirmed_while_the_store_is_away():
+    async def play():
+        network = Network()
+        link = make_link(network, "f", ("r1",), writers=("r1", "f"))
+        make_link(network, "r1", ("r1",))
+        assert not await link.save(["k"], V2)
+
+    asyncio.run(play())
--- a/tests/unit/forwarding/test_worker_room.py
+++ b/tests/unit/forwarding/test_worker_room.py
@@ -201,6 +201,7 @@
         None,
         lambda: False,
         lambda: True,
+        lambda job, service: frozenset(),
         clock,
     )
     with pytest.raises(Overloaded):
