Streams do not begin at a restarted worker as ones of its earlier version

What callers saw: while the store was down, a worker crashed, started again under its id with another software version, ran streams and crashed once more. The streams that it had run went on at workers of the version in its stale entry.

Cause: the version of a stream is that of the worker's entry. Whether the entry describes the process that answers was only checked for streams that are taken up, and only while several versions were known.

Change: the first resumable stream on a connection asks the worker for its time of birth once the connection is open. The connection is marked as verified, so there is one report for each new connection. Connections through tunnels and workers that tell no time of birth are not checked.

--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -396,7 +396,8 @@
         self, job: Job, assignment: Assignment, connection: HttpConnection
     ) -> bool:
         try:
-            return await self._streams.is_restarted(job, assignment.placement.worker.info)
+            worker = assignment.placement.worker.info
+            return await self._streams.is_restarted(job, worker, connection)
         except asyncio.CancelledError:
             connection.close()
             assignment.record_unused()
--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 
+from wheelslip.connections.http_client import HttpConnection
 from wheelslip.deployment import Incarnation, RouteKind, WorkerInfo
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogEvent, log_event
@@ -103,14 +104,13 @@
         kind = ErrorKind.ENGINE_LOST if job.may_have_run else ErrorKind.STREAM_VERSION_GONE
         raise WheelslipError(kind, message)
 
-    async def is_restarted(self, job: Job, worker: WorkerInfo) -> bool:
+    async def is_restarted(self, job: Job, worker: WorkerInfo, connection: HttpConnection) -> bool:
         """Return whether a worker has restarted under its id, perhaps with another version.
 
-        To be called when a connection to it is open: if the incarnation in the view still answers
+        To be called when the connection is open: if the incarnation in the view still answers
         after that, the connection leads to it.
         """
-        registered = self._link.register.registered([worker.service])
-        if not job.required_version or not worker.born or not registered.differ or job.via:
+        if not job.route.resumable or not worker.born or connection.verified or connection.via:
             return False
         try:
             async with asyncio.timeout(RESTART_CHECK_SECONDS):
@@ -118,6 +118,7 @@
         except (WorkerUnreachable, TimeoutError):
             return False
         if report.born in (0, worker.born):
+            connection.verified = True
             return False
         self._registry.mark_replaced(worker.id)
         return True
--- a/tests/probe/forwarding/test_streams_keep_software_version.py
+++ b/tests/probe/forwarding/test_streams_keep_software_version.py
@@ -290,6 +290,31 @@
     assert_taken_up(streams)
 
 
+async def test_stream_does_not_begin_at_restarted_worker_as_one_of_its_earlier_version(site):
+    """Streams of the restarted worker went on at workers of the version in its stale entry."""
+    site.configure(configuration(routes=[NO_RETRY]))
+    for number in range(3):
+        worker = PlatformWorker(
+            f"i-{number}", "m", events=EVENTS, seconds=0.03, software_version="v1", born=BORN
+        )
+        await site.add_worker(worker, "engines")
+    await site.add_relays(ZONES)
+    restarted = site.workers["i-0"]
+    port = int(restarted.server.address.rpartition(":")[2])
+    site.store.error_status = 503
+    site.store.server.reset_all()
+    await restarted.terminate()
+    restarted.software_version, restarted.born = "v2", BORN + 1000
+    await restarted.server.start(port)
+    begun = await begin_streams(site, 15)
+    await restarted.terminate()
+    streams = await break_streams(site, begun)
+    site.model.remove("servers/i-0")
+    site.store.error_status = 0
+    await take_up(streams, ("z2", "z3", "z1"))
+    assert_taken_up(streams)
+
+
 async def test_stream_is_taken_up_through_dispatchers_queue_with_little_room(site):
     site.routing = {"queue": True, "learn_speeds": True}
     await start_site(site)
