SIGHUP while a node is starting no longer ends it

Cause: the handler is set once the node is built; until then the default action is in force.

Change: the program ignores SIGHUP from its first statement on.

The time in which the interpreter itself starts is not covered.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,8 +1,12 @@
 """Starts one forwarding node from a checkout, without an installed package."""
 
 import pathlib
+import signal
 import sys
 
+# Until the node handles it, SIGHUP would end the process; the settings are read after that anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # The platform's links carry no TLS. asyncio runs without the ssl module where there is none,
 # and a process is 4.4 MB smaller so (docs/MEASUREMENTS.md).
 sys.modules["ssl"] = None
