Soak: all nodes end while versions change, and switches are parameters

ENDS=1 ends all nodes at one moment, twice or in series while streams are in progress and the workers of all versions but one are replaced.

--- a/bench/forwarding_soak.py
+++ b/bench/forwarding_soak.py
@@ -25,6 +25,7 @@
 from bench.forwarding_crests import CrestCallers, CrestChecker
 from bench.forwarding_crowds import CrowdChecker, Crowds
 from bench.forwarding_deadly import CrashingCaller, check_crashes
+from bench.forwarding_ends import NodeEnds
 from bench.forwarding_faults import FaultInjector
 from bench.forwarding_judge import RunChecker
 from bench.forwarding_limits import LimitChecker, LimitFaults
@@ -73,6 +74,8 @@
     :ivar versions: whether workers of several software versions serve.
     :ivar crowds: whether most new connections go to one node from time to time.
     :ivar power: whether all nodes lose power at the same moment after the other faults.
+    :ivar ends: whether all nodes end from time to time while software versions change; implies
+        ``versions``.
     """
 
     nodes: int = 0
@@ -86,6 +89,7 @@
     versions: bool = False
     crowds: bool = False
     power: bool = False
+    ends: bool = False
 
 
 class Soak:
@@ -143,7 +147,13 @@
         path_rng = random.Random(f"{seed} paths")
         self.paths = PathFaults(self.world, path_rng) if options.paths else None
         version_rng = random.Random(f"{seed} versions")
-        self.versions = VersionedStreams(self.world, version_rng) if options.versions else None
+        self.versions = (
+            VersionedStreams(self.world, version_rng) if options.versions or options.ends else None
+        )
+        end_rng = random.Random(f"{seed} ends")
+        self.ends = (
+            NodeEnds(self.world, self.faults, self.versions, end_rng) if options.ends else None
+        )
         crowd_rng = random.Random(f"{seed} crowds")
         self.crowds = Crowds(self.world, self.callers, crowd_rng) if options.crowds else None
         self._power = options.power
@@ -166,6 +176,7 @@
             self.crests,
             self.paths,
             self.versions,
+            self.ends,
             self.crowds,
             self.upgrade,
         )
@@ -290,18 +301,39 @@
     return soak
 
 
-def main(seed: int = 1, seconds: float = 30.0, folder: str = "", **options) -> None:
+def main(
+    seed: int = 1,
+    seconds: float = 30.0,
+    folder: str = "",
+    *,
+    nodes: int = 0,
+    restarts: bool = True,
+    deadly: bool = False,
+    notices: bool = False,
+    older: str = "",
+    limits: bool = False,
+    crests: bool = False,
+    paths: bool = False,
+    versions: bool = False,
+    crowds: bool = False,
+    power: bool = False,
+    ends: bool = False,
+) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
     :param seed: determines kinds and order of faults.
     :param seconds: how long faults are injected.
     :param folder: directory for settings and logs of nodes; a temporary one when empty.
-    :param options: flags named as the fields of :class:`SoakOptions`.
+
+    The other parameters are the fields of :class:`SoakOptions`.
     """
+    # The command line reads "--notices" as "no" and the option "tices" unless it is a parameter.
+    arguments = locals()
+    options = {field: arguments[field] for field in SoakOptions._fields}
     logs = pathlib.Path(folder or tempfile.mkdtemp(prefix="forwarding-soak-"))
     logs.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, {seconds} s, logs in {logs}")
-    options["older"] = str(options.get("older", ""))
+    options["older"] = str(older)
     soak = asyncio.run(run_seed(seed, seconds, logs, **options))
     print(
         f"{len(soak.world.nodes)} nodes, longest start {soak.world.longest_start:.3f} s, longest lag "
@@ -321,6 +353,8 @@
         print("paths:", dict(soak.paths.counts))
     if soak.versions is not None:
         print("streams:", dict(soak.versions.counts))
+    if soak.ends is not None:
+        print("ends:", dict(soak.ends.counts))
     print("history:", *soak.history(), sep="\n  ")
     if soak.crashing_caller is not None:
         print("crashes:", dict(soak.crashing_caller.crashes))
--- a/bench/forwarding_versions.py
+++ b/bench/forwarding_versions.py
@@ -26,6 +26,19 @@
 """Range of the time between two resets of the connections of a worker."""
 
 REQUEST_SECONDS = 5.0
+
+STREAM_SECONDS = 8.0
+"""Time for which a caller takes a stream up again."""
+
+HELD_STREAMS = 12
+"""Number of streams that are begun to be broken by the end of all nodes."""
+
+HELD_AFTER = 2
+"""Event after which these stop until their connection is closed."""
+
+BEGIN_SECONDS = 1.0
+"""Time for these to begin."""
+
 _EVENT = re.compile(rb"id: (\d+)\ndata: token \d+\n: (\w+)\n\n")
 
 
@@ -72,10 +85,27 @@
             await self._send_until_complete()
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
 
+    async def hold_streams(self) -> asyncio.Task:
+        """Begin streams that stop after some events.
+
+        :return: task that takes the streams up once their connections are closed.
+        """
+        engines = [worker for worker in self._world.site.workers.values() if worker.model]
+        for worker in engines:
+            worker.hold_after = HELD_AFTER
+        streams = [self._send_until_complete() for _ in range(HELD_STREAMS)]
+        task = asyncio.ensure_future(asyncio.gather(*streams))
+        await asyncio.sleep(BEGIN_SECONDS)
+        for worker in engines:
+            worker.hold_after = None
+        return task
+
     async def _send_until_complete(self) -> None:
         """Send a stream, take it up while it is incomplete, and check its versions."""
         first_id, events, versions = "", [], []
-        for _ in range(MAX_REQUESTS):
+        answered = 0
+        ends_at = time.monotonic() + STREAM_SECONDS
+        while answered < MAX_REQUESTS and time.monotonic() < ends_at:
             request_id = f"stream-{next(self._numbers)}"
             headers = {"Resumes": first_id, "Last_Event_Id": events[-1]} if events else {}
             body, is_complete = await self._request(request_id, headers)
@@ -86,6 +116,8 @@
             versions += [version.decode() for _, version in found]
             if is_complete and events:
                 break
+            # The platform hands no connection to a node that does not listen.
+            answered += bool(body)
             self.counts["broken or refused"] += bool(events)
             for kind in ("stream_version_gone", "stream_version_unknown"):
                 self.counts[kind] += kind.encode() in body
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -82,6 +82,14 @@
     assert soak.versions.counts["broken or refused"] > 0
 
 
+def test_streams_keep_software_version_when_all_nodes_end(tmp_path):
+    """Guards against nodes that take the only version in their first view for a stream's."""
+    soak = asyncio.run(run_seed(2201, SECONDS, tmp_path, ends=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.versions.counts["versions 1"] > 20
+    assert soak.ends.counts["replaced workers"] > 0
+
+
 def test_prompt_parts_crowds_and_lost_power_break_no_guarantee(tmp_path):
     """Guards against workers that crash in series, crowded nodes and losses after a power failure."""
     soak = asyncio.run(run_seed(2101, SECONDS, tmp_path, deadly=True, crowds=True, power=True))
