Large heads of requests join the memory account

Cause: the account counts bodies; a head within the limit of 16 KB was taken for small, but each of its headers is an object of some 150 bytes.

Change: the memory of a head beyond 8 KB, by its text and 150 bytes a header, counts like a body, so that the request is refused with 503 once the account has no room. Ordinary heads are still part of what the account leaves to objects.

--- a/src/wheelslip/forwarding/caller_connection.py
+++ b/src/wheelslip/forwarding/caller_connection.py
@@ -14,7 +14,7 @@
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.answers import error_response, reason_phrase
-from wheelslip.memory.account import MemoryUse
+from wheelslip.memory.account import MemoryUse, counted_head_bytes
 from wheelslip.memory.connection_memory import ConnectionMemory
 
 DEFAULT_LIMITS = CallerLimits()
@@ -205,6 +205,10 @@
     def _process_head(self, head: h11.Request) -> bool:
         self._head = head
         self._head_received_at = self.memory.receiving_since = self._owner.clock()
+        head_bytes = counted_head_bytes(head.headers)
+        if head_bytes and not self.memory.add_body(head_bytes, head_bytes):
+            self._reject_for_memory()
+            return False
         names = [name for name, _ in head.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             self._reject(
@@ -221,14 +225,14 @@
                 self._reject(ErrorKind.BODY_TOO_LARGE, f"body: longer than {self._max_body()}")
                 return False
             if not self.memory.may_receive(self._body_length):
-                self._reject_body()
+                self._reject_for_memory()
                 return False
         return True
 
     def _process_body(self, data: bytes) -> bool:
         known_length = max(self._body_length, len(self._body) + len(data))
         if not self.memory.add_body(len(data), known_length):
-            self._reject_body()
+            self._reject_for_memory()
             return False
         self._body += data
         if len(self._body) > self._max_body():
@@ -236,7 +240,7 @@
             return False
         return True
 
-    def _reject_body(self) -> None:
+    def _reject_for_memory(self) -> None:
         self.memory.count_rejection()
         self._reject(ErrorKind.MEMORY_FULL, "memory limit of the node exceeded")
 
--- a/src/wheelslip/memory/account.py
+++ b/src/wheelslip/memory/account.py
@@ -42,6 +42,12 @@
 """Maximum size of one read from a worker. A worker connection is read only while the account has
 room for this, as the data is in memory before its size is known."""
 
+HEADER_OBJECT_BYTES = 150
+"""Memory of the objects of one header of a request, beside its text."""
+
+ORDINARY_HEAD_BYTES = 8192
+"""Memory of a request's head that is not counted, as part of the objects of a request."""
+
 RECEIVE_SECONDS = 2.0
 """Time that a caller has to send a body before it counts as slow. A body of 1 MB takes 1.6 s on the
 slowest link of a node, 5 Mbit/s."""
@@ -50,7 +56,7 @@
 class MemoryUse(enum.IntEnum):
     """What bytes are held for.
 
-    ``REQUEST_BODY``: bodies, kept for retries until the request ends. ``UNSENT_REQUEST``: requests
+    ``REQUEST_BODY``: bodies and large heads, kept for retries until the request ends. ``UNSENT_REQUEST``: requests
     that the worker has not taken. ``UNREAD_RESPONSE``: received from a worker and not yet
     processed. ``BUFFERED_RESPONSE``: responses and events that are not yet complete.
     ``UNTAKEN_RESPONSE``: written to the caller, who has not taken them.
@@ -72,6 +78,12 @@
     return int(1_000_000 * max(share, SMALLEST_SHARE * memory_megabytes))
 
 
+def counted_head_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the bytes of a request's head that are counted."""
+    sizes = [HEADER_OBJECT_BYTES + len(name) + len(value) for name, value in headers]
+    return max(0, sum(sizes) - ORDINARY_HEAD_BYTES)
+
+
 class MemoryHolder:
     """Bytes held for one connection of a caller.
 
--- a/tests/probe/forwarding/test_slow_readers.py
+++ b/tests/probe/forwarding/test_slow_readers.py
@@ -7,8 +7,13 @@
 
 from standins.bulk_worker import LARGE_BODY_BYTES, BulkWorker
 from standins.platform_site import HOST, KEY, Caller, configuration, wait_until
-from standins.platform_worker import worker_entry
-from wheelslip.memory.account import BODY_SHARE, MemoryUse, account_bytes
+from standins.platform_worker import PlatformWorker, worker_entry
+from wheelslip.memory.account import (
+    BODY_SHARE,
+    HEADER_OBJECT_BYTES,
+    MemoryUse,
+    account_bytes,
+)
 from wheelslip.memory.node_memory import STALLED_SECONDS
 
 ROUTES = [
@@ -236,3 +241,25 @@
     for caller in callers:
         caller.abort()
     await wait_until_released(node)
+
+
+async def test_heads_with_many_headers_are_counted_and_freed(site):
+    """400 callers with heads of 2,000 lines made a node grow by 126 MB outside its account."""
+    limits = {"max_header_bytes": 32768, "max_body_bytes": 100_000}
+    limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
+    site.configure(configuration(limits=limits))
+    await site.add_worker(PlatformWorker("p1"), "plain")
+    node = await site.add_node()
+    await site.wait_until_ready()
+    callers = []
+    for _ in range(40):
+        caller = await site.connect()
+        lines = "".join(f"a{line}: 1\r\n" for line in range(2000))
+        head = f"POST /plain/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 5\r\n{lines}\r\n"
+        caller.writer.write(head.encode())
+        callers.append(caller)
+    least = 40 * 2000 * HEADER_OBJECT_BYTES
+    await wait_until(lambda: node.gauge("memory_request_body_bytes") >= least, "heads counted")
+    for caller in callers:
+        caller.abort()
+    await wait_until(lambda: node.gauge("memory_held_bytes") == 0, "heads freed")
