A new dispatcher learns what runs before it grants

Cause: by the trace, the restarted process is still listed as the relay, as its predecessor's lease lasts for 3 s, so it answers queries 7 ms after its start. It knows neither that the workers are brittle nor what runs there, and grants every request that waited meanwhile at once.

Change: for 0.15 s after its first query about a service a dispatcher grants nothing. Its replies make nodes report their running requests, and, in a message of a new kind, that the workers are brittle. They ask again within the 0.2 s that a request waits for a worker. For brittle workers this is repeated after 5 s without queries, in which another node may have granted. Services with a queue are left out: there a request is enqueued at the new dispatcher.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -50,7 +50,7 @@
     WorkerControl,
 )
 from wheelslip.registry.registry import Registry
-from wheelslip.routing.dispatcher import Dispatcher
+from wheelslip.routing.dispatcher import LEARNING_SECONDS, Dispatcher
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.speeds.worker_speed import SpeedEstimates
@@ -172,7 +172,12 @@
             clock,
         )
         self._dispatcher = Dispatcher(
-            self._fleet, self._meter.limits, self._meter.allowance, clock, self._uses_queue
+            self._fleet,
+            self._meter.limits,
+            self._meter.allowance,
+            clock,
+            self._uses_queue,
+            LEARNING_SECONDS,
         )
         notices = self._registry.notices
         self._limit_reports = LimitReporter(
@@ -230,6 +235,7 @@
             self._dispatcher,
             self._limit_reports.report_to,
             queue_server,
+            self._registry.notices.brittle.record,
         )
         self._sync = RegistrySync(
             store,
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -96,7 +96,15 @@
         self._limits = limits
         self._report_limits = report_limits
         self._queue = queue
-        self._reports = GrantReports(incarnation, address, socket, dispatcher, queue, clock)
+        self._reports = GrantReports(
+            incarnation,
+            address,
+            socket,
+            dispatcher,
+            queue,
+            lambda service: service in records.brittle,
+            clock,
+        )
         self.report_progress = self._reports.report_progress
         self.run = self._reports.run
         queue.follow = self._reports.follow_dispatcher
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -16,6 +16,7 @@
 PROGRESS = "tell"
 RUNNING = "running"
 CACHED_PROMPTS = "kept"
+BRITTLE = "brittle"
 ENQUEUE = "enqueue"
 QUEUED = "queued"
 WITHDRAWAL = "withdraw"
@@ -249,6 +250,12 @@
     requests: list[RunningRequest]
 
 
+class BrittleReport(NamedTuple):
+    """Tells a dispatcher that the workers of a service are brittle."""
+
+    service: str
+
+
 class CachedPromptsReport(NamedTuple):
     """Reports prompts that workers have cached recently, oldest first."""
 
--- a/src/wheelslip/peers/dispatch_server.py
+++ b/src/wheelslip/peers/dispatch_server.py
@@ -4,11 +4,13 @@
 
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
+    BRITTLE,
     CACHED_PROMPTS,
     GRANT,
     PROGRESS,
     QUERY,
     RUNNING,
+    BrittleReport,
     CachedPromptsReport,
     ProgressReport,
     RunningReport,
@@ -27,6 +29,7 @@
     :param incarnation: incarnation of this node, random at each start.
     :param report_limits: reports the rate limits of workers to the node at an address.
     :param queue: decides on waiting requests when a request has ended.
+    :param record_brittle: records that the workers of a service are brittle.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         dispatcher: Dispatcher,
         report_limits: Callable[[str], None],
         queue: QueueServer,
+        record_brittle: Callable[[str], object],
     ):
         self._incarnation = incarnation
         self._socket = socket
@@ -45,6 +49,8 @@
         socket.register(QUERY, WorkerQuery, self._handle_query)
         socket.register(PROGRESS, ProgressReport, self._handle_progress)
         socket.register(RUNNING, RunningReport, self._handle_running)
+        self._record_brittle = record_brittle
+        socket.register(BRITTLE, BrittleReport, self._handle_brittle)
         socket.register(CACHED_PROMPTS, CachedPromptsReport, self._handle_cached_prompts)
 
     def _handle_query(self, query: WorkerQuery, sender: str) -> None:
@@ -78,6 +84,9 @@
     def _handle_cached_prompts(self, report: CachedPromptsReport, sender: str) -> None:
         self._dispatcher.record_cached_prompts(report.prompts)
 
+    def _handle_brittle(self, report: BrittleReport, sender: str) -> None:
+        self._record_brittle(report.service)
+
     def _handle_running(self, report: RunningReport, sender: str) -> None:
         self._dispatcher.reconcile_running(report.node, report.query_numbers, report.requests)
         self._queue.capacity_changed()
--- a/src/wheelslip/peers/grant_reports.py
+++ b/src/wheelslip/peers/grant_reports.py
@@ -13,10 +13,12 @@
 from wheelslip.events import LogEvent, log_event
 from wheelslip.peers.datagrams import DatagramSocket
 from wheelslip.peers.dispatch_messages import (
+    BRITTLE,
     CACHED_PROMPTS,
     ITEMS_PER_DATAGRAM,
     PROGRESS,
     RUNNING,
+    BrittleReport,
     CachedPromptsReport,
     ProgressReport,
     RunningReport,
@@ -81,6 +83,7 @@
     :param address: address of this node, ``IP:PORT``.
     :param dispatcher: dispatcher of this node, called directly if it is the one to tell.
     :param queue: requests of this node that wait at dispatchers.
+    :param is_brittle: returns whether the workers of a service are brittle, as this node knows.
     """
 
     def __init__(
@@ -90,8 +93,10 @@
         socket: DatagramSocket,
         dispatcher: Dispatcher,
         queue: QueueLink,
+        is_brittle: Callable[[str], bool],
         clock: Callable[[], float],
     ):
+        self._is_brittle = is_brittle
         self._incarnation = incarnation
         self._address = address
         self._socket = socket
@@ -176,6 +181,8 @@
         query_numbers = list(self._grants)
         if not address:
             return
+        if self._is_brittle(service) and address != self._address:
+            self._socket.send(address, BRITTLE, BrittleReport(service))
         for start in range(0, max(1, len(grants)), ITEMS_PER_DATAGRAM):
             part = [
                 grant.as_running_request() for grant in grants[start : start + ITEMS_PER_DATAGRAM]
--- a/tests/probe/forwarding/test_brittle_workers.py
+++ b/tests/probe/forwarding/test_brittle_workers.py
@@ -17,12 +17,14 @@
 RESTART_SECONDS = 0.5
 
 
-async def send(site: Site, path: str, seconds: float, interval: float, prefix: str) -> Counter:
-    """Send requests to all nodes and return the statuses of the responses."""
+async def send(
+    site: Site, path: str, seconds: float, interval: float, prefix: str, zones=ZONES
+) -> Counter:
+    """Send requests to nodes and return the statuses of the responses."""
     headers = PROMPT if path.startswith("/stream") else {}
     tasks = []
     for number in range(round(seconds / interval)):
-        for zone in ZONES:
+        for zone in zones:
             request = site.request(path, f"{prefix}-{zone}-{number}", zone, **headers)
             tasks.append(asyncio.create_task(request))
         await asyncio.sleep(interval)
@@ -47,3 +49,31 @@
     breakdowns = sum(worker.breakdowns for worker in site.workers.values())
     assert breakdowns <= 2 + 0.1 * len(site.workers)
     assert statuses[200] > LOAD_SECONDS * CAPACITY / 0.1 / 4, statuses
+
+
+async def test_new_dispatcher_does_not_overrun_brittle_workers(site):
+    """A dispatcher that took over granted places in which requests of its predecessor still ran."""
+    site.configure()
+    for number in range(3):
+        worker = PlatformWorker(f"i-{number}", seconds=0.1, capacity=6, born=1)
+        site.restart_after_crashes(worker, "plain", RESTART_SECONDS)
+        worker.faults.brittle = MAX_REJECTIONS
+        worker.faults.max_running = 6
+        await site.add_worker(worker, "plain")
+    await site.add_relays(ZONES)
+    dispatcher = next(
+        name
+        for name, node in site.nodes.items()
+        if node.settings.node.peers == node.relay_addresses()[1]
+    )
+    others = [zone for zone in ZONES if zone != dispatcher]
+    await send(site, "/plain/", CONTACT_SECONDS, 0.2, "before")
+    load = asyncio.create_task(send(site, "/plain/", 8.0, 0.011, "load", others))
+    await asyncio.sleep(2.0)
+    site.nodes[dispatcher].terminate()
+    await asyncio.sleep(1.0)
+    await site.kill_and_start_node(dispatcher)
+    statuses = await load
+    breakdowns = sum(worker.breakdowns for worker in site.workers.values())
+    assert breakdowns <= 2 + 0.1 * len(site.workers), (breakdowns, statuses)
+    assert statuses[200] > 8.0 * 3 * 6 / 0.1 / 4, statuses
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -197,7 +197,12 @@
             clock,
         )
         DispatchServer(
-            f"d-{address}", self.socket, self.dispatcher, lambda sender: None, self.server
+            f"d-{address}",
+            self.socket,
+            self.dispatcher,
+            lambda sender: None,
+            self.server,
+            lambda service: None,
         )
 
     def terms(self, seconds: float = 5.0) -> QueueTerms:
