Grants of a new dispatcher for brittle workers are used once it knows what runs

Cause: by the trace, the restarted process is still listed as the relay, as its predecessor's lease lasts for 3 s, so it answers queries 7 ms after its start. It knows neither that the workers are brittle nor what runs there, and grants every request that waited meanwhile at once.

For 0.15 s it returns the grants for brittle workers unused and asks again, so that all nodes have reported before one is used. Other services are not affected.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -50,7 +50,7 @@
     WorkerControl,
 )
 from wheelslip.registry.registry import Registry
-from wheelslip.routing.dispatcher import LEARNING_SECONDS, Dispatcher
+from wheelslip.routing.dispatcher import Dispatcher
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
 from wheelslip.routing.speeds.worker_speed import SpeedEstimates
@@ -172,12 +172,7 @@
             clock,
         )
         self._dispatcher = Dispatcher(
-            self._fleet,
-            self._meter.limits,
-            self._meter.allowance,
-            clock,
-            self._uses_queue,
-            LEARNING_SECONDS,
+            self._fleet, self._meter.limits, self._meter.allowance, clock, self._uses_queue
         )
         notices = self._registry.notices
         self._limit_reports = LimitReporter(
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -41,6 +41,10 @@
 """Minimum time to wait for a reply that is required, so that a slow dispatcher is not replaced while
 the requests that it has granted run."""
 
+TAKEOVER_SECONDS = 0.15
+"""Time after the first reply of a new dispatcher in which a node uses no grant for brittle workers.
+The other nodes have reported what runs there by then; requests wait for a worker for 0.2 s."""
+
 MAX_METERS_QUERIED = 2
 """Maximum number of other meters that are queried to charge a request."""
 
@@ -109,6 +113,7 @@
         self.run = self._reports.run
         queue.follow = self._reports.follow_dispatcher
         self._uncharged_until: dict[str, float] = {}
+        self._taken_over_until: dict[str, float] = {}
         self._clock = clock
         self._last_query_number = 0
         self._pending: dict[int, asyncio.Future[WorkerGrant]] = {}
@@ -176,7 +181,10 @@
             query = self._without_uncharged(address, query)
             message = WorkerQuery.of(query_id, query)
             reply, sends = await self._send_query(address, message, is_required)
-            self._reports.follow_dispatcher(query.service, address, reply.dispatcher)
+            if self._is_taking_over(query.service, address, reply.dispatcher):
+                if reply.worker:
+                    self._reports.send_progress(address, query_id, Progress.UNUSED)
+                return None
             return self._process_reply(query_id, address, query, reply)
         except Overloaded as refusal:
             if terms is None or not self._queue.has_queue(address):
@@ -189,9 +197,24 @@
 
     def _ask_locally(self, query_id: QueryId, query: PlacementQuery) -> Grant | None:
         placement = self._dispatcher.grant(query_id, query)
-        self._reports.follow_dispatcher(query.service, self._address, self.incarnation)
+        if self._is_taking_over(query.service, self._address, self.incarnation):
+            if placement is not None:
+                self._reports.send_progress(self._address, query_id, Progress.UNUSED)
+            return None
         return self._record_grant(query_id, self._address, query.service, placement)
 
+    def _is_taking_over(self, service: str, address: str, incarnation: str) -> bool:
+        """Follow a dispatcher; return whether it has just become that of a service.
+
+        Until the nodes have reported to it, it grants places in which requests run. Brittle workers
+        do not bear that.
+        """
+        now = self._clock()
+        is_new = self._reports.follow_dispatcher(service, address, incarnation)
+        if is_new and service in self._records.brittle:
+            self._taken_over_until[service] = now + TAKEOVER_SECONDS
+        return now < self._taken_over_until.get(service, 0.0)
+
     def _without_uncharged(self, address: str, query: PlacementQuery) -> PlacementQuery:
         """Exclude rate-limited workers from a query to a dispatcher that did not charge one."""
         if self._clock() >= self._uncharged_until.get(address, 0.0):
--- a/src/wheelslip/peers/grant_reports.py
+++ b/src/wheelslip/peers/grant_reports.py
@@ -152,14 +152,18 @@
             for service in services | self._queue.services():
                 self._report_running(service)
 
-    def follow_dispatcher(self, service: str, address: str, incarnation: str) -> None:
-        """Record the dispatcher of a service and report the state of this node if it is new."""
+    def follow_dispatcher(self, service: str, address: str, incarnation: str) -> bool:
+        """Record the dispatcher of a service and report the state of this node if it is new.
+
+        :return: whether it is new.
+        """
         if self._current_dispatchers.get(service) == (address, incarnation):
-            return
+            return False
         self._current_dispatchers[service] = (address, incarnation)
         log_event(LogEvent.DISPATCHER_FOLLOWED, dispatcher=address, workload=service)
         self._report_running(service)
         self._report_cached_prompts(service, address)
+        return True
 
     def _report_cached_prompts(self, service: str, address: str) -> None:
         now = self._clock()
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -38,13 +38,6 @@
 SUSPICION_LOG_LINES_PER_SECOND = 10.0
 """Average rate limit of log lines about suspected workers."""
 
-LEARNING_SECONDS = 0.15
-"""Time after its first query about a service in which a dispatcher grants nothing. Nodes report what
-runs there when they receive its first reply, and ask again within 0.2 s."""
-
-TAKEOVER_GAP_SECONDS = 5.0
-"""Time without a query after which another node may have been the dispatcher of the service."""
-
 CHARGE_DEDUPLICATION_SECONDS = 2.0
 """How long a repeated charge-only query is recognized; longer than a node waits for a reply."""
 
@@ -93,7 +86,6 @@
     :param limits: tenant rate limits.
     :param allowance: this node's share of the rate limits that workers announce.
     :param queue_enabled: returns whether requests wait here when no worker can start them soon.
-    :param learning_seconds: time in which a new dispatcher of a service learns what runs there.
     :ivar grants_issued: number of grants since the start.
     :ivar overload_refusals: number of queries refused since the start because of overload.
     """
@@ -105,12 +97,8 @@
         allowance: WorkerAllowance,
         clock: Callable[[], float],
         queue_enabled: Callable[[], bool] = lambda: False,
-        learning_seconds: float = 0.0,
     ):
         self.placement = placement
-        self._learning_seconds = learning_seconds
-        self._learning_until: dict[str, float] = {}
-        self._last_query_at: dict[str, float] = {}
         self._queue_enabled = queue_enabled
         self._limits = limits
         self._allowance = allowance
@@ -170,8 +158,6 @@
             return existing.placement
         if self._queues_requests(query.service):
             return self._queues.start_if_next(query_id, query)
-        if self._is_learning(query.service):
-            return None
         # It may still wait if the queue has just been switched off.
         self._queues.remove(query_id)
         try:
@@ -227,22 +213,6 @@
             return existing.placement
         return self._queues.enqueue(query_id, queued)
 
-    def _is_learning(self, service: str) -> bool:
-        """Return whether the nodes have still to report what runs at a service.
-
-        Without their reports this dispatcher would grant places in which requests run. Brittle
-        workers do not bear that, so their dispatcher also learns after a time without queries.
-        """
-        now = self._clock()
-        last_query_at = self._last_query_at.get(service)
-        self._last_query_at[service] = now
-        is_new = last_query_at is None or (
-            service in self.placement.brittle and now - last_query_at > TAKEOVER_GAP_SECONDS
-        )
-        if is_new:
-            self._learning_until[service] = now + self._learning_seconds
-        return now < self._learning_until[service]
-
     def withdraw(self, query_id: QueryId) -> None:
         """Remove a waiting request whose caller has left or whose node has given up.
 
--- a/tests/probe/forwarding/test_dispatch.py
+++ b/tests/probe/forwarding/test_dispatch.py
@@ -7,7 +7,6 @@
 from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.peers.dispatch_server import DispatchServer
 from wheelslip.peers.dispatcher_health import DispatcherHealth
-from wheelslip.routing.dispatcher import LEARNING_SECONDS
 
 ZONES = ("z1", "z2", "z3")
 
@@ -136,9 +135,6 @@
     await wait_until(
         lambda: site.nodes[sender].gauge("running_requests") == 0, "the caller has left"
     )
-    # A new dispatcher grants nothing at first.
-    process_query(*delayed[0])
-    await asyncio.sleep(LEARNING_SECONDS)
     process_query(*delayed[0])
 
     def active_grants() -> float:
--- a/tests/unit/forwarding/test_dispatcher.py
+++ b/tests/unit/forwarding/test_dispatcher.py
@@ -14,9 +14,7 @@
 from wheelslip.registry.registry import Registry
 from wheelslip.routing.caches.fleet_memory import CachedPrompt
 from wheelslip.routing.dispatcher import (
-    LEARNING_SECONDS,
     NODE_TIMEOUT_SECONDS,
-    TAKEOVER_GAP_SECONDS,
     UNLISTED_GRACE_SECONDS,
     Dispatcher,
     Progress,
@@ -348,27 +346,3 @@
         dispatcher.enqueue(QueryId("n", 1000), QueuedQuery(query("aaaa")))
     assert enqueued.value.retry_seconds == refused.value.retry_seconds
     assert dispatcher.overload_refusals == refusals
-
-
-def test_new_dispatcher_grants_nothing_until_nodes_have_reported_what_runs():
-    clock = Clock()
-    former, dispatcher = make_dispatcher(clock, 1), make_dispatcher(clock, 1)
-    dispatcher.placement.brittle = {"plain"}
-    dispatcher._learning_seconds = LEARNING_SECONDS
-    plain = PlacementQuery("plain", "plain")
-    registry = dispatcher.placement._registry
-    registry.apply("servers/p", worker_entry("plain", capacity=2), 100)
-    former.placement._registry.apply("servers/p", worker_entry("plain", capacity=2), 100)
-    running = [former.grant(QueryId("n1", number), plain) for number in (1, 2)]
-    assert dispatcher.grant(QueryId("n2", 1), plain) is None
-    report = [
-        RunningRequest(number, placement.worker.info.id, None, (), 0, 0)
-        for number, placement in enumerate(running, 1)
-    ]
-    dispatcher.reconcile_running("n1", [1, 2], report)
-    clock.now += LEARNING_SECONDS
-    assert dispatcher.grant(QueryId("n2", 2), plain) is None
-    dispatcher.record_progress(QueryId("n1", 1), Progress.ENDED)
-    assert dispatcher.grant(QueryId("n2", 3), plain) is not None
-    clock.now += TAKEOVER_GAP_SECONDS + 0.1
-    assert dispatcher.grant(QueryId("n2", 4), plain) is None, "another node may have granted"
--- a/tests/unit/forwarding/test_queue_link.py
+++ b/tests/unit/forwarding/test_queue_link.py
@@ -213,6 +213,16 @@
         grant = self.link.request_grant(PlacementQuery("s"), self.terms(seconds))
         return asyncio.get_running_loop().create_task(grant)
 
+    def request_until_granted(self) -> asyncio.Task:
+        """Request a grant again while no worker is available."""
+
+        async def ask():
+            while (grant := await self.request()) is None:
+                await asyncio.sleep(0.01)
+            return grant
+
+        return asyncio.get_running_loop().create_task(ask())
+
 
 class Fleet:
     """A node and two dispatchers."""
@@ -711,7 +721,7 @@
         fleet.first.dispatcher.grant = lambda query_id, query: Placement(WORKER)
         fleet.node.records.brittle = {"s"} if brittle else set()
         fleet.network.silent.add(FIRST)
-        requests = [fleet.node.request() for _ in range(4)]
+        requests = [fleet.node.request_until_granted() for _ in range(4)]
         # Longer than a node waits for a reply that it does not require.
         await asyncio.sleep(2 * MAX_TIMEOUT_SECONDS * dispatch_link.MAX_SENDS)
         fleet.network.silent.clear()
@@ -732,7 +742,7 @@
         fleet.second.dispatcher.grant = lambda query_id, query: Placement(WORKER)
         fleet.node.records.brittle = {"s"}
         fleet.network.silent.add(FIRST)
-        grant = await fleet.node.request()
+        grant = await fleet.node.request_until_granted()
         assert grant.dispatcher == SECOND
         fleet.network.silent.add(SECOND)
         with pytest.raises(DispatcherUnavailable):
@@ -740,3 +750,25 @@
         assert fleet.node.link.local_choices == 1
 
     in_fleet(run)
+
+
+@pytest.mark.parametrize("brittle", [True, False])
+def test_grants_of_new_dispatcher_for_brittle_workers_are_returned_until_nodes_have_reported(
+    brittle,
+):
+    async def run(fleet):
+        unused = []
+        first = fleet.first.dispatcher
+        first.grant = lambda query_id, query: Placement(WORKER)
+        first.record_progress = lambda query_id, progress: unused.append(progress)
+        fleet.node.records.brittle = {"s"} if brittle else set()
+        granted = await fleet.node.request()
+        if not brittle:
+            assert granted is not None and not unused
+            return
+        assert granted is None
+        await asyncio.sleep(dispatch_link.TAKEOVER_SECONDS)
+        assert unused == [Progress.UNUSED]
+        assert await fleet.node.request() is not None
+
+    in_fleet(run)
