Streams: selection of relays in relay.py, and services of all streaming routes registered

The node decided itself which relays save records and how long it leaves updates of the register to others; relay.py orders relays for everything else already. The register covers the services of all streaming routes, as callers may send Last-Event-Id on those that are not resumable too: they were refused where the service had no other route. Streams of a split route have a test.

--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -5,6 +5,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import NamedTuple, NewType
 
 Incarnation = NewType("Incarnation", str)
@@ -192,6 +193,17 @@
                 return route
         return None
 
+    @cached_property
+    def streaming_services(self) -> set[str]:
+        """The services that answer with streams."""
+        return {
+            part.service
+            for routes in self.routes.values()
+            for route in routes
+            if route.kind is RouteKind.STREAM
+            for part in route.split
+        }
+
 
 class WorkerState(enum.Enum):
     """Whether a worker accepts new requests."""
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -73,12 +73,6 @@
 
 STOP_POLL_SECONDS = 0.05
 
-RELAY_REGISTER_SECONDS = (0.1, 0.3)
-"""Range of the time for which relays leave an update of the version register to the first one."""
-
-FOLLOWER_REGISTER_SECONDS = (0.5, 2.0)
-"""The same for nodes that are not relays."""
-
 MAX_REFERRALS = 6
 """Maximum number of other nodes that a reply about a tunnel names."""
 
@@ -249,7 +243,7 @@
             StreamRecords(clock),
             SavedStreamRecords(store, incarnation, clock),
             VersionRegister(
-                store, self._registry, self._resumable_services, self._register_delay, clock
+                store, self._registry, self._streaming_services, self._register_delay, clock
             ),
             self._peer_addresses,
             lambda: self._relay.addresses_by_tenure() if self._relay else [],
@@ -429,32 +423,15 @@
         }
         return sorted(others - {section.peers})
 
-    def _resumable_services(self) -> set[str]:
-        """Return the services whose streams may be taken up."""
+    def _streaming_services(self) -> set[str]:
         cfg = self._registry.configuration
-        routes = [route for each in (cfg.routes if cfg else {}).values() for route in each]
-        return {part.service for route in routes if route.resumable for part in route.split}
+        return cfg.streaming_services if cfg is not None else set()
 
     def _register_delay(self) -> float:
-        """Return how long this node leaves an update of the version register to other nodes."""
-        relays = self._relay.addresses_by_tenure() if self._relay else []
-        own = self.settings.node.peers
-        if not self._relay or relays[:1] == [own]:
-            return 0.0
-        if own in relays or not relays:
-            return self._random.uniform(*RELAY_REGISTER_SECONDS)
-        return self._random.uniform(*FOLLOWER_REGISTER_SECONDS)
+        return self._relay.update_delay_seconds() if self._relay else 0.0
 
     def _stream_writers(self) -> list[str]:
-        """Return the nodes that save records of streams: relays, the nearest first."""
-        own = self.settings.node.peers
-        if self._relay is None:
-            return [own]
-        relays = self._relay.addresses_by_tenure()
-        nearest = own if own in relays else self._relay.node_to_follow()
-        others = [address for address in relays if address != nearest]
-        ordered = [nearest, *others] if nearest else others
-        return ordered if own in ordered else [*ordered, own]
+        return self._relay.nearest_first() if self._relay else [self.settings.node.peers]
 
     def _referrals(self) -> list[str]:
         """Return some other nodes that may serve tunnels."""
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -19,6 +19,11 @@
 MAX_CANDIDATE_VIEW_AGE_SECONDS = 2.5
 """A node whose view is older does not become a relay."""
 
+RELAY_UPDATE_SECONDS = (0.1, 0.3)
+"""Range of the time for which relays leave an update of a shared record to the first relay."""
+
+FOLLOWER_UPDATE_SECONDS = (0.5, 2.0)
+"""The same for nodes that are not relays."""
 
 MAX_ELECTION_DELAY_SECONDS = 0.6
 """Election delay of a node without bandwidth. A relay sends each change to all its followers at
@@ -91,6 +96,23 @@
         entries = sorted(self._registry.system_entry(key)[::-1] for key in keys)
         return [value.decode("latin-1") for _, value in entries]
 
+    def nearest_first(self) -> list[str]:
+        """Return the addresses of the relays, that of this node's zone first, and of this node."""
+        relays = self.addresses_by_tenure()
+        nearest = self._address if self._address in relays else self.node_to_follow()
+        ordered = sorted(relays, key=lambda address: address != nearest)
+        return ordered if self._address in ordered else [*ordered, self._address]
+
+    def update_delay_seconds(self) -> float:
+        """Return how long this node leaves an update of a shared record to other nodes."""
+        relays = self.addresses_by_tenure()
+        if relays[:1] == [self._address]:
+            return 0.0
+        is_early = self._address in relays or not relays
+        return self._random.uniform(
+            *(RELAY_UPDATE_SECONDS if is_early else FOLLOWER_UPDATE_SECONDS)
+        )
+
     def dispatchers_of(self, service: str) -> list[str]:
         """Return the addresses of the dispatchers of a service, in order of preference.
 
--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -67,7 +67,8 @@
             return service
         self.taken_up += 1
         resumed_id = job.request.metadata.resumed_id
-        key = stream_key(resumed_id) if resumed_id else ""
+        # Streams of other routes are not recorded.
+        key = stream_key(resumed_id) if resumed_id and job.route.resumable else ""
         services = _services(job)
         chosen_first = [service, *(other for other in services if other != service)]
         known = await self._link.find_origin(key, chosen_first)
--- a/src/wheelslip/streams/version_register.py
+++ b/src/wheelslip/streams/version_register.py
@@ -124,7 +124,7 @@
 class VersionRegister:
     """Reads the register from the view, and updates it in the store.
 
-    :param services: returns the services that write resumable streams.
+    :param services: returns the services that answer with streams.
     :param write_delay_seconds: returns how long this node leaves an update to other nodes.
     """
 
--- a/tests/probe/forwarding/test_streams_after_all_nodes_end.py
+++ b/tests/probe/forwarding/test_streams_after_all_nodes_end.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from standins.platform_site import Site, configuration, free_port, wait_until
+from standins.platform_site import ENGINES, Site, configuration, free_port, wait_until
+from standins.platform_worker import PlatformWorker
 from tests.probe.forwarding.test_streams_keep_software_version import (
+    EVENTS,
     NO_RETRY,
     VERSION_LEFT,
     VERSION_UNKNOWN,
@@ -204,6 +206,26 @@
     assert status == 503 and VERSION_UNKNOWN in body
 
 
+async def test_streams_of_split_route_go_on_after_all_nodes_end(site):
+    """Two services of a route may have different versions, which both count as in use."""
+    split = [{"service": "engines", "weight": 1}, {"service": "others", "weight": 1}]
+    services = [{"name": "plain"}, ENGINES, ENGINES | {"name": "others"}]
+    site.configure(configuration(routes=[NO_RETRY | {"split": split}], services=services))
+    for version, service in (("v1", "engines"), ("v2", "others")):
+        for number in range(WORKERS):
+            worker = PlatformWorker(
+                f"{version}-{number}", "m", events=EVENTS, seconds=0.03, software_version=version
+            )
+            await site.add_worker(worker, service)
+    await site.add_relays(ZONES)
+    begun = await begin_streams(site, STREAMS)
+    await replace_all(site)
+    streams = await wait_for_callers(begun)
+    assert {stream.versions[0] for stream in streams} == {"v1", "v2"}
+    await take_up(streams, ("z2", "z3", "z1"))
+    assert_taken_up(streams)
+
+
 async def test_two_requests_for_one_stream_go_on_at_its_version(site):
     await start_site(site, workers=WORKERS)
     begun = await begin_streams(site, 8)
