--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -17,6 +17,7 @@
 from wheelslip.forwarding.feed import FeedBatch, FeedPoll
 from wheelslip.forwarding.rollout_record import RolloutRecord
 from wheelslip.peers.dispatch_messages import (
+    BrittleReport,
     CachedPromptsReport,
     EnqueueRequest,
     ProgressReport,
@@ -46,8 +47,12 @@
     OriginQuery,
     OriginReply,
     RecordBatch,
+    SaveConfirmation,
+    SaveRequest,
 )
+from wheelslip.streams.saved_records import SavedBatch
 from wheelslip.streams.version_records import StreamOrigin
+from wheelslip.streams.version_register import VersionRecord
 from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
 
 INCARNATION = Incarnation("i-1/1764700000000")
@@ -132,6 +137,11 @@
         ),
         Sample("backup query", BackupQuery("10.0.0.3:7300")),
         Sample("backup reply", BackupReply(["10.0.0.4:7300"])),
+        Sample("stream save", SaveRequest("10.0.0.3:7300", 7, origin, ["9f86d081884c7d65"])),
+        Sample("stream saved", SaveConfirmation(7)),
+        Sample("saved streams", [SavedBatch(*origin, ["9f86d081884c7d65"])]),
+        Sample("registered versions", VersionRecord(("v1", "v1.2"), "v1", 2)),
+        Sample("brittle", BrittleReport("engines")),
         Sample("tunnel", TunnelOpen(INCARNATION, "r1")),
         *(
             Sample(f"tunnel {status.value}", TunnelReply(status, ["10.0.0.4:7300"]))
