Bench: the soak of forwarding nodes gets a folder of its own

bench/forwarding_*.py and bench/partitioned_node.py are now bench/forwarding/*.py; imports and the two paths of the repository root follow, nothing else changes.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 
 NODES ?= 0
 forwarding-soak: setup
-	$(RUN) -m bench.forwarding_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
+	$(RUN) -m bench.forwarding.soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
 		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly) $(if $(LIMITS),--limits) \
 		$(if $(CRESTS),--crests) $(if $(PATHS),--paths) $(if $(VERSIONS),--versions) $(if $(CROWDS),--crowds) $(if $(POWER),--power) $(if $(ENDS),--ends)
 
--- /dev/null
+++ b/bench/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised fault-injection runs of forwarding nodes."""
--- a/bench/forwarding_availability.py
+++ b/bench/forwarding/availability.py
@@ -2,8 +2,8 @@
 
 from collections import Counter, defaultdict
 
-from bench.forwarding_judge import CONTACT_SECONDS
-from bench.forwarding_record import Component, Record
+from bench.forwarding.judge import CONTACT_SECONDS
+from bench.forwarding.record import Component, Record
 from standins.platform_worker import BackoffRequest
 
 STREAM_PATHS = ("/stream", "/resumed")
--- a/bench/forwarding_builds.py
+++ b/bench/forwarding/builds.py
@@ -12,7 +12,7 @@
 import subprocess
 import time
 
-from bench.forwarding_world import ROOT, World
+from bench.forwarding.world import ROOT, World
 
 PAUSE_SECONDS = (0.3, 1.5)
 """Range of the pause between two replacements."""
--- a/bench/forwarding_callers.py
+++ b/bench/forwarding/callers.py
@@ -10,9 +10,9 @@
 
 import h11
 
-from bench.forwarding_judge import RunChecker
-from bench.forwarding_record import Call
-from bench.forwarding_world import MODEL, World
+from bench.forwarding.judge import RunChecker
+from bench.forwarding.record import Call
+from bench.forwarding.world import MODEL, World
 from standins.platform_site import Caller, Response
 
 CALL_TIMEOUT_SECONDS = 8.0
--- a/bench/forwarding_crests.py
+++ b/bench/forwarding/crests.py
@@ -11,10 +11,10 @@
 from collections import Counter
 from typing import NamedTuple
 
-from bench.forwarding_callers import PATHS, Callers
-from bench.forwarding_judge import ROUTE_TIMEOUT_SECONDS, RunChecker
-from bench.forwarding_record import Call, Component, Record
-from bench.forwarding_world import CREST_CONFIGURATION, SERVICES, World
+from bench.forwarding.callers import PATHS, Callers
+from bench.forwarding.judge import ROUTE_TIMEOUT_SECONDS, RunChecker
+from bench.forwarding.record import Call, Component, Record
+from bench.forwarding.world import CREST_CONFIGURATION, SERVICES, World
 from standins.fault_proxy import Fault
 
 BURST_SECONDS = (1.0, 3.0)
--- a/bench/forwarding_crowds.py
+++ b/bench/forwarding/crowds.py
@@ -6,11 +6,11 @@
 from collections import Counter
 from typing import NamedTuple
 
-from bench.forwarding_availability import WorkerAvailability
-from bench.forwarding_callers import Callers
-from bench.forwarding_judge import CONTACT_SECONDS, RunChecker
-from bench.forwarding_record import Call, Record
-from bench.forwarding_world import REVOCATION_MS, SERVICES, World
+from bench.forwarding.availability import WorkerAvailability
+from bench.forwarding.callers import Callers
+from bench.forwarding.judge import CONTACT_SECONDS, RunChecker
+from bench.forwarding.record import Call, Record
+from bench.forwarding.world import REVOCATION_MS, SERVICES, World
 
 TO_ONE_NODE = 0.9
 EXTRA_CALLERS = 12
--- a/bench/forwarding_deadly.py
+++ b/bench/forwarding/deadly.py
@@ -11,10 +11,10 @@
 import time
 from collections import Counter
 
-from bench.forwarding_callers import Callers
-from bench.forwarding_judge import CONTACT_SECONDS
-from bench.forwarding_record import Component, Disruption, Record
-from bench.forwarding_world import World
+from bench.forwarding.callers import Callers
+from bench.forwarding.judge import CONTACT_SECONDS
+from bench.forwarding.record import Component, Disruption, Record
+from bench.forwarding.world import World
 from standins.platform_worker import PlatformWorker, Run
 
 CRASHING_BODY = b"deadly"
--- a/bench/forwarding_ends.py
+++ b/bench/forwarding/ends.py
@@ -10,9 +10,9 @@
 import time
 from collections import Counter
 
-from bench.forwarding_faults import FaultInjector
-from bench.forwarding_versions import VersionedStreams
-from bench.forwarding_world import World
+from bench.forwarding.faults import FaultInjector
+from bench.forwarding.versions import VersionedStreams
+from bench.forwarding.world import World
 
 PAUSE_SECONDS = (3.0, 6.0)
 """Range of the time between two ends of all nodes."""
--- a/bench/forwarding_faults.py
+++ b/bench/forwarding/faults.py
@@ -13,8 +13,8 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from bench.forwarding_record import Component
-from bench.forwarding_world import LOADABLE_VERSIONS, World
+from bench.forwarding.record import Component
+from bench.forwarding.world import LOADABLE_VERSIONS, World
 from standins.fault_proxy import Fault, FaultProxy
 from standins.platform_worker import WorkerFaults
 
--- a/bench/forwarding_judge.py
+++ b/bench/forwarding/judge.py
@@ -9,7 +9,7 @@
 import re
 from collections import Counter
 
-from bench.forwarding_record import Call, Component, Departure, Disruption, Record
+from bench.forwarding.record import Call, Component, Departure, Disruption, Record
 
 STREAM_EVENTS = 6
 """Number of events of a complete stream."""
--- a/bench/forwarding_limits.py
+++ b/bench/forwarding/limits.py
@@ -11,11 +11,11 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from bench.forwarding_callers import Callers
-from bench.forwarding_judge import CONTACT_SECONDS
-from bench.forwarding_record import AnnouncedLimit, Call, Component, Record
-from bench.forwarding_series import draw_workers, inject_in_series
-from bench.forwarding_world import ROOT, World
+from bench.forwarding.callers import Callers
+from bench.forwarding.judge import CONTACT_SECONDS
+from bench.forwarding.record import AnnouncedLimit, Call, Component, Record
+from bench.forwarding.series import draw_workers, inject_in_series
+from bench.forwarding.world import ROOT, World
 from standins.platform_worker import PlatformWorker
 
 PAUSE_SECONDS = (0.5, 3.0)
--- a/bench/forwarding_notices.py
+++ b/bench/forwarding/notices.py
@@ -8,11 +8,11 @@
 import random
 from collections import Counter
 
-from bench.forwarding_faults import FAULT_SECONDS, LINGER_SECONDS, FaultInjector
-from bench.forwarding_judge import DRAIN_SECONDS
-from bench.forwarding_record import Call, Component, Record
-from bench.forwarding_series import FaultFunction, draw_workers, inject_in_series
-from bench.forwarding_world import World
+from bench.forwarding.faults import FAULT_SECONDS, LINGER_SECONDS, FaultInjector
+from bench.forwarding.judge import DRAIN_SECONDS
+from bench.forwarding.record import Call, Component, Record
+from bench.forwarding.series import FaultFunction, draw_workers, inject_in_series
+from bench.forwarding.world import World
 from standins.platform_worker import PlatformWorker, WorkerFaults
 
 PAUSE_SECONDS = (0.5, 2.5)
--- a/bench/partitioned_node.py
+++ b/bench/forwarding/partitioned_node.py
@@ -10,10 +10,10 @@
 import pathlib
 import sys
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "src")]
 
-from bench.forwarding_world import CUTS_VARIABLE  # noqa: E402
+from bench.forwarding.world import CUTS_VARIABLE  # noqa: E402
 from standins.partitions import CURRENT_NODE, Cut, Partitions  # noqa: E402
 from wheelslip.clocks import SteadyEventLoop  # noqa: E402
 from wheelslip.forwarding.node import ForwardingNode  # noqa: E402
--- a/bench/forwarding_paths.py
+++ b/bench/forwarding/paths.py
@@ -9,10 +9,10 @@
 from collections import Counter
 from typing import NamedTuple
 
-from bench.forwarding_judge import CONTACT_SECONDS, RunChecker
-from bench.forwarding_record import Call, Component, Record
-from bench.forwarding_series import FaultFunction, inject_in_series
-from bench.forwarding_world import World
+from bench.forwarding.judge import CONTACT_SECONDS, RunChecker
+from bench.forwarding.record import Call, Component, Record
+from bench.forwarding.series import FaultFunction, inject_in_series
+from bench.forwarding.world import World
 from standins.partitions import Cut
 
 PAUSE_SECONDS = (1.0, 4.0)
--- a/bench/forwarding_series.py
+++ b/bench/forwarding/series.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from bench.forwarding_world import SERVICES, World
+from bench.forwarding.world import SERVICES, World
 from standins.platform_worker import PlatformWorker
 
 FaultFunction = Callable[[random.Random], Awaitable[None]]
--- a/bench/forwarding_soak.py
+++ b/bench/forwarding/soak.py
@@ -5,7 +5,7 @@
 paused, killed and restarted. The order of faults is drawn from a printed seed. Guarantees are
 checked during the run and at its end.
 
-    python -m bench.forwarding_soak --seed 1 --seconds 30
+    python -m bench.forwarding.soak --seed 1 --seconds 30
 """
 
 import asyncio
@@ -20,20 +20,20 @@
 
 import fire
 
-from bench.forwarding_builds import RollingUpgrade, check_out, remove_checkout
-from bench.forwarding_callers import Callers
-from bench.forwarding_crests import CrestCallers, CrestChecker
-from bench.forwarding_crowds import CrowdChecker, Crowds
-from bench.forwarding_deadly import CrashingCaller, check_crashes
-from bench.forwarding_ends import NodeEnds
-from bench.forwarding_faults import FaultInjector
-from bench.forwarding_judge import RunChecker
-from bench.forwarding_limits import LimitChecker, LimitFaults
-from bench.forwarding_notices import NoticeChecker, NoticeFaults
-from bench.forwarding_paths import PathChecker, PathFaults
-from bench.forwarding_record import Record
-from bench.forwarding_versions import VersionedStreams
-from bench.forwarding_world import World
+from bench.forwarding.builds import RollingUpgrade, check_out, remove_checkout
+from bench.forwarding.callers import Callers
+from bench.forwarding.crests import CrestCallers, CrestChecker
+from bench.forwarding.crowds import CrowdChecker, Crowds
+from bench.forwarding.deadly import CrashingCaller, check_crashes
+from bench.forwarding.ends import NodeEnds
+from bench.forwarding.faults import FaultInjector
+from bench.forwarding.judge import RunChecker
+from bench.forwarding.limits import LimitChecker, LimitFaults
+from bench.forwarding.notices import NoticeChecker, NoticeFaults
+from bench.forwarding.paths import PathChecker, PathFaults
+from bench.forwarding.record import Record
+from bench.forwarding.versions import VersionedStreams
+from bench.forwarding.world import World
 
 NODE_COUNTS = (3, 4, 6, 9)
 """Numbers of nodes to draw from when none is given."""
--- a/bench/forwarding_versions.py
+++ b/bench/forwarding/versions.py
@@ -12,8 +12,8 @@
 
 import h11
 
-from bench.forwarding_record import Component
-from bench.forwarding_world import MODEL, World
+from bench.forwarding.record import Component
+from bench.forwarding.world import MODEL, World
 
 VERSION_SECONDS = 6.0
 """Time after which started workers have a newer version."""
--- a/bench/forwarding_world.py
+++ b/bench/forwarding/world.py
@@ -17,13 +17,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bench.forwarding_judge import (
+from bench.forwarding.judge import (
     CONTACT_SECONDS,
     DRAIN_SECONDS,
     STREAM_EVENTS,
     WEIGHTS_DEADLINE_SECONDS,
 )
-from bench.forwarding_record import (
+from bench.forwarding.record import (
     Component,
     Departure,
     DesiredVersion,
@@ -47,7 +47,7 @@
 from standins.platform_store import PlatformStoreServer
 from standins.platform_worker import PlatformWorker, WorkerFaults
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 SERVICES = {"p0": "plain", "p1": "plain", "e0": "engines", "e1": "engines", "e2": "engines"}
 MODEL = "m"
 MAX_NODES = 60
@@ -58,7 +58,7 @@
 """Weights versions that a worker is able to load by default."""
 
 CUTS_VARIABLE = "WHEELSLIP_SOAK_CUTS"
-"""Variable that names the file with the cuts of a node; see :mod:`bench.partitioned_node`."""
+"""Variable that names the file with the cuts of a node; see :mod:`bench.forwarding.partitioned_node`."""
 
 FIRST_PORT = 20_000
 """First port to assign, below the range of ephemeral ports."""
@@ -450,7 +450,7 @@
     def _node_program(self, name: str) -> pathlib.Path:
         checkout = self.checkout_of[name]
         if self._cuts and checkout == ROOT:
-            return ROOT / "bench" / "partitioned_node.py"
+            return ROOT / "bench" / "forwarding" / "partitioned_node.py"
         return checkout / "deploy" / "node.py"
 
     async def start_node(self, name: str, planned: bool = False) -> None:
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bench.forwarding_soak import run_seed
+from bench.forwarding.soak import run_seed
 
 SECONDS = 25.0
 """How long faults are injected, without startup and recovery."""
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from bench.forwarding_crests import CrestChecker
-from bench.forwarding_crowds import MIN_CALLS, Crowd, CrowdChecker
-from bench.forwarding_judge import (
+from bench.forwarding.crests import CrestChecker
+from bench.forwarding.crowds import MIN_CALLS, Crowd, CrowdChecker
+from bench.forwarding.judge import (
     CONTACT_SECONDS,
     DRAIN_SECONDS,
     ROUTE_TIMEOUT_SECONDS,
@@ -14,9 +14,9 @@
     WEIGHTS_DEADLINE_SECONDS,
     RunChecker,
 )
-from bench.forwarding_limits import LimitChecker
-from bench.forwarding_notices import NoticeChecker
-from bench.forwarding_record import (
+from bench.forwarding.limits import LimitChecker
+from bench.forwarding.notices import NoticeChecker
+from bench.forwarding.record import (
     AnnouncedLimit,
     Call,
     Component,
@@ -28,7 +28,7 @@
     Record,
     Revocation,
 )
-from bench.forwarding_soak import Soak, SoakOptions
+from bench.forwarding.soak import Soak, SoakOptions
 from standins.platform_worker import BackoffRequest, PlatformWorker, Run
 
 
--- a/tests/unit/test_soak_switches.py
+++ b/tests/unit/test_soak_switches.py
@@ -6,8 +6,8 @@
 import fire
 import pytest
 
-from bench import forwarding_soak
-from bench.forwarding_soak import SoakOptions
+from bench.forwarding import soak
+from bench.forwarding.soak import SoakOptions
 
 MAKEFILE = pathlib.Path(__file__).resolve().parents[2] / "Makefile"
 RECIPE = MAKEFILE.read_text().partition("\nforwarding-soak:")[2].partition("\n\n")[0]
@@ -27,9 +27,9 @@
         received.update(options)
         raise _Parsed
 
-    monkeypatch.setattr(forwarding_soak, "run_seed", run_seed)
+    monkeypatch.setattr(soak, "run_seed", run_seed)
     with pytest.raises(_Parsed):
-        fire.Fire(forwarding_soak.main, command=list(arguments))
+        fire.Fire(soak.main, command=list(arguments))
     return SoakOptions(**received)
 
 
