A follower lists the store after its history was lost, whatever its relay says

Cause: by the logs, the relay was turned away at the store, whose history had been forgotten. A follower's probe of the store during a poll got 410 and marked its view for a new listing by dropping its revision. The relay's batch, which came next, set the revision again, so each later probe got 410 too. It went on until the relay's key lapsed.

Change: lost history is a flag of its own that only a listing clears.

Evidence: the new test plays a relay with a stale view and a store without history; no listing before, one now. The same steps with real sockets hit the moment only by chance and are not kept as a test.

--- a/src/wheelslip/forwarding/registry_sync.py
+++ b/src/wheelslip/forwarding/registry_sync.py
@@ -104,6 +104,7 @@
         self._feed = FeedClient()
         self._peer_feed = FeedClient()
         self._revision: int | None = None
+        self._history_lost = False
         self._failures = 0
         self._followed: str | None = None
         self._source_failing = False
@@ -130,7 +131,7 @@
     async def _call_store(self, wait_seconds: float, stall: StallMeter) -> None:
         sent_at = self._clock()
         try:
-            if self._revision is None:
+            if self._needs_listing():
                 listing = await self._store.range("")
                 self._record_response(sent_at)
                 self._apply_listing(listing)
@@ -143,7 +144,7 @@
             # The store answered, so compacted history is no outage. The view stays in force until
             # a new listing has been read.
             self._record_response(sent_at)
-            self._revision = None
+            self._history_lost = True
         except KeyValueError as exc:
             if stall.seconds() < STALL_SECONDS:
                 self._record_failure(exc, sent_at)
@@ -151,11 +152,19 @@
                 log_event(LogEvent.PROCESS_STALLED, seconds=round(stall.seconds(), 3))
             await self._poll_peers()
 
+    def _needs_listing(self) -> bool:
+        """Return whether the store has to be listed before it can be watched.
+
+        Another node's batch does not make up for lost history: its view may be as old.
+        """
+        return self._revision is None or self._history_lost
+
     def _apply_listing(self, listing: RangeResult) -> None:
         entries = {entry.key: (entry.value, entry.mod_revision) for entry in listing.entries}
         self._registry.begin_update(listing.revision)
         self._registry.replace_all(entries, listing.revision)
         self._advance(listing.revision)
+        self._history_lost = False
 
     async def _apply_changes(self, batch: WatchBatch) -> None:
         for key, value, revision in batch.changes:
@@ -187,7 +196,7 @@
     # Following a relay and polling peers
 
     def _relay_to_follow(self) -> str | None:
-        if self._relay is None or self._revision is None:
+        if self._relay is None or self._needs_listing():
             return None
         if self._clock() < self._relay_backoff_until:
             return None
