Expired stream records are deleted also while one version serves

Since records are sent to backups only while versions differ, the deletion that followed each send no longer ran: a node kept up to 32,768 records, 5.2 MB. The oldest ones are deleted whenever others are added. The new test holds 50 records before and 3 now.

--- a/src/wheelslip/streams/version_records.py
+++ b/src/wheelslip/streams/version_records.py
@@ -40,8 +40,14 @@
         return len(self._records)
 
     def record(self, keys: Iterable[str], origin: StreamOrigin, seconds: float) -> None:
-        """Record the origin of streams for a time; a later origin replaces an earlier one."""
-        expires_at = self._clock() + min(seconds, MAX_RECORD_SECONDS)
+        """Record the origin of streams for a time; a later origin replaces an earlier one.
+
+        The oldest records are deleted if they have expired.
+        """
+        now = self._clock()
+        while self._records and self._records[next(iter(self._records))].expires_at <= now:
+            del self._records[next(iter(self._records))]
+        expires_at = now + min(seconds, MAX_RECORD_SECONDS)
         for key in keys:
             self._records.pop(key, None)
             self._records[key] = _Record(origin, expires_at)
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -238,6 +238,16 @@
     assert len(records) == 0
 
 
+def test_expired_records_are_deleted_when_others_are_added():
+    """With one version nothing is sent to backups, after which records were deleted."""
+    clock = Clock()
+    records = StreamRecords(clock)
+    for number in range(50):
+        records.record([str(number)], V1, 30.0)
+        clock.now += 10.0
+    assert len(records) == 3
+
+
 def test_largest_datagrams_fit_into_one_packet():
     keys = [stream_key(str(number)) for number in range(messages.KEYS_PER_BATCH)]
     origin = StreamOrigin("s" * 24, "v" * 12)
