A superseded change is accepted with its own revision

Cause, by reading: an operator's change whose answer was lost is sent again. If another change has superseded it meanwhile, the answer named the revision of that one.

Change: the head lists each change with the revision that it was based on, so the revision of a superseded change is known, and is returned.

--- a/src/wheelslip/operators/api.py
+++ b/src/wheelslip/operators/api.py
@@ -152,7 +152,7 @@
         )
         if result.outcome is WriteOutcome.ACCEPTED:
             if result.change is None:
-                return result.head_revision
+                return result.superseded_revision
             log_event(
                 LogEvent.CONFIGURATION_ACCEPTED,
                 revision=result.change.revision,
--- a/src/wheelslip/operators/store.py
+++ b/src/wheelslip/operators/store.py
@@ -52,6 +52,15 @@
             change.change_id == change_id for change in self.recent
         )
 
+    def revision_of(self, change_id: str) -> int | None:
+        """Return the revision of a superseded change; ``None`` if it is not listed."""
+        revision = self.previous
+        for change in self.recent:
+            if change.change_id == change_id:
+                return revision
+            revision = change.previous
+        return None
+
 
 class WriteOutcome(enum.Enum):
     """Outcome of writing a change."""
@@ -67,6 +76,7 @@
     """Result of writing a change.
 
     :ivar change: the accepted change; ``None`` if it was not accepted or was already superseded.
+    :ivar superseded_revision: revision of an accepted change that was already superseded.
     :ivar head_change_id: latest change, if it is another one.
     :ivar head_revision: revision of the latest change, if it is another one.
     """
@@ -75,6 +85,7 @@
     change: ConfigurationChange | None = None
     head_change_id: str = ""
     head_revision: int = 0
+    superseded_revision: int = 0
 
 
 class RevisionGap(Exception):
@@ -184,7 +195,8 @@
         if head.change_id == change_id:
             change = ConfigurationChange(head.previous, revision, change_id, objects)
             return WriteResult(WriteOutcome.ACCEPTED, change)
-        return WriteResult(WriteOutcome.ACCEPTED, None, head.change_id, revision)
+        own_revision = head.revision_of(change_id) or 0
+        return WriteResult(WriteOutcome.ACCEPTED, None, head.change_id, revision, own_revision)
 
 
 def _operations(
