--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -351,7 +351,11 @@
 
     def _finish_unserved(self, job: Job, caller: CallerConnection) -> None:
         failed = job.failed_response
-        if failed is not None and not caller.response_started and not _is_denied(failed, job):
+        if (
+            failed is not None
+            and not caller.response_started
+            and not _denies_other_attempts(failed, job)
+        ):
             write_buffered_response(failed, caller)
             job.failure_forwarded = True
             return
@@ -432,6 +436,6 @@
             notices.end_request(recovery_slot, outcome in _SERVED)
 
 
-def _is_denied(failed: BufferedResponse, job: Job) -> bool:
+def _denies_other_attempts(failed: BufferedResponse, job: Job) -> bool:
     """Return whether a response says that a request has not run, though another attempt may have."""
     return failed.response.status_code in NOT_RUN_STATUSES and job.may_have_run > 1
--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -24,7 +24,7 @@
 """Longest time for which the first event waits until its record is saved, where the stream could
 otherwise be taken for one of the base version."""
 
-SAVE_ATTEMPT_SECONDS = 0.4
+BRIEF_SAVE_SECONDS = 0.4
 """Longest time for which the first event waits where an unsaved stream is refused later. After a save
 that took longer, no event waits for a while."""
 
@@ -193,7 +193,7 @@
         """Wait for a save, unless the store is unavailable or was slow just before."""
         if self._clock() < self._saves_slow_until or not self._store_is_available():
             return
-        done, _ = await asyncio.wait([saving], timeout=SAVE_ATTEMPT_SECONDS)
+        done, _ = await asyncio.wait([saving], timeout=BRIEF_SAVE_SECONDS)
         if not done:
             self._saves_slow_until = self._clock() + RECENT_FAILURE_SECONDS
 
--- a/src/wheelslip/memory/account.py
+++ b/src/wheelslip/memory/account.py
@@ -56,10 +56,10 @@
 class MemoryUse(enum.IntEnum):
     """What bytes are held for.
 
-    ``REQUEST_BODY``: bodies and large heads, kept for retries until the request ends. ``UNSENT_REQUEST``: requests
-    that the worker has not taken. ``UNREAD_RESPONSE``: received from a worker and not yet
-    processed. ``BUFFERED_RESPONSE``: responses and events that are not yet complete.
-    ``UNTAKEN_RESPONSE``: written to the caller, who has not taken them.
+    ``REQUEST_BODY``: bodies and large heads, kept for retries until the request ends.
+    ``UNSENT_REQUEST``: requests that the worker has not taken. ``UNREAD_RESPONSE``: received from a
+    worker and not yet processed. ``BUFFERED_RESPONSE``: responses and events that are not yet
+    complete. ``UNTAKEN_RESPONSE``: written to the caller, who has not taken them.
     """
 
     REQUEST_BODY = 0
--- a/tests/unit/forwarding/test_stream_continuation.py
+++ b/tests/unit/forwarding/test_stream_continuation.py
@@ -148,7 +148,7 @@
 def test_first_event_is_forwarded_though_the_save_does_not_end(
     registered, version, resumed_id, monkeypatch
 ):
-    monkeypatch.setattr(stream_continuation, "SAVE_ATTEMPT_SECONDS", 0.02)
+    monkeypatch.setattr(stream_continuation, "BRIEF_SAVE_SECONDS", 0.02)
 
     async def play():
         node = Node(registered, saves=None)
@@ -158,12 +158,12 @@
 
 
 def test_first_events_do_not_wait_for_a_while_after_a_slow_save(monkeypatch):
-    monkeypatch.setattr(stream_continuation, "SAVE_ATTEMPT_SECONDS", 0.02)
+    monkeypatch.setattr(stream_continuation, "BRIEF_SAVE_SECONDS", 0.02)
 
     async def play():
         node = Node(BOTH_SAVED, saves=None)
         await node.streams.record_first_event(make_job(), worker("v1"))
-        monkeypatch.setattr(stream_continuation, "SAVE_ATTEMPT_SECONDS", 60.0)
+        monkeypatch.setattr(stream_continuation, "BRIEF_SAVE_SECONDS", 60.0)
         async with asyncio.timeout(20.0):
             await node.streams.record_first_event(make_job(), worker("v1"))
 
