--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -50,11 +52,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+_ports = itertools.count(20_000 + random.SystemRandom().randrange(10_000))
+
+
 def free_port(host: str) -> int:
-    """Return a port of an address on which nothing listens."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port of an address on which nothing listens, once, below the ephemeral ones."""
+    while True:
+        port = next(_ports)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return port
 
 
 def own_host() -> str:
