--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -258,9 +258,17 @@
 
 def run_case(main) -> None:
     """Run a case and exit with its result: 1 if the rule was broken, 0 if not, 2 if it couldn't run."""
+
+    async def run() -> bool:
+        # A case that is stopped still ends the processes that it started.
+        case = asyncio.ensure_future(main())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, case.cancel)
+        return await asyncio.wait_for(case, 110)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(main(), 110))
-    except (CannotRun, TimeoutError, OSError) as error:
+        broken = asyncio.run(run())
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}", flush=True)
         os._exit(2)
     sys.stdout.flush()
