--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -47,11 +47,6 @@
         print(line, flush=True)
 
 
-def trouble_enabled() -> bool:
-    """Return whether the case is played with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 _ports = itertools.count(20_000 + random.SystemRandom().randrange(10_000))
 
 
