Soak judges the sum of retries, attempts and the time handed on

Change: bench/forwarding/budgets.py checks all three over the complete record and the soak prints how many retries were still allowed in its fullest window. Callers send a deadline with two requests of three, drawn from the request's id, so that the order of all other choices stays as it was. The stand-in worker records the deadline of each request, rejected ones too.

--- a/bench/forwarding/callers.py
+++ b/bench/forwarding/callers.py
@@ -23,6 +23,9 @@
 
 PATHS = ("/plain/x", "/safe/x", "/stream/x", "/resumed/x")
 SESSIONS = 20
+DEADLINES_MS = (0, 3000, 4500)
+"""Times that callers give; 0 for none."""
+
 REVOKED_SHARE = 0.1
 """Share of the requests that are sent with a revoked API key."""
 
@@ -123,6 +126,10 @@
                 "Wheelslip_Token_Usage": "3000,6",
                 "Wheelslip_Prefix_Hash": prefix,
             }
+        # Drawn from the id, so that the choices of other requests do not depend on it.
+        deadline_ms = DEADLINES_MS[int(request_id, 16) % len(DEADLINES_MS)]
+        if deadline_ms:
+            headers["Wheelslip_Deadline_Ms"] = deadline_ms
         sent_at = time.monotonic()
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
@@ -153,6 +160,7 @@
             answer.headers.get("server-limit", ""),
             answer.headers.get("retry-after", ""),
             prompt,
+            deadline_ms,
         )
         world.record.calls.append(call)
         self._checker.check_response(call)
--- a/bench/forwarding/judge.py
+++ b/bench/forwarding/judge.py
@@ -101,7 +101,7 @@
                 self._add_violation(f"{call.request_id} ran and was answered {call.status}")
             if count and call.sent_at > deadline_of.get(call.key, float("inf")):
                 self._add_violation(f"{call.request_id} ran with a revoked key")
-        sent = {call.request_id for call in self._record.calls} | self._record.other_request_ids
+        sent = {call.request_id for call in self._record.calls} | set(self._record.other_streams)
         for request_id in runs:
             if request_id not in sent:
                 self._add_violation(f"{request_id!r} ran and nobody sent it")
--- a/bench/forwarding/record.py
+++ b/bench/forwarding/record.py
@@ -24,6 +24,7 @@
     :ivar limit: the announced rate limit, as it is written in the header.
     :ivar retry_after: value of the ``Retry-After`` header; empty without it.
     :ivar prompt: parts of the prompt; empty if they were drawn.
+    :ivar deadline_ms: time that the caller gave; 0 for none.
     """
 
     node: str
@@ -42,6 +43,12 @@
     limit: str = ""
     retry_after: str = ""
     prompt: str = ""
+    deadline_ms: int = 0
+
+    @property
+    def service(self) -> str:
+        """Service of the route."""
+        return "plain" if self.path.startswith(("/plain", "/safe")) else "engines"
 
 
 class Revocation(NamedTuple):
@@ -140,7 +147,8 @@
     :ivar workers: all workers that were ever started, by the name of their incarnation.
     :ivar worker_started_at: when they were started, by the same name.
     :ivar violations: descriptions of broken guarantees.
-    :ivar other_request_ids: requests that are checked by their callers and are no calls here.
+    :ivar other_streams: when requests for streams were sent that are checked by their callers and are
+        no calls here, by id.
     """
 
     began_at: float = field(default_factory=time.monotonic)
@@ -155,7 +163,7 @@
     workers: dict[str, PlatformWorker] = field(default_factory=dict)
     worker_started_at: dict[str, float] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
-    other_request_ids: set[str] = field(default_factory=set)
+    other_streams: dict[str, float] = field(default_factory=dict)
 
     @contextlib.contextmanager
     def disrupted(
--- a/bench/forwarding/soak.py
+++ b/bench/forwarding/soak.py
@@ -20,6 +20,7 @@
 
 import fire
 
+from bench.forwarding.budgets import BudgetChecker
 from bench.forwarding.builds import RollingUpgrade, check_out, remove_checkout
 from bench.forwarding.callers import Callers
 from bench.forwarding.crests import CrestCallers, CrestChecker
@@ -212,7 +213,8 @@
         check_crashes(self.record, self.checker.was_undisrupted)
         if self.endless is not None:
             self.endless.check()
-        checkers = [NoticeChecker(self.record), LimitChecker(self.record)]
+        self.budgets = BudgetChecker(self.record, self.checker)
+        checkers = [NoticeChecker(self.record), LimitChecker(self.record), self.budgets]
         if self.crests is not None:
             checkers.append(CrestChecker(self.record, self.checker))
         if self.crowds is not None:
@@ -380,6 +382,7 @@
     if soak.crashing_caller is not None:
         print("crashes:", dict(soak.crashing_caller.crashes))
     print("judged:", dict(soak.checker.checked))
+    print(f"retries that were still allowed: {soak.budgets.smallest_margin:.1f}")
     print("calls:", soak.summary())
     for violation in soak.record.violations:
         print("VIOLATION", violation)
--- a/bench/forwarding/versions.py
+++ b/bench/forwarding/versions.py
@@ -132,7 +132,7 @@
             "Wheelslip_Prefix_Hash": f"aa:100,{request_id}:200",
             "Wheelslip_Deadline_Ms": int(REQUEST_SECONDS * 1000),
         }
-        world.record.other_request_ids.add(request_id)
+        world.record.other_streams[request_id] = time.monotonic()
         name = self._rng.choice(world.nodes)
         try:
             async with asyncio.timeout(REQUEST_SECONDS):
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -152,6 +152,18 @@
         return [part.partition(":")[0] for part in parts[:-1]]
 
 
+class HandedOn(NamedTuple):
+    """The deadline of a request that reached a worker.
+
+    :ivar at: in seconds of the monotonic clock.
+    :ivar deadline_ms: value of the deadline header; ``None`` without it.
+    """
+
+    request_id: str
+    at: float
+    deadline_ms: int | None
+
+
 class BackoffRequest(NamedTuple):
     """A rejection that requested a backoff.
 
@@ -194,6 +206,7 @@
     :ivar crashes: the runs that made it crash.
     :ivar arrivals: ID and time (monotonic seconds) of each request, processed or rejected;
         without reports, orders and requests for another worker or weights version.
+    :ivar handed_on: the deadlines of these requests.
     :ivar backoff_requests: the rejections that requested a backoff.
     :ivar breakdowns: number of crashes because of too many rejections.
     :ivar running: number of requests being processed.
@@ -231,6 +244,7 @@
         self.runs: list[Run] = []
         self.crashes: list[Run] = []
         self.arrivals: list[tuple[str, float]] = []
+        self.handed_on: list[HandedOn] = []
         self.backoff_requests: list[BackoffRequest] = []
         self._rejected_at: list[float] = []
         self.breakdowns = 0
@@ -281,7 +295,7 @@
             self._handle_order(json.loads(request.body), connection)
             return
         request_id = request.headers.get("wheelslip-request-id", "")
-        self.arrivals.append((request_id, time.monotonic()))
+        self._record_arrival(request_id, request)
         if self.faults.shed or self.busy or self._is_full():
             self.faults.shed = max(0, self.faults.shed - 1)
             self._reject(request, connection)
@@ -295,6 +309,12 @@
         finally:
             self.running -= 1
 
+    def _record_arrival(self, request_id: str, request: StandInRequest) -> None:
+        now = time.monotonic()
+        self.arrivals.append((request_id, now))
+        deadline = request.headers.get("wheelslip-deadline-ms")
+        self.handed_on.append(HandedOn(request_id, now, int(deadline) if deadline else None))
+
     def _is_full(self) -> bool:
         return 0 < self.faults.max_running <= self.running
 
