Tests close the connections that their servers accept

Cause: servers of two other tests kept StreamWriters open whose destructors raise 'Event loop is closed' when they are collected. If that happens while hypothesis parses source code, CPython 3.11 parses again for the traceback, inside the parser, and fails. Which test is hit depends on the distribution over processes, which a new test file had changed. The servers now close what they accepted; the silent peer does so at its end. No check is changed.

--- a/tests/unit/forwarding/test_crash_evidence.py
+++ b/tests/unit/forwarding/test_crash_evidence.py
@@ -59,7 +59,7 @@
 
 
 async def crashes_behind_resetting_link() -> list[Crash]:
-    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
     link = FaultProxy(("127.0.0.1", free_port()), server.sockets[0].getsockname())
     link.fault = Fault.REFUSE
     worker = ended_worker()
@@ -239,7 +239,7 @@
 
     async def play():
         crashes = []
-        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
         worker = WorkerInfo(
             INCARNATION,
             "s",
@@ -272,7 +272,7 @@
     """The request was put down to the process before, which the entry shows as replaced."""
 
     async def play():
-        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
         address = "{}:{}".format(*server.sockets[0].getsockname())
         before, after = (dataclasses.replace(entry(born), address=address) for born in (7, 8))
         view, crashes = make_view(), []
--- a/tests/unit/forwarding/test_silent_peers.py
+++ b/tests/unit/forwarding/test_silent_peers.py
@@ -46,7 +46,10 @@
 
 
 async def seconds_until_next_call(seed: int) -> float:
-    silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    writers: list[asyncio.StreamWriter] = []
+    silent = await asyncio.start_server(
+        lambda reader, writer: writers.append(writer), "127.0.0.1", 0
+    )
     address = "{}:{}".format(*silent.sockets[0].getsockname())
     registry = Registry(PlatformRegistry(), BoundsSection, time.monotonic)
     store = ResettingStore()
@@ -59,6 +62,8 @@
     await store.called_again.wait()
     running.cancel()
     silent.close()
+    for writer in writers:
+        writer.close()
     return store.started_at[1] - store.started_at[0]
 
 
