Logs and metrics tell sends, retries and time left of forwarded requests

attempt_failed has sent, sent_after, time_left and trial; wheelslip_sends_total counts first sends and retries by service, wheelslip_retries_denied_total what the budget did not allow. The mutation 'retries without a budget' follows the moved line.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -238,8 +238,8 @@
         "retries without a budget",
         FORWARDING,
         "forwarding/forwarder.py",
-        "return budget.take_retry(self._clock())",
-        "return True",
+        "if budget.take_retry(self._clock()):",
+        "if budget is not None:",
         "forwarding/test_failures.py::test_retries_stop_when_budget_is_exhausted",
     ),
     _single_edit(
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -226,7 +226,7 @@
     def _retry_budget(self, service: str) -> RetryWindow:
         if service not in self._retry_budgets:
             self._retry_budgets[service] = RetryWindow(
-                self._bounds().retry_ratio, self._bounds().retry_window_seconds
+                service, self._bounds().retry_ratio, self._bounds().retry_window_seconds
             )
         return self._retry_budgets[service]
 
@@ -337,6 +337,10 @@
             tunnel=job.via or None,
             registry_age=round(self._registry.age(), 3),
             proven_not_run=outcome in _PROVEN_NOT_RUN,
+            sent=job.attempts_sent,
+            sent_after=round(max(0.0, job.last_sent_at - job.request.arrived), 3),
+            time_left=round(job.deadline - self._clock(), 3),
+            trial=job.on_trial,
             content=job.fingerprint if outcome is AttemptOutcome.LOST else None,
             parts=job.shared_part_ids if outcome is AttemptOutcome.LOST else None,
             reason=job.failure_reason,
@@ -361,7 +365,10 @@
                 return False
         elif job.attempts_sent >= MAX_SENDS:
             return False
-        return budget.take_retry(self._clock())
+        if budget.take_retry(self._clock()):
+            return True
+        self._metrics.retries_denied[budget.service] += 1
+        return False
 
     def _finish_unserved(self, job: Job, caller: CallerConnection) -> None:
         failed = job.failed_response
@@ -445,6 +452,7 @@
         )
         job.last_sent_at = self._clock()
         job.attempt_began_answer_at = 0.0
+        self._metrics.record_send(info.service, job.attempts_sent > 0)
         notices = self._registry.notices
         recovery_slot, outcome = notices.begin(incarnation), None
         assignment.begin()
--- a/src/wheelslip/forwarding/metrics.py
+++ b/src/wheelslip/forwarding/metrics.py
@@ -13,6 +13,8 @@
 HELP = {
     "wheelslip_requests_total": "Requests ended, by kind and outcome",
     "wheelslip_attempts_total": "Attempts at workers, by outcome",
+    "wheelslip_sends_total": "Requests sent to workers, by service and whether they were retries",
+    "wheelslip_retries_denied_total": "Retries that the retry budget did not allow, by service",
     "wheelslip_first_byte_seconds": "From arrival to a first byte",
     "wheelslip_request_seconds": "From arrival to the end",
     "wheelslip_queue_wait_seconds": "Wait in the queue of a dispatcher, by priority",
@@ -51,6 +53,8 @@
 
     :ivar requests: number of ended requests by kind and outcome.
     :ivar attempts: number of attempts by outcome.
+    :ivar sends: number of requests sent to workers, by service and ``first`` or ``retry``.
+    :ivar retries_denied: number of retries that the retry budget did not allow, by service.
     :ivar queue_wait: durations of ended waits in the queue of a dispatcher, by priority.
     :ivar gauges: functions that return the current value, by name.
     """
@@ -58,6 +62,8 @@
     def __init__(self):
         self.requests: Counter[tuple[str, str]] = Counter()
         self.attempts: Counter[str] = Counter()
+        self.sends: Counter[tuple[str, str]] = Counter()
+        self.retries_denied: Counter[str] = Counter()
         self.first_byte = LatencyHistogram()
         self.duration = LatencyHistogram()
         self.queue_wait: dict[int, LatencyHistogram] = {}
@@ -71,6 +77,10 @@
         self.requests[(kind, outcome)] += 1
         self.duration.observe(seconds)
 
+    def record_send(self, service: str, is_retry: bool) -> None:
+        """Record that a request is sent to a worker."""
+        self.sends[(service, "retry" if is_retry else "first")] += 1
+
     def record_queue_wait(self, priority: int, seconds: float) -> None:
         """Record that a request no longer waits in a queue, whatever was decided."""
         if priority not in self.queue_wait:
@@ -87,6 +97,15 @@
         lines += _family("wheelslip_requests_total", "counter", requests)
         attempts = [(f'{{outcome="{outcome}"}}', count) for outcome, count in self.attempts.items()]
         lines += _family("wheelslip_attempts_total", "counter", attempts)
+        sends = [
+            (f'{{service="{service}",send="{send}"}}', count)
+            for (service, send), count in self.sends.items()
+        ]
+        lines += _family("wheelslip_sends_total", "counter", sends)
+        denied = [
+            (f'{{service="{service}"}}', count) for service, count in self.retries_denied.items()
+        ]
+        lines += _family("wheelslip_retries_denied_total", "counter", denied)
         lines += _histogram("wheelslip_first_byte_seconds", self.first_byte)
         lines += _histogram("wheelslip_request_seconds", self.duration)
         if self.queue_wait:
--- a/src/wheelslip/routing/retry_window.py
+++ b/src/wheelslip/routing/retry_window.py
@@ -13,9 +13,11 @@
     There is no reserve, since the reserves of many nodes would add up.
 
     :param ratio: allowed retries per first attempt, over all nodes.
+    :ivar service: name of the service to which the requests go.
     """
 
-    def __init__(self, ratio: float, window_seconds: float):
+    def __init__(self, service: str, ratio: float, window_seconds: float):
+        self.service = service
         self._ratio = ratio * NODE_RATIO_SHARE
         self._window = window_seconds
         self._first_attempts: deque[float] = deque()
--- a/tests/unit/forwarding/test_budget_and_split.py
+++ b/tests/unit/forwarding/test_budget_and_split.py
@@ -6,7 +6,7 @@
 
 
 def test_retries_stay_below_ratio_in_every_window():
-    window = RetryWindow(ratio=0.2, window_seconds=10.0)
+    window = RetryWindow("s", ratio=0.2, window_seconds=10.0)
     first_attempts, retries = [], []
     for tick in range(4000):
         now = tick * 0.01
@@ -21,7 +21,7 @@
 
 
 def test_node_without_traffic_gets_no_retries():
-    window = RetryWindow(ratio=0.2, window_seconds=10.0)
+    window = RetryWindow("s", ratio=0.2, window_seconds=10.0)
     window.record_first_attempt(0.0)
     assert not window.take_retry(0.0)
 
--- a/tests/unit/forwarding/test_metrics_text.py
+++ b/tests/unit/forwarding/test_metrics_text.py
@@ -12,6 +12,9 @@
     metrics.request_ended("stream", "answered", 0.3)
     metrics.request_ended("stream", "answered", 0.02)
     metrics.attempts["lost"] += 3
+    metrics.record_send("s", is_retry=False)
+    metrics.record_send("s", is_retry=True)
+    metrics.retries_denied["s"] += 2
     metrics.first_byte.observe(0.15)
     metrics.record_queue_wait(0, 0.03)
     metrics.record_queue_wait(2, 0.3)
@@ -38,6 +41,8 @@
     labels = (("kind", "stream"), ("outcome", "answered"))
     assert samples[("wheelslip_requests_total", *labels)] == 2
     assert samples[("wheelslip_attempts_total", ("outcome", "lost"))] == 3
+    assert samples[("wheelslip_sends_total", ("send", "retry"), ("service", "s"))] == 1
+    assert samples[("wheelslip_retries_denied_total", ("service", "s"))] == 2
     assert samples[("wheelslip_request_seconds_bucket", ("le", "0.2"))] == 1
     assert samples[("wheelslip_request_seconds_bucket", ("le", "+Inf"))] == 2
     assert samples[("wheelslip_request_seconds_count",)] == 2
