Retries of all nodes stay below the ratio across restarts and shifts of load

What callers saw: repeats of requests reached workers more often than the budget of the service allows.

Cause: a process allowed 0.7 of the ratio of its own first attempts in its last window. The windows of two processes that serve one after the other, a restarted node and its predecessor or two nodes between which the load moves, cover two windows of requests, so 1.4 of the ratio could arrive in one. And a retry was counted when it was decided: those that wait in the queue add up and arrive together in a later window.

A retry is reserved when it is decided and counted when it is sent, and given back if it is not; if the first attempts have become too few meanwhile it is not sent. Ratio and window are read anew each time, so changed settings hold at once.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -237,9 +237,9 @@
     _single_edit(
         "retries without a budget",
         FORWARDING,
-        "forwarding/forwarder.py",
-        "if budget.take_retry(self._clock()):",
-        "if budget is not None:",
+        "routing/retry_window.py",
+        "return len(self._retries) + more <= ratio * len(self._first_attempts)",
+        "return True",
         "forwarding/test_failures.py::test_retries_stop_when_budget_is_exhausted",
     ),
     _single_edit(
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -201,16 +201,20 @@
     ) -> None:
         budget = self._retry_budget(service)
         budget.record_first_attempt(self._clock())
-        while True:
-            assignment = await self._assign(job, service)
-            outcome = await self._attempt(job, assignment, caller)
-            if outcome is AttemptOutcome.ANSWERED:
-                self._crash_guard.record_completed_run(job)
-                return
-            self._record_failed_attempt(job, assignment, outcome)
-            if not self._may_retry(job, outcome, budget):
-                self._finish_unserved(job, caller)
-                return
+        try:
+            while True:
+                assignment = await self._assign(job, service)
+                outcome = await self._attempt(job, assignment, caller)
+                if outcome is AttemptOutcome.ANSWERED:
+                    self._crash_guard.record_completed_run(job)
+                    return
+                self._record_failed_attempt(job, assignment, outcome)
+                if not self._may_retry(job, outcome, budget):
+                    self._finish_unserved(job, caller)
+                    return
+        finally:
+            if job.retry is not None:
+                job.retry.release()
 
     def _choose_service(self, job: Job) -> str:
         parts = job.route.split
@@ -225,9 +229,7 @@
 
     def _retry_budget(self, service: str) -> RetryWindow:
         if service not in self._retry_budgets:
-            self._retry_budgets[service] = RetryWindow(
-                service, self._bounds().retry_ratio, self._bounds().retry_window_seconds
-            )
+            self._retry_budgets[service] = RetryWindow(service, self._bounds)
         return self._retry_budgets[service]
 
     async def _assign(self, job: Job, service: str) -> Assignment:
@@ -365,10 +367,10 @@
                 return False
         elif job.attempts_sent >= MAX_SENDS:
             return False
-        if budget.take_retry(self._clock()):
-            return True
-        self._metrics.retries_denied[budget.service] += 1
-        return False
+        job.retry = budget.reserve(self._clock())
+        if job.retry is None:
+            self._metrics.retries_denied[budget.service] += 1
+        return job.retry is not None
 
     def _finish_unserved(self, job: Job, caller: CallerConnection) -> None:
         failed = job.failed_response
@@ -420,6 +422,11 @@
                 "the engine is leaving, in backoff, rate limited or of another software version"
             )
             return AttemptOutcome.WITHHELD
+        if job.retry is not None and not job.retry.send(self._clock()):
+            connection.close()
+            assignment.record_unused()
+            self._metrics.retries_denied[assignment.placement.worker.info.service] += 1
+            raise self._unserved_error(job, "the retry budget is used up")
         return await self._run_attempt(job, assignment, connection, caller)
 
     async def _leads_to_required_process(
--- a/src/wheelslip/job.py
+++ b/src/wheelslip/job.py
@@ -7,6 +7,7 @@
 
 from wheelslip.deployment import ForwardedRequest, Incarnation, Route, Tenant
 from wheelslip.routing.fingerprint import request_fingerprint
+from wheelslip.routing.retry_window import Retry
 
 
 @dataclass(frozen=True)
@@ -27,6 +28,7 @@
     :ivar attempts_sent: attempts that were sent to a worker, executed or not.
     :ivar may_have_run: attempts that the worker may have executed.
     :ivar excluded: worker incarnations that are not tried again.
+    :ivar retry: reservation of the next attempt; ``None`` before the first one.
     :ivar last_delivered_id: id of the last event that the caller has received, in this or an earlier
         response.
     :ivar failed_response: last server error response of a worker.
@@ -60,6 +62,7 @@
     attempts_sent: int = 0
     may_have_run: int = 0
     excluded: set[Incarnation] = field(default_factory=set)
+    retry: Retry | None = None
     last_delivered_id: int | None = None
     failed_response: BufferedResponse | None = None
     failure_forwarded: bool = False
--- a/tests/unit/forwarding/test_budget_and_split.py
+++ b/tests/unit/forwarding/test_budget_and_split.py
@@ -1,19 +1,21 @@
 """Retry window, weighted round robin, and cached prompt parts."""
 
+from wheelslip.forwarding_settings import BoundsSection
 from wheelslip.routing.caches.holdings import CachedParts, chain_of
 from wheelslip.routing.retry_window import RetryWindow
 from wheelslip.routing.split import WeightedRoundRobin
 
 
 def test_retries_stay_below_ratio_in_every_window():
-    window = RetryWindow("s", ratio=0.2, window_seconds=10.0)
+    window = RetryWindow("s", lambda: BoundsSection(retry_ratio=0.2, retry_window_seconds=10.0))
     first_attempts, retries = [], []
     for tick in range(4000):
         now = tick * 0.01
         if tick < 2000 or tick % 40 == 0:
             window.record_first_attempt(now)
             first_attempts.append(now)
-        if window.take_retry(now):
+        retry = window.reserve(now)
+        if retry is not None and retry.send(now):
             retries.append(now)
     for start in (0.0, 5.0, 12.0, 20.0, 24.0, 29.0):
         count = sum(start - 10 <= time < start + 10 for time in first_attempts)
@@ -21,9 +23,9 @@
 
 
 def test_node_without_traffic_gets_no_retries():
-    window = RetryWindow("s", ratio=0.2, window_seconds=10.0)
+    window = RetryWindow("s", lambda: BoundsSection(retry_ratio=0.2, retry_window_seconds=10.0))
     window.record_first_attempt(0.0)
-    assert not window.take_retry(0.0)
+    assert window.reserve(0.0) is None
 
 
 def test_every_sequence_of_choices_follows_weights():
--- a/tests/unit/forwarding/test_sum_of_retries.py
+++ b/tests/unit/forwarding/test_sum_of_retries.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheelslip.routing.retry_window import RetryWindow
+from wheelslip.forwarding_settings import BoundsSection
+from wheelslip.routing.retry_window import Retry, RetryWindow
 
 RATIO = 0.2
 WINDOW_SECONDS = 10.0
@@ -13,7 +14,8 @@
 
 
 def make_window() -> RetryWindow:
-    return RetryWindow("s", RATIO, WINDOW_SECONDS)
+    bounds = BoundsSection(retry_ratio=RATIO, retry_window_seconds=WINDOW_SECONDS)
+    return RetryWindow("s", lambda: bounds)
 
 
 class Fleet:
@@ -21,12 +23,14 @@
 
     :ivar requests: times of the requests.
     :ivar retries: times at which retries reached workers.
+    :ivar waiting: retries that have not been sent, by node.
     """
 
     def __init__(self, nodes: int = 1):
         self.windows = [make_window() for _ in range(nodes)]
         self.requests: list[float] = []
         self.retries: list[float] = []
+        self.waiting: list[list[Retry]] = [[] for _ in range(nodes)]
 
     def request(self, now: float, node: int = 0) -> None:
         self.requests.append(now)
@@ -36,13 +40,24 @@
         for number in range(int((until - since) * REQUESTS_PER_SECOND)):
             self.request(since + number / REQUESTS_PER_SECOND, node)
 
-    def retry_all(self, now: float, node: int = 0, sent_at: float | None = None) -> None:
-        """Retry as many requests as a node allows; they wait until they are sent."""
-        while self.windows[node].take_retry(now):
-            self.retries.append(now if sent_at is None else sent_at)
+    def decide(self, now: float, node: int = 0) -> None:
+        """Decide on as many retries as a node allows; they wait."""
+        while (retry := self.windows[node].reserve(now)) is not None:
+            self.waiting[node].append(retry)
+
+    def send_waiting(self, now: float, node: int = 0) -> None:
+        for retry in self.waiting[node]:
+            if retry.send(now):
+                self.retries.append(now)
+        self.waiting[node].clear()
+
+    def retry_all(self, now: float, node: int = 0) -> None:
+        self.decide(now, node)
+        self.send_waiting(now, node)
 
     def restart(self, node: int = 0) -> None:
         self.windows[node] = make_window()
+        self.waiting[node].clear()
 
     def assert_sum_is_allowed(self) -> None:
         requests, retries = sorted(self.requests), sorted(self.retries)
@@ -80,12 +95,14 @@
     fleet = Fleet()
     fleet.serve(0.0, 30.0)
     for second in range(10, 31, 10):
-        fleet.retry_all(float(second), sent_at=30.0)
+        fleet.decide(float(second))
+    fleet.send_waiting(30.0)
+    assert fleet.retries
     fleet.assert_sum_is_allowed()
 
 
 STEP = st.tuples(
-    st.sampled_from(["serve", "retry", "wait", "restart"]),
+    st.sampled_from(["serve", "decide", "send", "wait", "restart"]),
     st.integers(0, 2),
     st.floats(0.0, 6.0, allow_nan=False),
 )
@@ -99,8 +116,10 @@
             case "serve":
                 fleet.serve(now, now + seconds, node)
                 now += seconds
-            case "retry":
-                fleet.retry_all(now, node)
+            case "decide":
+                fleet.decide(now, node)
+            case "send":
+                fleet.send_waiting(now, node)
             case "wait":
                 now += seconds
             case "restart":
