Requests are checked for crashes again after they have waited for a worker

What callers saw: requests with a body or prompt part that crashes workers reached workers long after enough crashes to refuse them.

Cause: CrashGuard.admit was asked once, before the request waited in the queue, for its software version or for the end of a backoff. What had been admitted before the crashes was sent after them, and so was a retry after a rejection. The class: a decision that is taken before a wait and used after it; API keys are confirmed after the wait for the same reason. A trial lock was acquired before the wait too, so it could expire while its request waited, and two trials ran at once.

Change: a request is checked when it arrives (refused, or suspected while another trial runs: refused at once), when a worker is assigned (the trial lock is acquired only now) and synchronously before the write. The lock is good for a send within 2 s of its acquisition. A grant that is not used is returned; an attempt that may have run before is never answered as not run.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -481,8 +481,8 @@
         "trial lock granted while held by another request",
         FORWARDING,
         "crashes/trials.py",
-        "        return TrialLock(key, result.revision) if result.succeeded else None",
-        "        return TrialLock(key, result.revision)",
+        "        if not result.succeeded:\n            return None\n        return TrialLock",
+        "        return TrialLock",
         "../unit/forwarding/test_content_trials.py::test_trial_lock_is_exclusive_until_released",
     ),
     Mutation(
--- a/src/wheelslip/crashes/guard.py
+++ b/src/wheelslip/crashes/guard.py
@@ -89,31 +89,54 @@
             "refused_contents": lambda: float(self.refused_fingerprints()),
         }
 
-    async def admit(self, job: Job, service: str) -> TrialLock | None:
-        """Check a request before it is sent to a worker.
+    def admit(self, job: Job, service: str) -> None:
+        """Check a request before it waits for a worker.
+
+        :raises WheelslipError: if the request is refused, or is suspected and its trial cannot
+            begin now.
+        """
+        if self._is_to_be_tried(job) and not self._trial_locks.may_acquire(service):
+            raise _suspicion()
+
+    async def begin_trial(self, job: Job, service: str) -> None:
+        """Acquire the trial lock for a request that is suspected, just before it is sent.
+
+        Workers may have crashed since the request was admitted. Those that are known to have ended
+        are added to ``job.excluded``.
 
-        :return: the acquired trial lock if the request is suspected, otherwise ``None``.
         :raises WheelslipError: if the request is refused, or is suspected and the trial lock is not
             available.
         """
-        if not self._has_crashes():
-            return None
-        match self._status(job):
-            case FingerprintStatus.FREE:
-                return None
-            case FingerprintStatus.REFUSED:
-                raise self._refusal(job)
-        trial_lock = await self._trial_locks.acquire(service)
-        if trial_lock is None:
-            kind = ErrorKind.REQUEST_SUSPECTED
-            raise WheelslipError(
-                kind,
-                "engines crashed while running this request or others with a part of its prompt; "
-                "its trial run must wait",
-            )
+        if not self._is_to_be_tried(job):
+            return
+        if job.trial_lock is None:
+            job.trial_lock = await self._trial_locks.acquire(service)
+        if not self._holds_lock(job):
+            raise _suspicion()
         job.excluded |= self._ended_incarnations()
         job.trial_keys = self._parts.trial_keys(_part_keys(job))
-        return trial_lock
+
+    def may_send(self, job: Job) -> bool:
+        """Return whether a request may be sent now: it is free, or holds the trial lock.
+
+        :raises WheelslipError: if the request is refused.
+        """
+        return not self._is_to_be_tried(job) or self._holds_lock(job)
+
+    def _holds_lock(self, job: Job) -> bool:
+        return job.trial_lock is not None and self._clock() <= job.trial_lock.send_until
+
+    def _is_to_be_tried(self, job: Job) -> bool:
+        """Return whether a request is suspected.
+
+        :raises WheelslipError: if it is refused.
+        """
+        if not self._has_crashes():
+            return False
+        status = self._status(job)
+        if status is FingerprintStatus.REFUSED:
+            raise self._refusal(job)
+        return status is FingerprintStatus.TRIAL
 
     def _has_crashes(self) -> bool:
         """Return whether any crash is recorded; without one, no keys need to be computed."""
@@ -206,9 +229,14 @@
                 keys.add(job.fingerprint)
             self.part_reports.add_answer(sorted(keys))
 
-    def end_trial(self, trial_lock: TrialLock, job: Job) -> None:
-        """Release a trial lock in the background, once the result is known and was reported."""
-        task = asyncio.get_running_loop().create_task(self._end_trial(trial_lock, job))
+    def end_trial(self, job: Job) -> None:
+        """Release the trial lock of a request, if it has one.
+
+        That is done in the background, once the result is known and was reported.
+        """
+        if job.trial_lock is None:
+            return
+        task = asyncio.get_running_loop().create_task(self._end_trial(job.trial_lock, job))
         self._pending_releases.add(task)
         task.add_done_callback(self._pending_releases.discard)
 
@@ -222,6 +250,14 @@
         await self._trial_locks.release(trial_lock)
 
 
+def _suspicion() -> WheelslipError:
+    return WheelslipError(
+        ErrorKind.REQUEST_SUSPECTED,
+        "engines crashed while running this request or others with a part of its prompt; "
+        "its trial run must wait",
+    )
+
+
 def _part_keys(job: Job) -> list[PartKeys]:
     """Return the keys of the prompt parts of a request that other requests may have."""
     tenant = job.tenant.name if job.tenant is not None else ""
--- a/src/wheelslip/crashes/trials.py
+++ b/src/wheelslip/crashes/trials.py
@@ -20,6 +20,10 @@
 died. An engine that ends under a request ends as it begins to run it, and evidence of that takes
 at most 4 s."""
 
+MAX_SEND_DELAY_SECONDS = 2.0
+"""Time from the acquisition of a lock within which its request must be sent, so that the lock is held
+until the evidence is complete."""
+
 ACQUIRE_RETRY_SECONDS = 0.25
 """Minimum interval between two attempts of a node to acquire a lock: at most four calls of the store
 a second and node for a content that many request, as the view shows another node's lock 0.1 to
@@ -30,10 +34,12 @@
     """A trial lock held by this node.
 
     :ivar revision: store revision at which the lock was acquired.
+    :ivar send_until: time until which its request may be sent, in seconds of the steady clock.
     """
 
     key: str
     revision: int
+    send_until: float
 
 
 class TrialLocks:
@@ -61,15 +67,19 @@
         else:
             self._expires_at[key] = self._clock() + LOCK_EXPIRY_SECONDS
 
+    def may_acquire(self, service: str) -> bool:
+        """Return whether no other node is known to hold the lock and an attempt is due."""
+        key = TRIALS_PREFIX + service
+        return self._clock() >= max(self._expires_at.get(key, 0.0), self._next_try_at.get(key, 0.0))
+
     async def acquire(self, service: str) -> TrialLock | None:
         """Try to acquire the trial lock of a service.
 
         :return: ``None`` if another node holds the lock or the store is unavailable.
         """
-        key = TRIALS_PREFIX + service
-        now = self._clock()
-        if now < max(self._expires_at.get(key, 0.0), self._next_try_at.get(key, 0.0)):
+        if not self.may_acquire(service):
             return None
+        key, now = TRIALS_PREFIX + service, self._clock()
         self._next_try_at[key] = now + ACQUIRE_RETRY_SECONDS
         entry = self._registry.system_entry(key)
         expected = {key: entry[1] if entry else 0}
@@ -79,7 +89,9 @@
         except KeyValueError as exc:
             log_event(LogEvent.LEASE_CALL_FAILED, duty=key, reason=str(exc))
             return None
-        return TrialLock(key, result.revision) if result.succeeded else None
+        if not result.succeeded:
+            return None
+        return TrialLock(key, result.revision, now + MAX_SEND_DELAY_SECONDS)
 
     async def release(self, lock: TrialLock) -> None:
         """Release a lock; if the store is unavailable, the lock expires instead."""
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -12,7 +12,7 @@
 from wheelslip.connections.http_client import HttpConnection, PeerUnreachable
 from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.crashes.guard import CrashGuard
-from wheelslip.deployment import SplitPart, incarnation_of
+from wheelslip.deployment import SplitPart, WorkerInfo, incarnation_of
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogBudget, LogEvent, log_event
 from wheelslip.forwarding.admission import MAX_VIEW_AGE_SECONDS, Admission
@@ -186,15 +186,11 @@
 
     async def _serve(self, job: Job, caller: CallerConnection) -> None:
         service = await self._streams.prepare(job, self._choose_service(job))
-        trial_lock = await self._crash_guard.admit(job, service)
-        if trial_lock is None:
-            await self._attempt_until_answered(job, service, caller)
-            return
-        job.on_trial = True
+        self._crash_guard.admit(job, service)
         try:
             await self._attempt_until_answered(job, service, caller)
         finally:
-            self._crash_guard.end_trial(trial_lock, job)
+            self._crash_guard.end_trial(job)
 
     async def _attempt_until_answered(
         self, job: Job, service: str, caller: CallerConnection
@@ -204,6 +200,8 @@
         try:
             while True:
                 assignment = await self._assign(job, service)
+                if not await self._begin_trial(job, service, assignment):
+                    continue
                 outcome = await self._attempt(job, assignment, caller)
                 if outcome is AttemptOutcome.ANSWERED:
                     self._crash_guard.record_completed_run(job)
@@ -216,6 +214,29 @@
             if job.retry is not None:
                 job.retry.release()
 
+    async def _begin_trial(self, job: Job, service: str, assignment: Assignment) -> bool:
+        """Begin the trial of a request that is suspected by now.
+
+        :return: whether the request may run at the assigned worker; if not, its grant is returned.
+        :raises WheelslipError: if the request may not run; its grant is returned.
+        """
+        try:
+            await self._crash_guard.begin_trial(job, service)
+        except WheelslipError as error:
+            assignment.record_unused()
+            raise self._truthful_error(job, error) from error
+        except asyncio.CancelledError:
+            assignment.record_unused()
+            raise
+        if job.on_trial and assignment.placement.worker.info.id in job.excluded:
+            assignment.record_unused()
+            return False
+        return True
+
+    def _truthful_error(self, job: Job, error: WheelslipError) -> WheelslipError:
+        """Return an error that does not deny earlier attempts that may have run."""
+        return self._unserved_error(job, error.message) if job.may_have_run else error
+
     def _choose_service(self, job: Job) -> str:
         parts = job.route.split
         if len(parts) == 1:
@@ -290,9 +311,7 @@
             self._admission.confirm(job)
         except WheelslipError as error:
             assignment.record_unused()
-            if job.may_have_run:
-                raise self._unserved_error(job, error.message) from error
-            raise
+            raise self._truthful_error(job, error) from error
 
     def _backoff_end(self, job: Job, service: str) -> float | None:
         """Return the time at which the first worker in backoff accepts requests again.
@@ -422,13 +441,28 @@
                 "the engine is leaving, in backoff, rate limited or of another software version"
             )
             return AttemptOutcome.WITHHELD
-        if job.retry is not None and not job.retry.send(self._clock()):
+        try:
+            if not self._crash_guard.may_send(job):
+                connection.close()
+                assignment.record_unused()
+                job.failure_reason = "engines crashed while running such requests"
+                return AttemptOutcome.WITHHELD
+            self._spend_retry(job, worker)
+        except WheelslipError as error:
             connection.close()
             assignment.record_unused()
-            self._metrics.retries_denied[assignment.placement.worker.info.service] += 1
-            raise self._unserved_error(job, "the retry budget is used up")
+            raise self._truthful_error(job, error) from error
         return await self._run_attempt(job, assignment, connection, caller)
 
+    def _spend_retry(self, job: Job, worker: WorkerInfo) -> None:
+        """Count an attempt after the first one.
+
+        :raises WheelslipError: if the retry budget does not allow it any more.
+        """
+        if job.retry is not None and not job.retry.send(self._clock()):
+            self._metrics.retries_denied[worker.service] += 1
+            raise self._unserved_error(job, "the retry budget is used up")
+
     async def _leads_to_required_process(
         self, job: Job, assignment: Assignment, connection: HttpConnection
     ) -> bool:
--- a/src/wheelslip/job.py
+++ b/src/wheelslip/job.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from wheelslip.crashes.trials import TrialLock
 from wheelslip.deployment import ForwardedRequest, Incarnation, Route, Tenant
 from wheelslip.routing.fingerprint import request_fingerprint
 from wheelslip.routing.retry_window import Retry
@@ -47,7 +48,7 @@
     :ivar last_incarnation: worker incarnation that the request was last sent to, which may be a later
         one than that of the entry.
     :ivar last_sent_at: when it was sent there, in seconds of the steady clock.
-    :ivar on_trial: the request is suspected of crashing workers and holds the trial lock.
+    :ivar trial_lock: trial lock that the request holds, as it is suspected of crashing workers.
     :ivar trial_keys: keys of the suspected prompt parts of a request on trial.
     :ivar has_waited: the request was put into the queue of a dispatcher.
     :ivar attempt_began_answer_at: when the last attempt brought its first event, 0 before that.
@@ -77,13 +78,18 @@
     via: str = ""
     last_incarnation: Incarnation | None = None
     last_sent_at: float = 0.0
-    on_trial: bool = False
+    trial_lock: TrialLock | None = None
     trial_keys: frozenset[str] = frozenset()
     weights_version: int | None = None
     has_waited: bool = False
     attempt_began_answer_at: float = 0.0
     first_event_at: float = 0.0
 
+    @property
+    def on_trial(self) -> bool:
+        """Whether the request holds the trial lock of its service."""
+        return self.trial_lock is not None
+
     @property
     def priority(self) -> int:
         """Priority of the tenant, or else of the route; 0 is the most urgent."""
