--- a/standins/asyncio_http.py
+++ b/standins/asyncio_http.py
@@ -7,6 +7,7 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 import h11
@@ -30,6 +31,21 @@
     body: bytes
 
 
+class HeadCut(NamedTuple):
+    """Responses that end inside their heads.
+
+    :ivar share: share of the bytes of a head that is sent.
+    :ivar resets: whether the connection is reset then, and not closed.
+    :ivar whole: number of responses on a connection that are sent completely before.
+    :ivar path: start of the path of the requests whose responses are cut.
+    """
+
+    share: float
+    resets: bool = False
+    whole: int = 0
+    path: str = ""
+
+
 class ServerConnection:
     """Server side of one connection.
 
@@ -37,11 +53,20 @@
 
     :ivar closed: set when the client has closed the connection during a request; see
         :meth:`watch_for_close`.
+    :ivar path: of the last request.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        head_cut: Callable[[], HeadCut | None] = lambda: None,
+    ):
         self._reader = reader
         self._writer = writer
+        self._head_cut = head_cut
+        self._heads = 0
+        self.path = ""
         self._parser = h11.Connection(h11.SERVER)
         self.closed = asyncio.Event()
         self._close_watch: asyncio.Task | None = None
@@ -58,7 +83,9 @@
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return _build_request(head, bytes(body))
+                request = _build_request(head, bytes(body))
+                self.path = request.path
+                return request
             else:
                 return None
 
@@ -85,7 +112,24 @@
     def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status line and the headers of a response."""
         encoded = [(name.encode(), value.encode()) for name, value in headers]
-        self.send_raw(self._parser.send(h11.Response(status_code=status, headers=encoded)))
+        self.send_raw_head(self._parser.send(h11.Response(status_code=status, headers=encoded)))
+
+    def send_raw_head(self, head: bytes) -> None:
+        """Send the head of a response, or a part of it.
+
+        :raises ConnectionAbortedError: if the connection ends inside the head.
+        """
+        cut = self._head_cut()
+        if cut is None or self._heads < cut.whole or not self.path.startswith(cut.path):
+            self._heads += 1
+            self.send_raw(head)
+            return
+        self.send_raw(head[: min(len(head) - 1, int(cut.share * len(head)))])
+        if cut.resets:
+            self.reset()
+        else:
+            self.close()
+        raise ConnectionAbortedError("the head is cut")
 
     def send_body(self, body: bytes) -> None:
         """Send a part of the response body."""
@@ -153,6 +197,7 @@
 
     :ivar address: ``HOST:PORT``; empty before the first start.
     :ivar silent: read requests without ever responding to them.
+    :ivar head_cut: where responses end inside their heads; ``None`` for complete ones.
     :ivar accepted_connections: number of connections accepted so far.
     :ivar running: it was started and not stopped since.
     """
@@ -163,6 +208,7 @@
         self._open_connections: set[ServerConnection] = set()
         self.address = ""
         self.silent = False
+        self.head_cut: HeadCut | None = None
         self.accepted_connections = 0
         self.running = False
 
@@ -177,7 +223,7 @@
         self.running = True
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = ServerConnection(reader, writer)
+        connection = ServerConnection(reader, writer, lambda: self.head_cut)
         self._open_connections.add(connection)
         self.accepted_connections += 1
         try:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -425,7 +425,8 @@
             connection.send_raw(_raw_response(200, [*self._headers("another")], foreign_body))
         if self.faults.unframed:
             head = _raw_head(200, self._headers(run.request_id))
-            connection.send_raw(head + body)
+            connection.send_raw_head(head)
+            connection.send_raw(body)
             connection.close()
             return
         connection.send_response(self.faults.status, self._headers(run.request_id), body)
@@ -437,7 +438,7 @@
         headers = [*self._headers(run.request_id), ("Content-Type", "text/event-stream")]
         run.unframed = self.faults.unframed
         if run.unframed:
-            connection.send_raw(_raw_head(200, headers))
+            connection.send_raw_head(_raw_head(200, headers))
             send, end = connection.send_raw, connection.close
         else:
             connection.send_head(200, [*headers, ("Transfer-Encoding", "chunked")])
