Soak: services that fail under load, heads that are cut, power lost beside other faults

Change: RETRIES=1 lets all workers of a service fail in one way under more callers, moves the load to one node and kills some nodes or all, in overlapping series. HEADS=1 cuts heads of answers, reports, orders and the store's replies.

--- a/bench/forwarding/soak.py
+++ b/bench/forwarding/soak.py
@@ -29,12 +29,14 @@
 from bench.forwarding.endless import EndlessWorkers
 from bench.forwarding.ends import NodeEnds
 from bench.forwarding.faults import FaultInjector
+from bench.forwarding.heads import HeadCuts
 from bench.forwarding.judge import RunChecker
 from bench.forwarding.limits import LimitChecker, LimitFaults
 from bench.forwarding.notices import NoticeChecker, NoticeFaults
 from bench.forwarding.paths import PathChecker, PathFaults
 from bench.forwarding.reborn import RebornWorkers
 from bench.forwarding.record import Record
+from bench.forwarding.retries import RetryFaults
 from bench.forwarding.versions import VersionedStreams
 from bench.forwarding.world import World
 
@@ -76,12 +78,15 @@
     :ivar paths: whether nodes lose their paths to workers, and the store returns from older copies.
     :ivar versions: whether workers of several software versions serve.
     :ivar crowds: whether most new connections go to one node from time to time.
-    :ivar power: whether all nodes lose power at the same moment after the other faults.
+    :ivar power: whether all nodes and most workers lose power at the same moment after the other faults,
+        just after a change of the configuration.
     :ivar ends: whether all nodes end from time to time while software versions change; implies
         ``versions``.
     :ivar garbage: whether workers send data without end in place of responses.
     :ivar reborn: whether workers restart with other software versions while the store is away, with
         faults of their reports; implies ``versions``.
+    :ivar heads: whether workers and the store end connections inside the heads of responses.
+    :ivar retries: whether whole services fail under more load, and nodes end in between.
     """
 
     nodes: int = 0
@@ -98,6 +103,8 @@
     ends: bool = False
     garbage: bool = False
     reborn: bool = False
+    heads: bool = False
+    retries: bool = False
 
 
 class Soak:
@@ -167,9 +174,18 @@
         self.endless = (
             EndlessWorkers(self.world, self.record, garbage_rng) if options.garbage else None
         )
+        head_rng = random.Random(f"{seed} heads")
+        self.heads = HeadCuts(self.world, self.record, head_rng) if options.heads else None
+        retry_rng = random.Random(f"{seed} retries")
+        self.retries = (
+            RetryFaults(self.world, self.callers, self.record, retry_rng)
+            if options.retries
+            else None
+        )
         crowd_rng = random.Random(f"{seed} crowds")
         self.crowds = Crowds(self.world, self.callers, crowd_rng) if options.crowds else None
         self._power = options.power
+        self._power_rng = random.Random(f"{seed} power")
         self.longest_lag = self.longest_lag_at = 0.0
         self._settle_seconds = SETTLE_SECONDS + SETTLE_SECONDS_PER_NODE * len(self.world.nodes)
 
@@ -193,12 +209,14 @@
             self.endless,
             self.reborn,
             self.crowds,
+            self.heads,
+            self.retries,
             self.upgrade,
         )
         activities = [each.run(ends_at) for each in optional if each is not None]
         await asyncio.gather(self.faults.run(ends_at), self.callers.run(ends_at), *activities)
         if self._power:
-            await self.world.lose_power()
+            await self.world.lose_power(self._power_rng)
         await self._settle()
         if self.limits is not None:
             await self.limits.announce_undisturbed(self.callers)
@@ -338,6 +356,8 @@
     ends: bool = False,
     garbage: bool = False,
     reborn: bool = False,
+    heads: bool = False,
+    retries: bool = False,
 ) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
@@ -371,6 +391,8 @@
         ("ends", soak.ends),
         ("garbage", soak.endless),
         ("reborn", soak.reborn),
+        ("heads", soak.heads),
+        ("retries", soak.retries),
     ):
         if part is not None:
             print(f"{name}:", dict(part.counts))
--- a/bench/forwarding/world.py
+++ b/bench/forwarding/world.py
@@ -88,6 +88,13 @@
 
 EVENT_SECONDS = 0.04
 REVOCATION_MS = 5000
+POWER_LOSS_DELAY_SECONDS = (0.0, 0.4)
+"""Range of the time from the last change to the loss of power."""
+
+POWER_SECONDS = (0.5, 3.0)
+"""Range of the time for which a worker has no power."""
+
+SUSPENDED_SECONDS = 1.0
 STARTUP_SECONDS = 10.0
 """Time within which a started process listens, also on a busy machine; unanswered calls are exempt
 until it listens."""
@@ -293,9 +300,30 @@
             return self.crowded_node[0]
         return rng.choice(self.nodes)
 
-    async def lose_power(self) -> None:
-        """Kill all nodes at the same moment and start them again."""
-        await asyncio.gather(*(self.end_and_restart(name, signal.SIGKILL) for name in self.nodes))
+    async def lose_power(self, rng: random.Random) -> None:
+        """Kill all nodes and most workers at the same moment and start them again.
+
+        Just before, the API key is replaced, a node is suspended and another one is told to stop.
+        """
+        suspended, stopping = rng.choice(self.nodes), rng.choice(self.nodes)
+        pause = asyncio.create_task(self.pause(suspended, SUSPENDED_SECONDS))
+        stop = asyncio.create_task(self.end_and_restart(stopping, signal.SIGTERM))
+        self.revoke_key()
+        await asyncio.sleep(rng.uniform(*POWER_LOSS_DELAY_SECONDS))
+        workers = rng.sample(sorted(self.site.workers), rng.randint(1, len(self.site.workers)))
+        await asyncio.gather(
+            pause,
+            stop,
+            *(self.end_and_restart(name, signal.SIGKILL) for name in self.nodes),
+            *(self._restart_without_power(name, rng.uniform(*POWER_SECONDS)) for name in workers),
+        )
+
+    async def _restart_without_power(self, name: str, seconds: float) -> None:
+        """End a worker, and start it again under its id after some seconds."""
+        version = self.site.workers[name].version
+        await self.end_worker(name)
+        await asyncio.sleep(seconds)
+        await self.start_worker(name, self.service_of[name], version)
 
     def incarnation_name(self, name: str) -> str:
         """Return the name under which the record holds the current incarnation of a worker."""
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+from collections import Counter
 from collections.abc import Callable
 
 from wheelslip.clocks import steady_seconds
@@ -337,6 +338,10 @@
         """Return the current value of a gauge."""
         return self._metrics.gauges[name]()
 
+    def sends(self) -> Counter[tuple[str, str]]:
+        """Return the number of requests sent to workers, by service and ``first`` or ``retry``."""
+        return self._metrics.sends
+
     def running_requests_at(self, worker_id: str) -> float:
         """Return the in-flight requests of all nodes at a worker, as recorded by this node."""
         worker = self._registry.view.by_id(worker_id)
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -106,6 +106,23 @@
     assert soak.checker.checked["calls at nodes in touch"] > 0
 
 
+def test_retries_of_all_nodes_stay_within_the_budget(tmp_path):
+    """Guards against retries that add up while services fail, nodes end and the load moves."""
+    soak = asyncio.run(run_seed(2501, SECONDS, tmp_path, retries=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.retries.counts["fail"] > 0
+    assert soak.checker.checked["retries"] > 0
+    assert soak.checker.checked["deadlines"] > 0
+
+
+def test_answers_cut_in_their_heads_break_no_guarantee(tmp_path):
+    """Guards against answers that end in their heads and are passed on as whole."""
+    soak = asyncio.run(run_seed(2601, SECONDS, tmp_path, heads=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.heads.counts.total() > 0
+    assert soak.checker.checked["calls at nodes in touch"] > 0
+
+
 def test_prompt_parts_crowds_and_lost_power_break_no_guarantee(tmp_path):
     """Guards against workers that crash in series, crowded nodes and losses after a power failure."""
     soak = asyncio.run(run_seed(2101, SECONDS, tmp_path, deadly=True, crowds=True, power=True))
