Judge of planned stops: an exchange whose path is cut under it is not lost by the stop

Change: exempt is a call whose run at a worker began before a cut of its node's paths that ends open connections and began before the call ended. Runs that began during a cut were tunneled and stay judged, as do cuts that leave open connections alone, other nodes' cuts and cuts after the call. Six unit cases, one exempt and five judged.

--- a/bench/forwarding/judge.py
+++ b/bench/forwarding/judge.py
@@ -255,11 +255,33 @@
     def _stops_during(self, stop: Disruption, call: Call) -> bool:
         return stop.name == call.node and stop.overlaps(call.sent_at, call.ended_at)
 
+    def _was_exchange_cut(self, call: Call) -> bool:
+        """Whether the paths of its node were cut while a call ran at a worker.
+
+        A run that began during a cut was tunneled, so it is not exempt.
+        """
+        began_at = [
+            run.began_at
+            for worker in self._record.workers.values()
+            for run in worker.runs
+            if run.request_id == call.request_id
+        ]
+        cuts = [cut for cut in self._record.path_cuts if cut.node == call.node]
+        return any(
+            cut.ends_exchanges
+            and began <= cut.began_at <= call.ended_at
+            and not any(other.began_at < began < other.ended_at for other in cuts)
+            for cut in cuts
+            for began in began_at
+        )
+
     def _is_exempt(self, call: Call, workers_by_request: dict[str, set[str]]) -> bool:
         """Whether the timeout of its route or an unplanned disruption may have ended a call."""
         since, until = call.sent_at - CONTACT_SECONDS, call.ended_at
         if until - call.sent_at > ROUTE_TIMEOUT_SECONDS:
             return True
+        if self._was_exchange_cut(call):
+            return True
         workers = workers_by_request[call.request_id]
         return any(
             disruption.overlaps(since, until)
--- a/bench/forwarding/record.py
+++ b/bench/forwarding/record.py
@@ -140,6 +140,18 @@
     build: str
 
 
+class PathCut(NamedTuple):
+    """Period in which a node has no path to any worker.
+
+    :ivar ends_exchanges: whether open connections are cut as well.
+    """
+
+    node: str
+    began_at: float
+    ended_at: float
+    ends_exchanges: bool = True
+
+
 @dataclass
 class Record:
     """Everything that is recorded in one run.
@@ -160,6 +172,7 @@
     desired_versions: list[DesiredVersion] = field(default_factory=list)
     announced_limits: list[AnnouncedLimit] = field(default_factory=list)
     process_starts: list[ProcessStart] = field(default_factory=list)
+    path_cuts: list[PathCut] = field(default_factory=list)
     workers: dict[str, PlatformWorker] = field(default_factory=dict)
     worker_started_at: dict[str, float] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
--- a/tests/unit/forwarding/test_soak_judge.py
+++ b/tests/unit/forwarding/test_soak_judge.py
@@ -24,6 +24,7 @@
     DesiredVersion,
     Disruption,
     NodeOutage,
+    PathCut,
     ProcessStart,
     Record,
     Revocation,
@@ -364,6 +365,29 @@
     assert len(record.violations) == (0 if excused else 1)
 
 
+@pytest.mark.parametrize(
+    ("run_at", "cuts", "is_exempt"),
+    [
+        (103.1, [PathCut("n0", 103.2, 109.0)], True),
+        (103.1, [PathCut("n0", 103.2, 109.0, ends_exchanges=False)], False),
+        (103.1, [PathCut("n1", 103.2, 109.0)], False),
+        (103.1, [PathCut("n0", 104.1, 109.0)], False),
+        (103.3, [PathCut("n0", 103.2, 109.0)], False),
+        (103.1, [PathCut("n0", 99.0, 103.3), PathCut("n0", 103.5, 109.0)], False),
+    ],
+    ids=["during", "open-ones-continue", "other-node", "after", "tunneled", "tunneled-before"],
+)
+def test_only_exchange_on_a_path_that_is_cut_is_exempt_during_planned_stop(
+    checker, record, run_at, cuts, is_exempt
+):
+    record_planned_stop(record)
+    record_call_at(record, 103.0, 1.0, 0, False)
+    record.workers["p0"].runs[0].began_at = run_at
+    record.path_cuts.extend(cuts)
+    checker.check_planned_stops()
+    assert len(record.violations) == (0 if is_exempt else 1)
+
+
 def test_disruption_ends_with_its_block(record):
     with record.disrupted(Component.CORE) as disruption:
         assert disruption.overlaps(time.monotonic(), time.monotonic())
