A later start of a crashed worker counts as soon as it is seen

What callers saw: requests that crash workers reached workers later than the contact time after the third crash, where workers listened again before nodes looked at them.

Cause: after two probes, 0.53 s after a lost response, the view was checked once more 3.5 s later. A worker that accepts connections at both probes, since it restarted at once or since something else holds its address, and whose entry comes after that, was known to have crashed 4.0 s after the crash, later than the contact time of 3 s.

Change: in these 3.5 s the view is checked every 0.25 s.

--- a/src/wheelslip/crashes/evidence.py
+++ b/src/wheelslip/crashes/evidence.py
@@ -34,8 +34,11 @@
 its connections shortly before or after it stops listening."""
 
 REPLACEMENT_WAIT_SECONDS = 3.5
-"""Delay after the probes until the view is checked once more for a later incarnation. A worker that
-restarts at once writes its entry within a few heartbeats."""
+"""Time after the probes in which the view is checked for a later incarnation. A worker that restarts at
+once writes its entry within a few heartbeats."""
+
+REPLACEMENT_CHECK_SECONDS = 0.25
+"""Interval between two of these checks."""
 
 MAX_ENDED_INCARNATIONS = 4096
 """Maximum number of incarnations recorded as ended; the oldest records are evicted."""
@@ -135,8 +138,7 @@
                 if self._is_replaced(worker) or await self._refuses(worker):
                     self._record_ended(worker)
                     return
-            await asyncio.sleep(REPLACEMENT_WAIT_SECONDS)
-            if self._is_replaced(worker):
+            if await self._is_replaced_later(worker):
                 self._record_ended(worker)
         finally:
             del self._checks[worker.id]
@@ -144,6 +146,14 @@
             self._lost_parts.pop(worker.id, None)
             self._tried.pop(worker.id, None)
 
+    async def _is_replaced_later(self, worker: WorkerInfo) -> bool:
+        """Wait until a later incarnation is in the view; return whether there is one in time."""
+        for _ in range(round(REPLACEMENT_WAIT_SECONDS / REPLACEMENT_CHECK_SECONDS)):
+            if self._is_replaced(worker):
+                return True
+            await asyncio.sleep(REPLACEMENT_CHECK_SECONDS)
+        return self._is_replaced(worker)
+
     def _record_ended(self, worker: WorkerInfo) -> None:
         self._ended_at[worker.id] = self._clock()
         if len(self._ended_at) > MAX_ENDED_INCARNATIONS:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -270,20 +270,26 @@
         """Write a worker's entry to the store."""
         self.model.put(f"servers/{worker.id}", worker.entry(service, "z1", state))
 
-    def restart_after_crashes(self, worker: PlatformWorker, service: str, seconds: float) -> None:
+    def restart_after_crashes(
+        self, worker: PlatformWorker, service: str, seconds: float, entry_seconds: float = 0.0
+    ) -> None:
         """Restart a worker with its ID and address after each crash.
 
         :param seconds: delay between crash and restart.
+        :param entry_seconds: delay between restart and entry.
         """
         worker.on_crash = lambda crashed: self._run_in_background(
-            self._restart_later(crashed, service, seconds)
+            self._restart_later(crashed, service, seconds, entry_seconds)
         )
 
-    async def _restart_later(self, worker: PlatformWorker, service: str, seconds: float) -> None:
+    async def _restart_later(
+        self, worker: PlatformWorker, service: str, seconds: float, entry_seconds: float
+    ) -> None:
         port = int(worker.server.address.rpartition(":")[2])
         await asyncio.sleep(seconds)
         worker.born += max(1, int(seconds * 1000))
         await worker.server.start(port)
+        await asyncio.sleep(entry_seconds)
         self.write_entry(worker, service)
 
     def _run_in_background(self, work: Coroutine) -> None:
--- a/tests/probe/forwarding/test_crashing_requests.py
+++ b/tests/probe/forwarding/test_crashing_requests.py
@@ -14,6 +14,9 @@
 RESTART_SECONDS = 0.6
 REPEATS = 16
 REPEAT_INTERVAL_SECONDS = 0.2
+ENTRY_SECONDS = 0.7
+QUICK_REPEATS = 70
+CONTACT_SECONDS = 3.0
 MAX_CRASHES = 6
 """Three crashes before the refusal, and at most three by later requests."""
 
@@ -34,7 +37,16 @@
         await site.request("/plain/", f"before-{number}", zones[number % len(zones)])
 
 
-async def send_repeatedly(site, path, zones, count=REPEATS, body=CRASHING_BODY, first=0, **options):
+async def send_repeatedly(
+    site,
+    path,
+    zones,
+    count=REPEATS,
+    body=CRASHING_BODY,
+    first=0,
+    interval=REPEAT_INTERVAL_SECONDS,
+    **options,
+):
     """Send the same request repeatedly under new ids, to the nodes in turn."""
     answers = []
     for number in range(first, first + count):
@@ -42,7 +54,7 @@
         answers.append(
             await site.request(path, f"{path}{body}{number}", zone, body=body, **options)
         )
-        await asyncio.sleep(REPEAT_INTERVAL_SECONDS)
+        await asyncio.sleep(interval)
     return answers
 
 
@@ -70,6 +82,18 @@
     assert float(answers[-1].headers["retry-after"]) > 1
 
 
+async def test_crashing_request_is_refused_in_time_though_workers_restart_at_once(site):
+    """A worker that listens again before it is looked at has crashed by its later entry only."""
+    zones = ("z1", "z2", "z3")
+    await start_site(site, zones)
+    for worker in site.workers.values():
+        site.restart_after_crashes(worker, "plain", 0.0, ENTRY_SECONDS)
+    await send_repeatedly(site, "/plain/x", zones, QUICK_REPEATS, interval=0.1)
+    crashes = [crash.began_at for crash in site.crashes()]
+    late_from = crashes[2] + CONTACT_SECONDS
+    assert sum(at > late_from for at in crashes) <= 3
+
+
 async def test_restarted_nodes_still_refuse_crashing_request(site):
     zones = ("z1", "z2", "z3")
     await start_site(site, zones)
