Two trials beside another possible cause no longer prove a request

Cause: two crashes in trials convicted whatever else was lost there. The trial lock keeps suspected requests of other nodes away, not those that are not suspected yet. While a popular content is blamed, crashes count as explained and the culprit goes on: one way to more arrivals than the budget allows.

Change: two trials prove a request only if nothing lost there was also lost in crashes without it; three prove it in any case, so a content that crashes workers is refused after its fifth crash at the latest, two of them after the third.

Measured: test_harmless_trials_beside_a_cause_that_is_not_suspected_yet_do_not_refuse fails before and passes; 92 tests of the ledgers and probes of crashing requests pass.

--- a/src/wheelslip/crashes/ledger.py
+++ b/src/wheelslip/crashes/ledger.py
@@ -24,8 +24,13 @@
 popular request would be refused after several workers fail at once for an unrelated reason."""
 
 ALONE_REFUSAL_THRESHOLD = 2
-"""Number of crashes while running alone that prove the cause, whatever else ran at the workers. With 1,
-a harmless content that ran beside three deadly ones at two engines was refused."""
+"""Number of crashes while running alone that prove the cause if nothing that was lost there explains
+other crashes too. With 1, a harmless content that ran beside three deadly ones at two engines was
+refused."""
+
+AMBIGUOUS_REFUSAL_THRESHOLD = 3
+"""The same whatever else was lost there. Another node may send a request that is not suspected yet to the
+worker of a trial."""
 
 BASE_REFUSAL_SECONDS = 60.0
 """Refusal period after the first crash while running alone, doubled by each further one. After it,
@@ -142,7 +147,10 @@
             for incarnation, record in self._uncleared(fingerprint, explained).items()
             if record.alone
         ]
-        if len(alone) >= ALONE_REFUSAL_THRESHOLD:
+        if len(alone) >= AMBIGUOUS_REFUSAL_THRESHOLD:
+            return True
+        unambiguous = [each for each in alone if not self._has_other_cause(fingerprint, each)]
+        if len(unambiguous) >= ALONE_REFUSAL_THRESHOLD:
             return True
         return any(
             not self._has_other_suspects(fingerprint, incarnation)
@@ -188,6 +196,15 @@
         others = self._fingerprints.get(incarnation, set()) - {fingerprint}
         return any(incarnation in self._uncleared(other) for other in others)
 
+    def _has_other_cause(self, fingerprint: str, incarnation: Incarnation) -> bool:
+        """Return whether something lost at a crash was also lost in crashes without a fingerprint."""
+        own = self._uncleared(fingerprint).keys()
+        for other in self._fingerprints.get(incarnation, set()) - {fingerprint}:
+            crashes = self._uncleared(other).keys()
+            if incarnation in crashes and not crashes <= own:
+                return True
+        return False
+
     def refused_seconds(
         self, fingerprint: str, explained: frozenset[Incarnation] = frozenset()
     ) -> float:
--- a/tests/unit/forwarding/test_crash_ledger.py
+++ b/tests/unit/forwarding/test_crash_ledger.py
@@ -115,6 +115,31 @@
     assert ledger.status("beside") is FingerprintStatus.TRIAL
 
 
+def test_harmless_trials_beside_a_cause_that_is_not_suspected_yet_do_not_refuse(ledger, clock):
+    """Other nodes sent the crashing content to the workers of two trials of a popular one."""
+    ledger.record(crash(1, "popular", alone=False))
+    for number in (2, 3):
+        ledger.record(crash(number, "popular"))
+        ledger.record(crash(number, "deadly", alone=False))
+    ledger.record(crash(4, "deadly", alone=False))
+    clock.now += REPORT_WAIT_SECONDS
+    assert ledger.status("popular") is FingerprintStatus.TRIAL
+    ledger.record(crash(5, "deadly"))
+    clock.now += REPORT_WAIT_SECONDS
+    assert ledger.status("deadly") is FingerprintStatus.REFUSED
+
+
+def test_third_crash_alone_refuses_whatever_else_was_lost(ledger):
+    """The crashing content reaches workers a limited number of times beside a popular one."""
+    ledger.record(crash(1, "popular", alone=False))
+    for number in (2, 3, 4):
+        assert ledger.status("c") is not FingerprintStatus.REFUSED
+        ledger.record(crash(number))
+        ledger.record(crash(number, "popular", alone=False))
+    assert ledger.status("c") is FingerprintStatus.REFUSED
+    assert ledger.status("popular") is FingerprintStatus.TRIAL
+
+
 def test_crash_reported_by_two_nodes_counts_once(ledger):
     assert ledger.record(crash(1)) and not ledger.record(crash(1))
     assert ledger.status("c") is FingerprintStatus.FREE
