A planned stop waits until callers have taken their answers

Cause: the shutdown waited for the tasks of requests. A task ends once its answer is written to the transport; what the caller has not taken then lies in the transport's buffer, and ends with the event loop.

Change: a connection is unfinished as long as a request is in progress or its write buffer holds data, and the shutdown waits for these until the grace time is used up, as it did for running requests. A caller that reads nothing delays the stop up to the grace time.

--- a/src/wheelslip/forwarding/caller_connection.py
+++ b/src/wheelslip/forwarding/caller_connection.py
@@ -344,6 +344,11 @@
         """Whether a request is in progress."""
         return self._task is not None
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a request is in progress, or its caller has not taken all of the response."""
+        return self.busy or self._transport.get_write_buffer_size() > 0
+
     def _write(self, data: bytes | None) -> None:
         if data and not self._closed:
             self._transport.write(data)
--- a/src/wheelslip/forwarding/server.py
+++ b/src/wheelslip/forwarding/server.py
@@ -91,6 +91,11 @@
         """Number of in-flight requests."""
         return sum(connection.busy for connection in self._connections)
 
+    @property
+    def unfinished(self) -> int:
+        """Number of in-flight requests and of responses that callers have not taken completely."""
+        return sum(connection.unfinished for connection in self._connections)
+
     async def sweep(self) -> None:
         """Close connections that exceed their idle or header timeout; runs until cancelled."""
         while True:
--- a/src/wheelslip/forwarding/shutdown.py
+++ b/src/wheelslip/forwarding/shutdown.py
@@ -18,7 +18,7 @@
 
 
 class GracefulShutdown:
-    """Ends the service of a node without cutting off requests, within the grace time.
+    """Ends the service of a node without cutting off requests or responses, within the grace time.
 
     :param release_leases: gives up the leases that the node holds.
     :param close: closes all sockets and cancels all tasks.
@@ -56,10 +56,10 @@
         log_event(LogEvent.NODE_STOPPED)
 
     async def _drain(self, closes_at: float, deadline: float) -> None:
-        """Wait for the running requests; from ``closes_at`` on, new ones are refused."""
-        while self._clock() < closes_at or self._running_requests():
+        """Wait for the unfinished requests; from ``closes_at`` on, new ones are refused."""
+        while self._clock() < closes_at or self._unfinished_requests():
             if self._clock() >= deadline:
-                log_event(LogEvent.NODE_STOP_CUT, cut=self._running_requests())
+                log_event(LogEvent.NODE_STOP_CUT, cut=self._unfinished_requests())
                 return
             if self._clock() >= closes_at:
                 # New requests might exceed the grace time: refuse them as not executed.
@@ -68,6 +68,6 @@
                 self._tunnels.close_idle()
             await asyncio.sleep(POLL_SECONDS)
 
-    def _running_requests(self) -> int:
-        """Return the number of in-flight requests of callers and of other nodes' tunnels."""
-        return self._callers.busy + self._tunnels.busy
+    def _unfinished_requests(self) -> int:
+        """Return the number of unfinished requests of callers and of other nodes' tunnels."""
+        return self._callers.unfinished + self._tunnels.busy
--- a/tests/probe/forwarding/test_slow_readers.py
+++ b/tests/probe/forwarding/test_slow_readers.py
@@ -8,6 +8,7 @@
 from standins.bulk_worker import LARGE_BODY_BYTES, BulkWorker
 from standins.platform_site import HOST, KEY, Caller, configuration, wait_until
 from standins.platform_worker import PlatformWorker, worker_entry
+from wheelslip.forwarding.shutdown import LAME_DUCK_SECONDS
 from wheelslip.memory.account import (
     BODY_SHARE,
     HEADER_OBJECT_BYTES,
@@ -79,6 +80,22 @@
     return Caller(*await asyncio.open_connection(sock=connection, limit=4096))
 
 
+async def test_planned_stop_waits_until_a_slow_caller_has_taken_its_answer(site):
+    """The process ended while answers were in its buffers, and cut them off."""
+    worker, node = await small_site(site, megabytes=400, events=64)
+    caller = await connect_slow(site)
+    caller.send("/resumed/x", "bulk-1")
+    await wait_until(lambda: node.gauge("memory_untaken_response_bytes") > 1_000_000, "buffered")
+    await wait_until(lambda: not node.gauge("running_requests"), "the worker has answered")
+    stopping = asyncio.create_task(node.stop())
+    await asyncio.sleep(LAME_DUCK_SECONDS + 0.5)
+    assert not stopping.done(), "the stop ended before the caller had its answer"
+    answer = await caller.read_response()
+    assert answer.status == 200 and answer.complete
+    assert answer.body.count(b"id: ") == 64
+    await stopping
+
+
 def fill(node) -> None:
     """Leave room for small request bodies, and none for reading from workers."""
     node.hold_bytes(account_bytes(SMALL_MEGABYTES), MemoryUse.BUFFERED_RESPONSE)
