Large responses are read when there is room for all of them

Cause: responses that are no streams are buffered completely before they are forwarded. Together they filled the memory account while all were incomplete, so none could be read on, and after a second without progress a connection was closed.

Change: a response of more than 128 KB by its Content-Length reserves room for all of it, in half of the account and in order; its connection is not read until then, so the worker holds the rest. Cancelled requests return their room. A pooled connection whose reading was paused is read again when it becomes idle, so that its end is noticed. Responses without a length reserve nothing, as before.

--- a/src/wheelslip/connections/http_client.py
+++ b/src/wheelslip/connections/http_client.py
@@ -240,6 +240,9 @@
         """Prepare a reusable connection for its next request."""
         self._parser.start_next_cycle()
         self._busy = False
+        # An idle connection is read, so that its end is noticed.
+        self._buffer_full = False
+        self._apply_pauses()
 
     def use_memory(self, memory: ConnectionMemory) -> None:
         """Count the data of the next request and its response, until :meth:`leave_memory`."""
@@ -327,6 +330,11 @@
         self._error = error
         return error
 
+    def pause(self) -> None:
+        """Stop reading from the socket until more data is waited for."""
+        self._buffer_full = True
+        self._apply_pauses()
+
     async def _wait_for_data(self) -> None:
         if self._buffer_full:
             self._buffer_full = False
--- a/src/wheelslip/forwarding/attempt.py
+++ b/src/wheelslip/forwarding/attempt.py
@@ -22,6 +22,7 @@
 from wheelslip.forwarding.metrics import ForwardingMetrics
 from wheelslip.forwarding.stream_continuation import StreamContinuation
 from wheelslip.job import BufferedResponse, Job
+from wheelslip.memory.response_room import SMALL_BYTES
 from wheelslip.registry.answer_notices import ResponseSource
 from wheelslip.registry.interface import RequestDialect
 from wheelslip.registry.registry import Registry
@@ -319,6 +320,16 @@
 
     async def _relay_buffered(
         self, response: h11.Response, metadata: ResponseMetadata
+    ) -> AttemptOutcome:
+        memory = self._caller.memory
+        length = min(_content_length(response), memory.response_limit(MAX_BUFFERED_BYTES))
+        if length > SMALL_BYTES:
+            self._connection.pause()
+        async with memory.response_room(length):
+            return await self._buffer_and_relay(response, metadata)
+
+    async def _buffer_and_relay(
+        self, response: h11.Response, metadata: ResponseMetadata
     ) -> AttemptOutcome:
         body = await self._read_body()
         self._release_connection(metadata)
@@ -419,6 +430,11 @@
             self._job.last_delivered_id = ids[-1]
 
 
+def _content_length(response: h11.Response) -> int:
+    """Return the length of a response's body as its head names it, 0 if it names none."""
+    return next((int(value) for name, value in response.headers if name == b"content-length"), 0)
+
+
 def _ends_with_connection(response: h11.Response) -> bool:
     """Return whether a response has neither a length nor chunks that mark its end."""
     names = {name for name, _ in response.headers}
--- a/src/wheelslip/memory/account.py
+++ b/src/wheelslip/memory/account.py
@@ -35,6 +35,9 @@
 LIGHT_HOLDER_BYTES = 64 * 1024
 """Bytes of responses up to which a holder is light."""
 
+BUFFERED_SHARE = 0.5
+"""Share of the account for responses that are buffered completely. Callers take them afterwards."""
+
 UNTAKEN_SHARE = 0.0625
 """Maximum share of the account that is read ahead for one caller that does not take it."""
 
--- a/src/wheelslip/memory/connection_memory.py
+++ b/src/wheelslip/memory/connection_memory.py
@@ -1,9 +1,11 @@
 """Bytes held for one connection of a caller, and how its request changes them."""
 
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 from wheelslip.memory.account import MemoryAccount, MemoryHolder, MemoryUse
+from wheelslip.memory.response_room import ResponseRoom
 
 
 class CallerHandle(Protocol):
@@ -30,11 +32,13 @@
     """Memory of the node that a connection is part of.
 
     :ivar account: counts the bytes of all connections.
+    :ivar response_room: room for responses that are buffered completely.
     :ivar clock: steady clock in seconds.
     :ivar requests_rejected: number of requests rejected because their bodies did not fit.
     """
 
     account: MemoryAccount
+    response_room: ResponseRoom
     clock: Callable[[], float]
     requests_rejected: int
 
@@ -186,6 +190,10 @@
         self._remove_all(MemoryUse.UNREAD_RESPONSE)
         self._remove_all(MemoryUse.UNSENT_REQUEST)
 
+    def response_room(self, count: int) -> AbstractAsyncContextManager[None]:
+        """Wait for room for a response that is buffered completely; see :class:`ResponseRoom`."""
+        return self._node.response_room.reserve(count)
+
     def response_limit(self, maximum: int) -> int:
         """Return the maximum size of a buffered response."""
         return min(maximum, self._node.account.size // 2)
--- a/src/wheelslip/memory/node_memory.py
+++ b/src/wheelslip/memory/node_memory.py
@@ -10,6 +10,7 @@
 from wheelslip.events import LogBudget, LogEvent
 from wheelslip.memory.account import (
     BODY_USES,
+    BUFFERED_SHARE,
     LIGHT_HOLDER_BYTES,
     READ_BYTES,
     MemoryAccount,
@@ -18,6 +19,7 @@
     choose_closures,
 )
 from wheelslip.memory.connection_memory import CallerHandle, ConnectionMemory, WorkerReader
+from wheelslip.memory.response_room import ResponseRoom
 
 STALLED_SECONDS = 0.25
 """A caller that takes nothing for this time may be closed when others need room. A lost packet is
@@ -41,6 +43,7 @@
     """Account of a node with the connections whose bytes it counts.
 
     :param size: returns the size of the account in bytes.
+    :ivar response_room: room for responses that are buffered completely.
     :ivar slow_readers_closed: connections closed for their memory.
     :ivar requests_rejected: requests rejected because their body did not fit.
     """
@@ -51,6 +54,7 @@
         self.account = MemoryAccount(size())
         self._tight_room = READ_BYTES + self.account.tight_room
         self._is_tight = False
+        self.response_room = ResponseRoom(lambda: int(self.account.size * BUFFERED_SHARE))
         self.slow_readers_closed = 0
         self.requests_rejected = 0
         self._holders: set[ConnectionMemory] = set()
@@ -73,6 +77,8 @@
                 f"memory_{use.name.lower()}_bytes": lambda use=use: float(by_use[use])
                 for use in MemoryUse
             },
+            "memory_reserved_response_bytes": lambda: float(self.response_room.reserved),
+            "responses_waiting_for_memory": lambda: float(self.response_room.waiting),
             "memory_paused_workers": lambda: float(len(self._paused)),
             "slow_readers_closed": lambda: float(self.slow_readers_closed),
             "requests_over_memory": lambda: float(self.requests_rejected),
--- a/standins/bulk_worker.py
+++ b/standins/bulk_worker.py
@@ -5,6 +5,9 @@
 import socket
 
 EVENT_BYTES = 32 * 1024
+PLAIN_BYTES = 1_000_000
+"""Size of the body of a response that is no stream, to a request whose id starts with "bulk"."""
+
 LARGE_BODY_BYTES = 2_000_000
 """Size from which the body of a request is not read at once."""
 
@@ -56,11 +59,13 @@
             f"HTTP/1.1 200 OK\r\nWheelslip-Request-Id: {request_id}\r\n"
             "Wheelslip-Response-Signature: sig\r\nKeep-Alive: timeout=5\r\n"
         ).encode()
+        is_bulk = request_id.startswith("bulk")
         if head.startswith(b"POST /plain/"):
-            writer.write(fields + b"Content-Length: 2\r\n\r\nok")
+            body = b"x" * PLAIN_BYTES if is_bulk else b"ok"
+            writer.write(fields + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+            await writer.drain()
             return
         writer.write(fields + b"Transfer-Encoding: chunked\r\n\r\n")
-        is_bulk = request_id.startswith("bulk")
         count = self.events if is_bulk else 3
         for number in range(1, count + 1):
             event = b"id: %d\ndata: %s\n\n" % (number, b"x" * EVENT_BYTES)
--- a/tests/probe/forwarding/test_slow_readers.py
+++ b/tests/probe/forwarding/test_slow_readers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from standins.bulk_worker import LARGE_BODY_BYTES, BulkWorker
+from standins.bulk_worker import LARGE_BODY_BYTES, PLAIN_BYTES, BulkWorker
 from standins.platform_site import HOST, KEY, Caller, configuration, wait_until
 from standins.platform_worker import PlatformWorker, worker_entry
 from wheelslip.forwarding.shutdown import LAME_DUCK_SECONDS
@@ -96,6 +96,20 @@
     await stopping
 
 
+async def test_large_answers_that_exceed_the_memory_together_are_all_forwarded(site):
+    """Incomplete answers filled the account and waited for each other; connections were closed."""
+    worker, node = await small_site(site)
+    callers = [await site.connect() for _ in range(24)]
+    for number, caller in enumerate(callers):
+        caller.send("/plain/x", f"bulk-{number}")
+    async with BoundWatch(node) as watch:
+        answers = await asyncio.gather(*(caller.read_response() for caller in callers))
+    assert [len(answer.body) for answer in answers] == [PLAIN_BYTES] * 24
+    assert node.gauge("slow_readers_closed") == 0
+    assert watch.highest <= account_bytes(SMALL_MEGABYTES)
+    assert node.gauge("memory_reserved_response_bytes") == 0
+
+
 def fill(node) -> None:
     """Leave room for small request bodies, and none for reading from workers."""
     node.hold_bytes(account_bytes(SMALL_MEGABYTES), MemoryUse.BUFFERED_RESPONSE)
