Test waits until nodes know the registered version before it takes the store away

Cause: streams begin at a version only once a node knows that it is registered; the test took the store away while followers had not polled since. What it checks is unchanged.

--- a/tests/probe/forwarding/test_streams_keep_software_version.py
+++ b/tests/probe/forwarding/test_streams_keep_software_version.py
@@ -117,6 +117,17 @@
     return await continue_streams(streams, nodes)
 
 
+async def wait_until_streams_begin(site: Site, node: str) -> None:
+    """Wait until a node knows that the version of the workers is registered."""
+    async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+        while True:
+            stream = Stream(site)
+            await stream.request(node)
+            if stream.complete:
+                return
+            await asyncio.sleep(0.05)
+
+
 async def continue_streams(streams, nodes) -> list[tuple[Stream, asyncio.Task]]:
     """Send a request for each stream, and wait until all callers have received events."""
     for stream in streams:
@@ -299,6 +310,8 @@
         )
         await site.add_worker(worker, "engines")
     await site.add_relays(ZONES)
+    for node in ZONES:
+        await wait_until_streams_begin(site, node)
     restarted = site.workers["i-0"]
     port = int(restarted.server.address.rpartition(":")[2])
     site.store.error_status = 503
