--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -461,7 +461,8 @@
         """
         if job.retry is not None and not job.retry.send(self._clock()):
             self._metrics.retries_denied[worker.service] += 1
-            raise self._unserved_error(job, "the retry budget is used up")
+            message = "the retry budget is used up"
+            raise WheelslipError(ErrorKind.NO_ENGINE, message, NO_WORKER_RETRY_SECONDS)
 
     async def _leads_to_required_process(
         self, job: Job, assignment: Assignment, connection: HttpConnection
