Connections pause and resume reading in one place each

Two ways of pausing and two of resuming had the same two lines. A connection that becomes idle now resumes only if it was paused, as elsewhere, in place of asking the transport after every response.

--- a/src/wheelslip/connections/http_client.py
+++ b/src/wheelslip/connections/http_client.py
@@ -171,8 +171,7 @@
             return
         self._buffered += len(data)
         if self._buffered > MAX_BUFFERED_BYTES:
-            self._buffer_full = True
-            self._apply_pauses()
+            self.pause()
         if self.memory is not None:
             self.memory.add_unread(self, len(data))
         self._feed(data)
@@ -241,8 +240,7 @@
         self._parser.start_next_cycle()
         self._busy = False
         # An idle connection is read, so that its end is noticed.
-        self._buffer_full = False
-        self._apply_pauses()
+        self._resume()
 
     def use_memory(self, memory: ConnectionMemory) -> None:
         """Count the data of the next request and its response, until :meth:`leave_memory`."""
@@ -335,10 +333,13 @@
         self._buffer_full = True
         self._apply_pauses()
 
-    async def _wait_for_data(self) -> None:
+    def _resume(self) -> None:
         if self._buffer_full:
             self._buffer_full = False
             self._apply_pauses()
+
+    async def _wait_for_data(self) -> None:
+        self._resume()
         self._buffered = 0
         if self.memory is not None:
             self.memory.clear_unread()
