Crash ledger asks for other losses at a worker in one place; soak parts take the record from the world

_has_other_cause repeated the loop of _has_other_suspects over what else was lost at an incarnation; both use _others_lost_at. HeadCuts and RetryFaults had the record beside the world that holds it. Two docstrings said 'most workers' where some lose power.

--- a/bench/forwarding/heads.py
+++ b/bench/forwarding/heads.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 
-from bench.forwarding.record import Component, Record
+from bench.forwarding.record import Component
 from bench.forwarding.series import FaultFunction, draw_workers, inject_in_series
 from bench.forwarding.world import World
 from standins.asyncio_http import HeadCut
@@ -28,9 +28,9 @@
     :ivar counts: number of faults by kind.
     """
 
-    def __init__(self, world: World, record: Record, rng: random.Random):
+    def __init__(self, world: World, rng: random.Random):
         self._world = world
-        self._record = record
+        self._record = world.record
         self._rng = rng
         self.counts: Counter[str] = Counter()
 
--- a/bench/forwarding/retries.py
+++ b/bench/forwarding/retries.py
@@ -10,7 +10,7 @@
 from collections import Counter
 
 from bench.forwarding.callers import Callers
-from bench.forwarding.record import Component, Record
+from bench.forwarding.record import Component
 from bench.forwarding.series import FaultFunction, inject_in_series
 from bench.forwarding.world import SERVICES, World
 from standins.platform_worker import WorkerFaults
@@ -38,10 +38,10 @@
     :ivar counts: number of faults by kind.
     """
 
-    def __init__(self, world: World, callers: Callers, record: Record, rng: random.Random):
+    def __init__(self, world: World, callers: Callers, rng: random.Random):
         self._world = world
         self._callers = callers
-        self._record = record
+        self._record = world.record
         self._rng = rng
         self.counts: Counter[str] = Counter()
 
--- a/bench/forwarding/soak.py
+++ b/bench/forwarding/soak.py
@@ -78,7 +78,7 @@
     :ivar paths: whether nodes lose their paths to workers, and the store returns from older copies.
     :ivar versions: whether workers of several software versions serve.
     :ivar crowds: whether most new connections go to one node from time to time.
-    :ivar power: whether all nodes and most workers lose power at the same moment after the other faults,
+    :ivar power: whether all nodes and some workers lose power at the same moment after the other faults,
         just after a change of the configuration.
     :ivar ends: whether all nodes end from time to time while software versions change; implies
         ``versions``.
@@ -175,13 +175,9 @@
             EndlessWorkers(self.world, self.record, garbage_rng) if options.garbage else None
         )
         head_rng = random.Random(f"{seed} heads")
-        self.heads = HeadCuts(self.world, self.record, head_rng) if options.heads else None
+        self.heads = HeadCuts(self.world, head_rng) if options.heads else None
         retry_rng = random.Random(f"{seed} retries")
-        self.retries = (
-            RetryFaults(self.world, self.callers, self.record, retry_rng)
-            if options.retries
-            else None
-        )
+        self.retries = RetryFaults(self.world, self.callers, retry_rng) if options.retries else None
         crowd_rng = random.Random(f"{seed} crowds")
         self.crowds = Crowds(self.world, self.callers, crowd_rng) if options.crowds else None
         self._power = options.power
--- a/bench/forwarding/world.py
+++ b/bench/forwarding/world.py
@@ -305,7 +305,7 @@
         await asyncio.gather(*(self.end_and_restart(name, signal.SIGKILL) for name in self.nodes))
 
     async def lose_power(self, rng: random.Random) -> None:
-        """Kill all nodes and most workers at the same moment and start them again.
+        """Kill all nodes and some workers at the same moment and start them again.
 
         Just before, the API key is replaced, a node is suspended and another one is told to stop.
         """
--- a/src/wheelslip/crashes/ledger.py
+++ b/src/wheelslip/crashes/ledger.py
@@ -193,17 +193,18 @@
 
     def _has_other_suspects(self, fingerprint: str, incarnation: Incarnation) -> bool:
         """Return whether another fingerprint has an uncleared crash at the same incarnation."""
-        others = self._fingerprints.get(incarnation, set()) - {fingerprint}
-        return any(incarnation in self._uncleared(other) for other in others)
+        return bool(self._others_lost_at(fingerprint, incarnation))
 
     def _has_other_cause(self, fingerprint: str, incarnation: Incarnation) -> bool:
         """Return whether something lost at a crash was also lost in crashes without a fingerprint."""
         own = self._uncleared(fingerprint).keys()
-        for other in self._fingerprints.get(incarnation, set()) - {fingerprint}:
-            crashes = self._uncleared(other).keys()
-            if incarnation in crashes and not crashes <= own:
-                return True
-        return False
+        others = self._others_lost_at(fingerprint, incarnation)
+        return any(not self._uncleared(other).keys() <= own for other in others)
+
+    def _others_lost_at(self, fingerprint: str, incarnation: Incarnation) -> list[str]:
+        """Return the other fingerprints with an uncleared crash at an incarnation."""
+        others = self._fingerprints.get(incarnation, set()) - {fingerprint}
+        return [other for other in others if incarnation in self._uncleared(other)]
 
     def refused_seconds(
         self, fingerprint: str, explained: frozenset[Incarnation] = frozenset()
