--- a/standins/partitions.py
+++ b/standins/partitions.py
@@ -1,8 +1,9 @@
-"""Network partitions between nodes and workers of a site whose processes share one event loop.
+"""Network partitions between nodes and the peers of a site whose processes share one event loop.
 
 The tasks and sockets of a node run in a context in which :data:`CURRENT_NODE` is its name. The
-links that a node opens to workers pass through :class:`_Link`, which withholds data in both
-directions during a partition and ends the connection when the kernel would.
+links that a node opens to workers, or to other peers, pass through :class:`_Link`, which withholds
+data in both directions during a partition and ends the connection when the kernel would. Datagrams
+to a peer from which the node is cut are lost.
 """
 
 import asyncio
@@ -127,7 +128,7 @@
         self._transport.abort()
 
 
-class _LinkProtocol(asyncio.BufferedProtocol):
+class _LinkCallbacks(asyncio.BaseProtocol):
     """Passes the callbacks of the real transport to the node's protocol."""
 
     def __init__(self, link: _Link, on_closed: Callable[[_Link], None]):
@@ -139,12 +140,6 @@
         self._link._transport = transport
         self._inner.connection_made(self._link)
 
-    def get_buffer(self, sizehint):
-        return self._inner.get_buffer(sizehint)
-
-    def buffer_updated(self, count) -> None:
-        self._inner.buffer_updated(count)
-
     def eof_received(self):
         return self._inner.eof_received()
 
@@ -161,30 +156,66 @@
             self._inner.connection_lost(exc)
 
 
+class _BufferedLinkProtocol(_LinkCallbacks, asyncio.BufferedProtocol):
+    def get_buffer(self, sizehint):
+        return self._inner.get_buffer(sizehint)
+
+    def buffer_updated(self, count) -> None:
+        self._inner.buffer_updated(count)
+
+
+class _DataLinkProtocol(_LinkCallbacks, asyncio.Protocol):
+    def data_received(self, data) -> None:
+        self._inner.data_received(data)
+
+
+def _link_protocol(link: _Link, on_closed: Callable[[_Link], None]) -> _LinkCallbacks:
+    """Return a protocol of the same kind as the node's, which determines how data is received."""
+    is_buffered = isinstance(link._protocol, asyncio.BufferedProtocol)
+    return (_BufferedLinkProtocol if is_buffered else _DataLinkProtocol)(link, on_closed)
+
+
+class _LossyDatagrams:
+    """Datagram transport of a node, which loses what is sent across a cut."""
+
+    def __init__(self, transport: asyncio.DatagramTransport, is_cut: Callable[[str], bool]):
+        self._transport = transport
+        self._is_cut = is_cut
+
+    def sendto(self, data, addr=None) -> None:
+        if not self._is_cut(f"{addr[0]}:{addr[1]}"):
+            self._transport.sendto(data, addr)
+
+    def __getattr__(self, name: str):
+        return getattr(self._transport, name)
+
+
 class Partitions:
-    """Cuts between nodes and workers; patches the running event loop.
+    """Cuts between nodes and peers; patches the running event loop.
 
-    :param worker_addresses: returns the addresses of all workers.
+    :param peer_addresses: returns the addresses of all peers that nodes can be cut from.
     """
 
-    def __init__(self, worker_addresses: Callable[[], set[str]]):
-        self._worker_addresses = worker_addresses
+    def __init__(self, peer_addresses: Callable[[], set[str]]):
+        self._peer_addresses = peer_addresses
         self._cuts: dict[tuple[str, str], Cut] = {}
         self._links: dict[str, set[_Link]] = {}
         self._loop = asyncio.get_running_loop()
         self._create_connection = self._loop.create_connection
         self._loop.create_connection = self._connect
+        self._create_datagram_endpoint = self._loop.create_datagram_endpoint
+        self._loop.create_datagram_endpoint = self._open_datagrams
 
-    def cut(self, node: str, how: Cut, workers: set[str] | None = None) -> None:
-        """Cut a node from workers.
+    def cut(self, node: str, how: Cut, peers: set[str] | None = None) -> None:
+        """Cut a node from peers.
 
-        :param workers: their addresses; ``None`` for all.
+        :param peers: their addresses; ``None`` for all.
         """
-        workers = workers or self._worker_addresses()
-        for address in workers:
+        peers = peers or self._peer_addresses()
+        for address in peers:
             self._cuts[node, address] = how
         for link in list(self._links.get(node, ())):
-            if link.address in workers:
+            if link.address in peers:
                 if how is Cut.HANG:
                     link.hang()
                 elif how in (Cut.RESET, Cut.REFUSE):
@@ -198,7 +229,7 @@
 
     async def _connect(self, factory, host=None, port=None, **options):
         node, address = CURRENT_NODE.get(), f"{host}:{port}"
-        if not node or address not in self._worker_addresses():
+        if not node or address not in self._peer_addresses():
             return await self._create_connection(factory, host, port, **options)
         match self._cuts.get((node, address)):
             case Cut.HANG:
@@ -211,11 +242,19 @@
         link = _Link(protocol, address)
         links = self._links.setdefault(node, set())
         await self._create_connection(
-            lambda: _LinkProtocol(link, links.discard), host, port, **options
+            lambda: _link_protocol(link, links.discard), host, port, **options
         )
         links.add(link)
         return link, protocol
 
+    async def _open_datagrams(self, factory, **options):
+        node = CURRENT_NODE.get()
+        transport, protocol = await self._create_datagram_endpoint(factory, **options)
+        if node:
+            lossy = _LossyDatagrams(transport, lambda address: (node, address) in self._cuts)
+            protocol.connection_made(lossy)
+        return transport, protocol
+
     async def _wait_until_healed(self, node: str, address: str) -> None:
         while self._cuts.get((node, address)) is Cut.HANG:
             await asyncio.sleep(0.05)
