A node that cannot read the store infers a stream's version only from a current view

What callers saw: streams that had begun at a new software version went on at a worker of the old one, where two nodes had been cut off together while the new version joined (ORDER).

Cause: a node that finds no record of a stream and cannot read the store took the only version that its view and the nodes that reply know. Nodes that are cut off together reply to each other with views of before. One node alone gets no reply and refuses, which is why a cut of one node never showed it.

Change: the inference needs a view that the store has confirmed after the request arrived. A stream begins at a version only after that is registered, so such a view names every version at which the stream can have begun. In an outage of the store for all, streams whose node has ended are refused (503 stream_version_unknown) in place of being taken for the only known version.

The case of the unit test that expected the inference from any view is split in two: a view confirmed since, and one of before, which is refused and failed on the code before.

--- a/src/wheelslip/streams/version_link.py
+++ b/src/wheelslip/streams/version_link.py
@@ -303,6 +303,7 @@
         :param services: services of the route, the one that is about to continue the stream first.
         :return: ``None`` if several versions are in use and the origin is not known.
         """
+        asked_at = self._clock()
         recorded = KnownOrigin.of(self.records.find(key) if key else None, "record")
         if recorded is not None and recorded.verified:
             return recorded
@@ -322,9 +323,8 @@
         if known is not None:
             return known
         self.unknown += 1
-        if registered is None and query.replied and not query.versions_differ:
-            sole = self._sole_version(services)
-            return KnownOrigin(StreamOrigin(services[0], sole), "sole") if sole else None
+        if registered is None and not query.versions_differ:
+            return self._sole_origin(services, asked_at)
         return base
 
     async def _read_store(
@@ -339,9 +339,20 @@
             return None, None
         return registered, KnownOrigin.of(saved, "store")
 
-    def _sole_version(self, services: Sequence[str]) -> str:
+    def _sole_origin(self, services: Sequence[str], asked_at: float) -> KnownOrigin | None:
+        """Return the origin of an unknown stream if only one version can have begun it.
+
+        Another version may have joined since the view was current, and the nodes that reply may be
+        cut off together with this one.
+
+        :param asked_at: time at which the stream had begun already.
+        """
+        if not self.register.is_current_since(asked_at):
+            return None
         registered = self.register.registered(services)
-        return "" if registered.differ else registered.base
+        if registered.differ or not registered.base:
+            return None
+        return KnownOrigin(StreamOrigin(services[0], registered.base), "sole")
 
     def _may_ask(self, key: str) -> bool:
         return key in self._queries or not self._budget.acquire(1.0, self._clock())
--- a/src/wheelslip/streams/version_register.py
+++ b/src/wheelslip/streams/version_register.py
@@ -169,6 +169,11 @@
         unavailable_at = max(health.interrupted_at, health.failed_sent_at)
         return self._clock() - unavailable_at < RETENTION_SECONDS
 
+    def is_current_since(self, moment: float) -> bool:
+        """Return whether the view contains all that was registered until a moment."""
+        confirmed_at = self._registry.health.confirmed_at
+        return confirmed_at is not None and confirmed_at >= moment
+
     def in_use(self, service: str, version: str) -> bool:
         """Return whether a worker of a version is in the view."""
         return version in self._registry.view.software_versions(service)
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -69,7 +69,12 @@
 
 
 class Register:
-    """Registered versions; the store is away unless ``store_versions`` is set."""
+    """Registered versions; the store is away unless ``store_versions`` is set.
+
+    :ivar confirmed_at: time at which they were current.
+    """
+
+    confirmed_at = float("-inf")
 
     def __init__(self, versions, store_versions=None):
         self._versions = _registered(versions)
@@ -81,6 +86,9 @@
     def may_miss_records(self):
         return False
 
+    def is_current_since(self, moment):
+        return self.confirmed_at >= moment
+
     async def read(self, services):
         if self._store_versions is None:
             raise KeyValueUnavailable("away")
@@ -195,21 +203,23 @@
 
 
 @pytest.mark.parametrize(
-    ("versions", "peer_versions", "expected"),
+    ("versions", "peer_versions", "confirmed_after", "expected"),
     [
-        (("v1",), ("v1",), V1),
-        (("v1",), ("v1", "v2"), None),
-        (("v1", "v2"), ("v1", "v2"), None),
-        (("v1",), None, None),
+        (("v1",), ("v1",), 0.5, V1),
+        (("v1",), ("v1",), -0.5, None),
+        (("v1",), ("v1", "v2"), 0.5, None),
+        (("v1", "v2"), ("v1", "v2"), 0.5, None),
+        (("v1",), None, -0.5, None),
     ],
-    ids=["one version", "peer has seen two", "two versions", "no peer replies"],
+    ids=["one version", "views of before", "peer has seen two", "two versions", "no peer replies"],
 )
 def test_started_node_without_record_continues_only_where_one_version_is_in_use(
-    versions, peer_versions, expected
+    versions, peer_versions, confirmed_after, expected
 ):
     async def play():
-        network = Network()
-        asker = make_link(network, "a", ("a", "b"), versions=versions)
+        network, clock = Network(), Clock()
+        asker = make_link(network, "a", ("a", "b"), versions=versions, clock=clock)
+        asker.register.confirmed_at = clock.now + confirmed_after
         if peer_versions:
             make_link(network, "b", ("a", "b"), versions=peer_versions)
         assert await origin_of(asker, "k") == expected
