Documents of other processes are decoded in one place, with bounds of size and depth

Cause: the decoder raises RecursionError where a deep value stands in a field that the type does not name. It is no MsgspecError, which is what most readers expect, and comes at a depth that depends on the stack of the caller.

Change: documents.decode_document checks size and depth (64 levels) before it decodes, and raises one error, DocumentError, of which FrameError is a kind. All readers of the store, entries, reports, datagrams, polls, tunnels, engines and operators' documents use it. Refused datagrams are counted in a gauge and logged. Values of the change feed are decompressed up to a bound.

Evidence: test_documents.py; depths of 64, 1,000 and 60,000 in named and unnamed fields.

--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -242,6 +242,10 @@
         return worker_id_of(self.id)
 
 
+MAX_REASON_CHARACTERS = 160
+"""Length to which the reason for refusing a document is truncated; it may quote the document."""
+
+
 class UnusableEntry(NamedTuple):
     """A registry entry that cannot be decoded or is invalid.
 
@@ -252,6 +256,11 @@
     field: str
     reason: str
 
+    @classmethod
+    def of(cls, key: str, reason: str, field: str = "") -> "UnusableEntry":
+        """Return an entry whose reason is truncated."""
+        return cls(key, field, reason[:MAX_REASON_CHARACTERS])
+
 
 @dataclass
 class Worker:
--- a/src/wheelslip/engines/client.py
+++ b/src/wheelslip/engines/client.py
@@ -14,6 +14,7 @@
 import msgspec
 import urllib3
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.routing.model import EngineInfo, EngineState
 
 _STREAM_PATH = "/v1/streams/"
@@ -223,8 +224,8 @@
         """
         response = self._post(engine, "/tombstone", {"request_id": attempt_id})
         try:
-            reply = msgspec.json.decode(response.data, type=_TombstoneResponse)
-        except msgspec.MsgspecError as error:
+            reply = decode_document(response.data, _TombstoneResponse)
+        except DocumentError as error:
             raise EngineStreamLost(f"tombstone response: {error}") from error
         if response.headers.get("X-Engine-Incarnation") != engine.incarnation:
             raise EngineRefused(PRECONDITION_FAILED, "engine has another incarnation")
@@ -254,8 +255,8 @@
         url = f"http://{address}/status"
         try:
             response = self._pool.request("GET", url, timeout=self._control_timeout)
-            return msgspec.json.decode(response.data, type=EngineStatus)
-        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+            return decode_document(response.data, EngineStatus)
+        except (urllib3.exceptions.HTTPError, OSError, DocumentError) as error:
             raise EngineUnreachable(f"status: {error}") from error
 
     def _post(self, engine: EngineInfo, path: str, document: dict) -> urllib3.BaseHTTPResponse:
--- a/src/wheelslip/engines/directory.py
+++ b/src/wheelslip/engines/directory.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wheelslip.documents import decode_document
 from wheelslip.engines.client import EngineClient, EngineError
 from wheelslip.events import LogEvent, log_event
 from wheelslip.machines.client import (
@@ -200,7 +201,7 @@
     def apply_record(self, record: Record) -> None:
         """Apply a replicated record; records of other kinds are ignored."""
         if record.key.startswith(ENGINE_KEY_PREFIX):
-            engine_record = msgspec.json.decode(record.value, type=EngineRecord)
+            engine_record = decode_document(record.value, EngineRecord)
             self._mailbox.put(
                 _RecordReceived(record.key.removeprefix(ENGINE_KEY_PREFIX), engine_record)
             )
--- a/src/wheelslip/forwarding/feed.py
+++ b/src/wheelslip/forwarding/feed.py
@@ -13,12 +13,14 @@
 from typing import NamedTuple
 
 from wheelslip.connections.http_client import set_liveness_options
+from wheelslip.documents import DocumentError, decode_document
+from wheelslip.events import LogEvent, log_event
 from wheelslip.keyvalue.model import WatchCompacted
 from wheelslip.registry.entry_log import EntryChange
 from wheelslip.registry.registry import Registry
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
 from wheelslip.tunnels.messages import is_tunnel_message
-from wheelslip.wire import FrameError, decode_payload, encode_frame, split_frame
+from wheelslip.wire import FrameError, encode_frame, split_frame
 
 WAIT_SECONDS_PER_FOLLOWER = 0.008
 MIN_WAIT_SECONDS = 0.1
@@ -108,7 +110,8 @@
                 if payload is None:
                     return
                 self.frame_received(payload)
-        except FrameError:
+        except DocumentError as exc:
+            log_event(LogEvent.PEER_MESSAGE_REFUSED, reason=str(exc))
             self.close()
 
     def frame_received(self, payload: bytes) -> None:
@@ -148,7 +151,7 @@
         if self._server.accept_tunnel is not None and is_tunnel_message(payload):
             self._hand_over(payload)
             return
-        poll = decode_payload(payload, FeedPoll)
+        poll = decode_document(payload, FeedPoll)
         if self._response_task is not None and not self._response_task.done():
             raise FrameError("poll received before the previous one was answered")
         loop = asyncio.get_running_loop()
@@ -293,8 +296,8 @@
         self.transport.write(encode_frame(poll))
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
-                return decode_payload(await self._fut, FeedBatch)
-        except (TimeoutError, FrameError) as exc:
+                return decode_document(await self._fut, FeedBatch)
+        except (TimeoutError, DocumentError) as exc:
             raise FeedUnavailable(repr(exc)) from exc
 
 
--- a/src/wheelslip/keyvalue/claims.py
+++ b/src/wheelslip/keyvalue/claims.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.events import LogEvent, log_event
 from wheelslip.keyvalue.client import KeyValueClient
 from wheelslip.keyvalue.model import (
@@ -244,4 +245,11 @@
 
 
 def _decode_claim(key: str, value: bytes, mod_revision: int) -> StoredClaim:
-    return StoredClaim(key, msgspec.json.decode(value, type=ClaimRecord), mod_revision)
+    """Return a stored claim.
+
+    :raises ClaimStoreUnavailable: if it cannot be decoded.
+    """
+    try:
+        return StoredClaim(key, decode_document(value, ClaimRecord), mod_revision)
+    except DocumentError as error:
+        raise ClaimStoreUnavailable(f"{key}: {error}") from error
--- a/src/wheelslip/keyvalue/client.py
+++ b/src/wheelslip/keyvalue/client.py
@@ -6,11 +6,11 @@
 """
 
 import base64
-import json
 from collections.abc import Iterator
 
 import urllib3
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.keyvalue.model import (
     Delete,
     KeyValue,
@@ -29,6 +29,9 @@
 _WATCH_PATH = "/v3/watch"
 _STATUS_RATE_LIMITED = 429
 
+_INVALID_RESPONSE = (ValueError, LookupError, TypeError, AttributeError)
+"""Errors of reading fields of a decoded response."""
+
 
 def _encode(data: str | bytes) -> str:
     raw = data.encode() if isinstance(data, str) else data
@@ -131,8 +134,8 @@
         response = self._send(_WATCH_PATH, {"create_request": request}, stream=True)
         try:
             for line in _lines(response):
-                yield _watch_batch(json.loads(line)["result"])
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+                yield _watch_batch(decode_document(line, dict)["result"])
+        except (urllib3.exceptions.HTTPError, OSError, *_INVALID_RESPONSE) as error:
             raise KeyValueUnavailable(f"watch ended: {error}") from error
         finally:
             response.close()
@@ -143,18 +146,18 @@
             response = self._post(_RANGE_PATH, request)
         except KeyValueOutcomeUnknown as error:
             raise KeyValueUnavailable(str(error)) from error
-        entries = tuple(_key_value(document) for document in response.get("kvs", []))
-        return RangeResult(int(response["header"]["revision"]), entries)
+        try:
+            entries = tuple(_key_value(document) for document in response.get("kvs", []))
+            return RangeResult(int(response["header"]["revision"]), entries)
+        except _INVALID_RESPONSE as error:
+            raise KeyValueUnavailable(f"{_RANGE_PATH}: invalid response: {error!r}") from error
 
     def _post(self, path: str, request: dict) -> dict:
         response = self._send(path, request, stream=False)
         try:
-            document = json.loads(response.data)
-        except ValueError as error:
-            raise KeyValueOutcomeUnknown(f"{path}: response is not JSON") from error
-        if not isinstance(document, dict):
-            raise KeyValueOutcomeUnknown(f"{path}: response is not a JSON object")
-        return document
+            return decode_document(response.data, dict)
+        except DocumentError as error:
+            raise KeyValueOutcomeUnknown(f"{path}: {error}") from error
 
     def _send(self, path: str, request: dict, stream: bool) -> urllib3.BaseHTTPResponse:
         try:
--- a/src/wheelslip/machines/client.py
+++ b/src/wheelslip/machines/client.py
@@ -5,6 +5,8 @@
 import msgspec
 import urllib3
 
+from wheelslip.documents import DocumentError, decode_document
+
 _NOT_MODIFIED = 304
 
 
@@ -62,8 +64,8 @@
                 return self._machines
             if response.status != 200:
                 raise MachineListUnavailable(f"status {response.status}")
-            self._machines = msgspec.json.decode(response.data, type=_MachineList).machines
-        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+            self._machines = decode_document(response.data, _MachineList).machines
+        except (urllib3.exceptions.HTTPError, OSError, DocumentError) as error:
             raise MachineListUnavailable(str(error)) from error
         self._etag = response.headers.get("ETag", "")
         return self._machines
--- a/src/wheelslip/operators/store.py
+++ b/src/wheelslip/operators/store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.events import LogEvent, log_event
 from wheelslip.keyvalue.client import KeyValueClient
 from wheelslip.keyvalue.model import (
@@ -111,7 +112,7 @@
         }
         for entry in entries:
             if entry.key == HEAD_KEY:
-                head = msgspec.json.decode(entry.value, type=Head)
+                head = _decode_head(entry.value)
                 return ConfigurationState(entry.mod_revision, head.change_id, objects)
         return ConfigurationState()
 
@@ -123,7 +124,7 @@
         current = self._client.get(HEAD_KEY)
         if current is None:
             return False
-        return msgspec.json.decode(current.value, type=Head).accepted(change_id)
+        return _decode_head(current.value).accepted(change_id)
 
     def write(
         self, expected: int, change_id: str, objects: dict[str, str | None], deadline: float
@@ -172,7 +173,7 @@
         self, expected: int, change_id: str, objects: dict[str, str | None]
     ) -> WriteResult:
         current = self._client.get(HEAD_KEY)
-        head = msgspec.json.decode(current.value, type=Head) if current else None
+        head = _decode_head(current.value) if current else None
         revision = current.mod_revision if current else 0
         if head is not None and head.accepted(change_id):
             return self._already_accepted(head, revision, change_id, objects)
@@ -199,6 +200,17 @@
         return WriteResult(WriteOutcome.ACCEPTED, None, head.change_id, revision, own_revision)
 
 
+def _decode_head(value: bytes) -> Head:
+    """Return the stored head.
+
+    :raises KeyValueUnavailable: if it cannot be decoded.
+    """
+    try:
+        return decode_document(value, Head)
+    except DocumentError as error:
+        raise KeyValueUnavailable(f"{HEAD_KEY}: {error}") from error
+
+
 def _operations(
     head: Head | None, expected: int, change_id: str, objects: dict[str, str | None]
 ) -> tuple[Put | Delete, ...]:
@@ -231,7 +243,7 @@
         head_value = values.pop(HEAD_KEY, None)
         if head_value is None:
             raise RevisionGap(f"revision {revision} wrote objects without the head")
-        head = msgspec.json.decode(head_value, type=Head)
+        head = _decode_head(head_value)
         objects = {
             key.removeprefix(OBJECT_PREFIX): None if value is None else value.decode()
             for key, value in values.items()
--- a/src/wheelslip/operators/task.py
+++ b/src/wheelslip/operators/task.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
 from wheelslip.events import LogEvent, log_event
 from wheelslip.keyvalue.model import KeyValueError
 from wheelslip.operators.configuration import (
@@ -297,7 +295,7 @@
 
     def _boot_from_store(self, results: queue.SimpleQueue) -> None:
         state = None
-        with contextlib.suppress(KeyValueError, msgspec.MsgspecError):
+        with contextlib.suppress(KeyValueError):
             state = self._store.read()
         results.put(_BootState(True, state))
 
--- a/src/wheelslip/peers/connection.py
+++ b/src/wheelslip/peers/connection.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.events import LogEvent, log_event
 from wheelslip.peers.messages import PeerReply, PeerRequest
 from wheelslip.settings import Address
-from wheelslip.wire import FrameError, decode_payload, encode_frame, read_payload
+from wheelslip.wire import encode_frame, read_payload
 
 _ACCEPT_POLL_SECONDS = 0.5
 _SERVE_TIMEOUT_SECONDS = 2.0
@@ -64,8 +65,8 @@
                 self._traffic.count_sent(len(frame))
                 payload = read_payload(connection)
                 self._traffic.count_received(len(payload))
-                return decode_payload(payload, PeerReply)
-        except (OSError, FrameError) as error:
+                return decode_document(payload, PeerReply)
+        except (OSError, DocumentError) as error:
             raise PeerUnreachable(f"{address}: {error}") from error
 
 
@@ -113,8 +114,8 @@
             connection.settimeout(_SERVE_TIMEOUT_SECONDS)
             try:
                 payload = read_payload(connection)
-                request = decode_payload(payload, PeerRequest)
-            except FrameError as error:
+                request = decode_document(payload, PeerRequest)
+            except DocumentError as error:
                 log_event(LogEvent.PEER_MESSAGE_REFUSED, reason=str(error))
                 return
             self._traffic.count_received(len(payload))
--- a/src/wheelslip/peers/datagrams.py
+++ b/src/wheelslip/peers/datagrams.py
@@ -6,13 +6,16 @@
 
 import asyncio
 import functools
+import time
 from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
 import msgspec
 
+from wheelslip.documents import DocumentError, decode_document
+from wheelslip.events import LogBudget, LogEvent
 from wheelslip.settings import Address
-from wheelslip.wire import FrameError, decode_frame, encode_frame
+from wheelslip.wire import decode_frame, encode_frame
 
 MessageT = TypeVar("MessageT")
 
@@ -20,6 +23,9 @@
 """Maximum number of parsed addresses in the cache; a few times the 380 nodes of the largest deployment
 planned for."""
 
+REFUSAL_LOGS_PER_SECOND = 1.0
+"""Average rate of log lines about invalid datagrams."""
+
 
 @functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def _parse_address(address: str) -> tuple[str, int] | None:
@@ -51,6 +57,7 @@
     def __init__(self):
         self._transport: asyncio.DatagramTransport | None = None
         self._receivers: dict[str, _Receiver] = {}
+        self._log = LogBudget(REFUSAL_LOGS_PER_SECOND, time.monotonic)
         self.bytes_sent = 0
         self.refused = 0
         self.misaddressed = 0
@@ -69,13 +76,15 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Pass a message to its handler; invalid datagrams are counted and dropped."""
+        """Pass a message to its handler; invalid datagrams are counted, logged and dropped."""
         try:
             envelope = decode_frame(data, _Envelope)
             receiver = self._receivers[envelope.kind]
-            message = msgspec.json.decode(envelope.content, type=receiver.message_type)
-        except (FrameError, KeyError, msgspec.MsgspecError):
+            message = decode_document(envelope.content, receiver.message_type)
+        except (DocumentError, KeyError) as exc:
             self.refused += 1
+            sender = f"{addr[0]}:{addr[1]}"
+            self._log.log(LogEvent.PEER_MESSAGE_REFUSED, peer=sender, reason=str(exc))
             return
         receiver.handle(message, f"{addr[0]}:{addr[1]}")
 
@@ -115,6 +124,7 @@
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Return the gauges by name."""
         return {
+            "datagrams_refused": lambda: float(self.refused),
             "datagrams_misaddressed": lambda: float(self.misaddressed),
             "datagram_bytes_sent": lambda: float(self.bytes_sent),
         }
--- a/src/wheelslip/peers/membership.py
+++ b/src/wheelslip/peers/membership.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from wheelslip.documents import decode_document
 from wheelslip.peers.member_record import MEMBER_PREFIX, incarnation_of, member_record
 from wheelslip.peers.membership_effects import (
     Effect,
@@ -341,7 +342,7 @@
     def _record_changed(self, record: Record, now: float) -> list[Effect]:
         if not record.key.startswith(MEMBER_PREFIX):
             return [RecordChanged(record)]
-        member = msgspec.json.decode(record.value, type=MemberInfo)
+        member = decode_document(record.value, MemberInfo)
         previous = self._members.get(member.name)
         self._members[member.name] = member
         self._suspected_at.pop(member.name, None)
--- a/src/wheelslip/peers/task.py
+++ b/src/wheelslip/peers/task.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
+from wheelslip.documents import DocumentError
 from wheelslip.events import LogEvent, log_event
 from wheelslip.peers.connection import PeerCaller, PeerUnreachable, TrafficCounts
 from wheelslip.peers.membership import Membership, MembershipOptions
@@ -35,7 +34,7 @@
     SyncRequest,
 )
 from wheelslip.settings import Address
-from wheelslip.wire import FrameError, decode_frame, encode_frame
+from wheelslip.wire import decode_frame, encode_frame
 
 _TICK_SECONDS = 0.1
 _SYNC_TIMEOUT_SECONDS = 1.0
@@ -196,7 +195,7 @@
             self.traffic.count_received(len(frame))
             try:
                 self._dispatch_datagram(decode_frame(frame, Datagram))
-            except (FrameError, msgspec.MsgspecError) as error:
+            except DocumentError as error:
                 log_event(LogEvent.PEER_MESSAGE_REFUSED, reason=str(error))
 
     def _dispatch_datagram(self, message: Datagram) -> None:
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -22,6 +22,7 @@
     WorkerState,
     incarnation_of,
 )
+from wheelslip.documents import decode_document
 from wheelslip.settings import Address
 
 CONFIGURATION_KEY = "op/config"
@@ -38,9 +39,6 @@
 }
 
 
-MAX_REASON_CHARACTERS = 160
-"""Length to which the reason for rejecting a document is truncated; it may quote the document."""
-
 _MISSING_FIELD_PATTERN = re.compile(r"missing required field `([^`]+)`")
 _FIELD_PATH_PATTERN = re.compile(r"at `\$\.([^`]+)`")
 
@@ -114,7 +112,9 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-class _ModelWeights(msgspec.Struct):
+class ModelWeights(msgspec.Struct):
+    """Version of a model's weights, as entries and reports name it."""
+
     name: str
     version: int = 1
 
@@ -129,7 +129,7 @@
     state: Literal["ready", "draining"]
     cold_left_ms: float
     sequence: int
-    model_ids: list[_ModelWeights] = []
+    model_ids: list[ModelWeights] = []
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
@@ -154,13 +154,13 @@
         """Return the record of `op/config`, `op/version/MODEL` or `servers/ID`, else ``None``."""
         try:
             if key == CONFIGURATION_KEY:
-                return _configuration(msgspec.json.decode(value, type=_Configuration))
+                return _configuration(decode_document(value, _Configuration))
             if key.startswith(WEIGHTS_PREFIX):
-                named = msgspec.json.decode(value, type=_NamedVersion)
+                named = decode_document(value, _NamedVersion)
                 return DesiredWeights(named.model_id, named.version)
             if key.startswith(WORKER_PREFIX):
                 return self._decode_worker(key, value)
-        except (ValueError, KeyError, RecursionError) as error:
+        except (ValueError, KeyError) as error:
             return _unusable_entry(key, str(error))
         return None
 
@@ -168,18 +168,18 @@
         worker_id = self.worker_id(key)
         if worker_id is None:
             return _unusable_entry(key, "key without a valid worker id")
-        document = msgspec.json.decode(value, type=_Worker)
+        document = decode_document(value, _Worker)
         try:
             Address.parse(document.address)
         except ValueError as error:
-            return UnusableEntry(key, "address", str(error)[:MAX_REASON_CHARACTERS])
+            return UnusableEntry.of(key, str(error), "address")
         return _worker_info(worker_id, document)
 
 
 def _unusable_entry(key: str, reason: str) -> UnusableEntry:
     """Return the record of a document that cannot be decoded, with the field that is invalid."""
     match = _MISSING_FIELD_PATTERN.search(reason) or _FIELD_PATH_PATTERN.search(reason)
-    return UnusableEntry(key, match[1] if match else "", reason[:MAX_REASON_CHARACTERS])
+    return UnusableEntry.of(key, reason, match[1] if match else "")
 
 
 def _worker_info(worker_id: str, document: _Worker) -> WorkerInfo:
--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -15,6 +15,7 @@
     read_response,
 )
 from wheelslip.deployment import Headers
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.keyvalue.model import (
     Delete,
     KeyValue,
@@ -222,8 +223,8 @@
 
 def _decode(body: bytes, kind):
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return decode_document(body, kind)
+    except DocumentError as error:
         raise KeyValueUnavailable(f"response cannot be decoded: {error}") from error
 
 
--- a/src/wheelslip/platform/workers.py
+++ b/src/wheelslip/platform/workers.py
@@ -6,22 +6,19 @@
 
 from wheelslip.connections.control_calls import ControlCalls, ControlResponse
 from wheelslip.deployment import ResponseMetadata, WorkerInfo
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.platform.headers import EXPECT_INSTANCE, PlatformHeaders
+from wheelslip.platform.registry import ModelWeights
 from wheelslip.registry.answer_notices import ResponseSource
 from wheelslip.registry.interface import WeightsOrder, WorkerReport, WorkerUnreachable
 
 
-class _ModelWeights(msgspec.Struct):
-    name: str
-    version: int = 1
-
-
 class _Report(msgspec.Struct):
     busy: bool = False
     sequence: int = 0
     queued: int = 0
     active: int = 0
-    model_ids: list[_ModelWeights] = []
+    model_ids: list[ModelWeights] = []
     born: int = 0
 
 
@@ -45,8 +42,8 @@
             self._notify(worker, response, ResponseSource.REPORT)
             raise WorkerUnreachable(f"report: status {response.status}")
         try:
-            report = msgspec.json.decode(response.body, type=_Report)
-        except msgspec.MsgspecError as error:
+            report = decode_document(response.body, _Report)
+        except DocumentError as error:
             raise WorkerUnreachable(f"report: {error}") from error
         if report.born in (0, worker.born):
             self._notify(worker, response, ResponseSource.REPORT)
--- a/src/wheelslip/registry/entry_log.py
+++ b/src/wheelslip/registry/entry_log.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from wheelslip.documents import MAX_DOCUMENT_BYTES, DocumentError
 from wheelslip.keyvalue.model import WatchCompacted
 
 MAX_REMOVED_KEYS = 1000
@@ -41,14 +42,20 @@
     def decompressed(self) -> "EntryChange":
         """Return the change with its value uncompressed.
 
-        :raises ValueError: when the value cannot be decompressed.
+        :raises DocumentError: when the value cannot be decompressed.
         """
         if not self.compressed:
             return self
+        decompressor = zlib.decompressobj()
         try:
-            return EntryChange(self.key, zlib.decompress(self.value), self.revision)
+            value = decompressor.decompress(self.value, MAX_DOCUMENT_BYTES)
         except (zlib.error, TypeError) as exc:
-            raise ValueError(f"{self.key}: {exc}") from exc
+            raise DocumentError(f"{self.key}: {exc}") from exc
+        if not decompressor.eof:
+            raise DocumentError(
+                f"{self.key}: incomplete, or larger than {MAX_DOCUMENT_BYTES} bytes"
+            )
+        return EntryChange(self.key, value, self.revision)
 
 
 class EntryLog:
--- a/src/wheelslip/tunnels/client.py
+++ b/src/wheelslip/tunnels/client.py
@@ -11,10 +11,11 @@
     read_buffer,
 )
 from wheelslip.deployment import WorkerInfo
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.tunnels.frames import FrameDecoder, TunnelControl, TunnelData, TunnelEnd, encode_data
 from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
 from wheelslip.tunnels.peers import PeerFailure
-from wheelslip.wire import FrameError, decode_payload, encode_frame
+from wheelslip.wire import FrameError, encode_frame
 
 PEER_CONNECT_SECONDS = 0.3
 REPLY_SECONDS = 0.55
@@ -76,12 +77,12 @@
                     case TunnelData(data=piece):
                         self._receive(piece)
                     case TunnelControl(payload=payload):
-                        self._process_reply(decode_payload(payload, TunnelReply))
+                        self._process_reply(decode_document(payload, TunnelReply))
                     case TunnelEnd.CLOSED:
                         super().eof_received()
                     case TunnelEnd.LOST:
                         self._end(PeerLost(f"connection lost behind {self.via}"))
-        except FrameError as error:
+        except DocumentError as error:
             self._end(TunnelLost(f"tunnel through {self.via}: {error}"))
             self.close()
 
--- a/src/wheelslip/tunnels/server.py
+++ b/src/wheelslip/tunnels/server.py
@@ -12,7 +12,8 @@
     set_liveness_options,
 )
 from wheelslip.deployment import WorkerInfo
-from wheelslip.events import LogBudget, LogEvent
+from wheelslip.documents import DocumentError, decode_document
+from wheelslip.events import LogBudget, LogEvent, log_event
 from wheelslip.memory.account import READ_BYTES
 from wheelslip.memory.node_memory import NodeMemory
 from wheelslip.registry.registry import Registry
@@ -27,7 +28,7 @@
     encode_data,
 )
 from wheelslip.tunnels.messages import TunnelIdle, TunnelOpen, TunnelReply, TunnelStatus
-from wheelslip.wire import FrameError, decode_payload, encode_frame
+from wheelslip.wire import FrameError, encode_frame
 
 WORKER_CONNECT_SECONDS = 0.4
 
@@ -154,7 +155,8 @@
                         self._process_control(payload)
                     case _:
                         raise FrameError("frame of the other direction")
-        except FrameError:
+        except DocumentError as exc:
+            log_event(LogEvent.PEER_MESSAGE_REFUSED, reason=str(exc))
             self.close()
 
     def _forward(self, piece: memoryview) -> None:
@@ -163,13 +165,13 @@
         self._worker.write(bytes(piece))
 
     def _process_control(self, payload: bytes) -> None:
-        message = decode_payload(payload, list)
+        message = decode_document(payload, list)
         if message[-1:] == [TunnelIdle().kind]:
             self.busy = False
             return
         if self._opening is not None and not self._opening.done():
             raise FrameError("request before the reply to the previous one")
-        request = decode_payload(payload, TunnelOpen)
+        request = decode_document(payload, TunnelOpen)
         self._opening = asyncio.get_running_loop().create_task(self._open(request))
 
     async def _open(self, request: TunnelOpen) -> None:
--- a/src/wheelslip/wire.py
+++ b/src/wheelslip/wire.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
-MAX_FRAME_BYTES = 16 * 1024 * 1024
-"""Maximum payload size; the largest message is a full configuration snapshot."""
+from wheelslip.documents import MAX_DOCUMENT_BYTES, DocumentError, decode_document
+
+MAX_FRAME_BYTES = MAX_DOCUMENT_BYTES
+"""Maximum payload size."""
 
 _MAX_LENGTH_DIGITS = len(str(MAX_FRAME_BYTES))
 _RECEIVE_BYTES = 65536
@@ -14,8 +16,8 @@
 MessageT = TypeVar("MessageT")
 
 
-class FrameError(Exception):
-    """Raised when a peer's bytes are not a netstring with the expected JSON message."""
+class FrameError(DocumentError):
+    """Raised when a peer's bytes are not a netstring."""
 
 
 def encode_frame(message: object) -> bytes:
@@ -27,12 +29,12 @@
 def decode_frame(frame: bytes, message_type: type[MessageT]) -> MessageT:
     """Decode the message of exactly one netstring.
 
-    :raises FrameError: if the framing or the message is invalid.
+    :raises DocumentError: if the framing or the message is invalid.
     """
     payload, rest = split_frame(frame)
     if payload is None or rest:
         raise FrameError("not exactly one frame")
-    return decode_payload(payload, message_type)
+    return decode_document(payload, message_type)
 
 
 def read_payload(connection: socket.socket) -> bytes:
@@ -76,14 +78,3 @@
     if buffer[end : end + 1] != b",":
         raise FrameError("frame does not end in a comma")
     return buffer[colon + 1 : end], buffer[end + 1 :]
-
-
-def decode_payload(payload: bytes, message_type: type[MessageT]) -> MessageT:
-    """Decode the JSON message of one frame.
-
-    :raises FrameError: if it is not of the expected type.
-    """
-    try:
-        return msgspec.json.decode(payload, type=message_type)
-    except msgspec.MsgspecError as error:
-        raise FrameError(f"frame content: {error}") from error
--- a/tests/unit/forwarding/test_silent_peers.py
+++ b/tests/unit/forwarding/test_silent_peers.py
@@ -6,13 +6,14 @@
 
 import pytest
 
+from wheelslip.documents import decode_document
 from wheelslip.forwarding.feed import FeedBatch, FeedClient, FeedPoll
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding_settings import BoundsSection
 from wheelslip.keyvalue.model import KeyValueUnavailable, WatchBatch
 from wheelslip.platform.registry import PlatformRegistry
 from wheelslip.registry.registry import Registry
-from wheelslip.wire import decode_payload, encode_frame, split_frame
+from wheelslip.wire import encode_frame, split_frame
 
 SEEDS_POLLING_THREE_PEERS = (5, 6, 10)
 DRAIN_SECONDS = BoundsSection().worker_drain_ms / 1000
@@ -79,7 +80,7 @@
         buffer = b""
         while data := await reader.read(1024):
             payload, buffer = split_frame(buffer + data)
-            poll = decode_payload(payload, FeedPoll)
+            poll = decode_document(payload, FeedPoll)
             poll_received.set()
             await may_answer.wait()
             writer.write(encode_frame(FeedBatch(poll.after, False, [], 0.0, None)))
--- a/tests/unit/forwarding/test_tunnel_frames.py
+++ b/tests/unit/forwarding/test_tunnel_frames.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.forwarding.feed import FeedPoll
 from wheelslip.tunnels.frames import (
     CLOSED_FRAME,
@@ -13,7 +14,7 @@
     encode_data,
 )
 from wheelslip.tunnels.messages import TunnelOpen, is_tunnel_message
-from wheelslip.wire import FrameError, decode_payload, encode_frame, split_frame
+from wheelslip.wire import FrameError, encode_frame, split_frame
 
 DATA = (b"GET / HTTP/1.1\r\n", b"3:abc,")
 
@@ -57,8 +58,8 @@
 def test_builds_without_tunnels_refuse_the_first_message():
     payload, _ = split_frame(encode_frame(TunnelOpen("i-1", "r1")))
     assert is_tunnel_message(payload)
-    with pytest.raises(FrameError):
-        decode_payload(payload, FeedPoll)
+    with pytest.raises(DocumentError):
+        decode_document(payload, FeedPoll)
 
 
 def test_polls_of_the_feed_are_no_tunnel_messages():
--- a/tests/unit/forwarding/test_view_histories.py
+++ b/tests/unit/forwarding/test_view_histories.py
@@ -14,6 +14,7 @@
 
 from standins.platform_store import PlatformStoreModel
 from standins.platform_worker import worker_entry
+from wheelslip.documents import decode_document
 from wheelslip.forwarding.feed import FeedBatch, FeedPoll, FeedServer
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding_settings import BoundsSection
@@ -21,7 +22,7 @@
 from wheelslip.registry import entry_log
 from wheelslip.registry.registry import Registry
 from wheelslip.routing.load_table import LoadTable
-from wheelslip.wire import decode_payload, encode_frame, split_frame
+from wheelslip.wire import encode_frame, split_frame
 
 WORKERS = ("a", "b")
 NODES = 2
@@ -213,7 +214,7 @@
         poll = FeedPoll(node.sync._revision)
         changes, whole = other.server._changes(poll)
         payload, _ = split_frame(encode_frame(other.server._batch(poll, changes, whole, 100.0)))
-        batch = decode_payload(payload, FeedBatch)
+        batch = decode_document(payload, FeedBatch)
         changes = [change.decompressed() for change in batch.changes]
         node.sync._apply_batch(batch._replace(changes=changes, confirmed_offset=0.0), 100.0)
 
--- a/tests/unit/test_retry_and_limits.py
+++ b/tests/unit/test_retry_and_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from wheelslip.documents import DocumentError
 from wheelslip.routing.limits.token_bucket import TokenBucket
 from wheelslip.routing.retry import (
     BACKOFF_MAX_SECONDS,
@@ -87,5 +88,5 @@
     for bad in (b"", b"7", b'7:{"a":1}', b'7:{"a":1}x', b"x:1,", b"99999999999:1,", frame * 2):
         with pytest.raises(FrameError):
             decode_frame(bad, dict)
-    with pytest.raises(FrameError, match="content"):
+    with pytest.raises(DocumentError, match="Expected `array`, got `object`"):
         decode_frame(frame, list)
