Keys of the nodes that another writer overwrote are written anew

What callers saw: with an unreadable value under wheelslip/versions/SERVICE all streams of the service got 500 at all nodes, also after all nodes had restarted. A relay's key with other bytes was followed as an address; it and the holder's key have no lease then, so no node ever acquired them again, and new weights were not loaded.

Cause: nodes read their own keys as if only nodes wrote them.

Change: Registry.system_record tells a value that cannot be decoded from a missing key, decodes each value once and logs it once. - The register of versions: a node that has read the record until just before writes it anew; one that has not leaves that to others for 2.5 s, and then names no base version, as streams that are not saved may have begun at any version. - Saved records of streams: while a value under a prefix cannot be decoded, and for the 75 s that a record may last, a stream without a record there is unknown. - Keys of relays and of the holder: a value that no node writes counts as lost by its holder and may be replaced at its revision. - The rollout's record: the holder writes it anew, and orders no worker for the handover interval, as the previous holder may have ordered any.

Streams of two versions are not mixed. test_relay_order.py uses addresses in place of names, as relays' keys hold addresses.

--- a/src/wheelslip/crashes/part_reports.py
+++ b/src/wheelslip/crashes/part_reports.py
@@ -102,7 +102,7 @@
         if not key.startswith(PARTS_PREFIX):
             return
         report = self._registry.system_record(key, PartReport)
-        crashes, cleared = _decode(report) if report is not None else ([], [])
+        crashes, cleared = _decode(report) if isinstance(report, PartReport) else ([], [])
         if key == self._report_key.key:
             if not self._reported.is_contained_in(crashes):
                 # The store has returned from a copy without the last report.
--- a/src/wheelslip/crashes/reports.py
+++ b/src/wheelslip/crashes/reports.py
@@ -95,7 +95,9 @@
         """Process a change of a system entry; keys other than crash reports are ignored."""
         if not key.startswith(CRASHES_PREFIX):
             return
-        report = self._registry.system_record(key, CrashReport) or CrashReport()
+        report = self._registry.system_record(key, CrashReport)
+        if not isinstance(report, CrashReport):
+            report = CrashReport()
         if key == self._key:
             if not self._reported.is_contained_in(report.crashes):
                 # The store has returned from a copy without the last report.
--- a/src/wheelslip/forwarding/holder.py
+++ b/src/wheelslip/forwarding/holder.py
@@ -1,10 +1,11 @@
 """Lease of the holder, the only node that sends orders to workers."""
 
 import random
+import re
 from collections.abc import Callable
 
 from wheelslip.forwarding.leased_key import LeasedKey
-from wheelslip.forwarding.relay import RELAY_PREFIX
+from wheelslip.forwarding.relay import relay_addresses
 from wheelslip.forwarding_settings import BoundsSection
 from wheelslip.registry.interface import KeyValueStore
 from wheelslip.registry.registry import Registry
@@ -19,6 +20,8 @@
 the new one still waits the full time before it orders a worker that the lost one may have ordered.
 """
 
+_IDENTITY_PATTERN = re.compile(rb".+/[0-9a-f]{16}")
+
 
 class HolderLease(LeasedKey):
     """Leased key of the holder.
@@ -60,9 +63,12 @@
             return
         await super()._step()
 
+    def _is_own_value(self, value: bytes) -> bool:
+        return _IDENTITY_PATTERN.fullmatch(value) is not None
+
     def _may_acquire(self) -> bool:
         # Only relays are candidates, which limits the calls to the store after a loss.
-        relays = self._registry.system_entries(RELAY_PREFIX)
+        relays = relay_addresses(self._registry)
         if self._is_isolated():
             return False
         return super()._may_acquire() and (self._is_relay() or not relays)
--- a/src/wheelslip/forwarding/leased_key.py
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -78,6 +78,9 @@
                 self.mark_lost("lapsed")
 
     async def _step(self) -> None:
+        if self._token and self._is_overwritten():
+            await self.release("overwritten")
+            return
         if self._token:
             await (self._confirm() if self._is_of_earlier_era() else self._renew())
             return
@@ -89,17 +92,33 @@
         if self._may_acquire() and not self._stopped:
             await self._acquire()
 
+    def _is_own_value(self, value: bytes) -> bool:
+        """Return whether a node can have written a value of the key."""
+        raise NotImplementedError
+
+    def _is_overwritten(self) -> bool:
+        """Return whether the key has a value that no node has written.
+
+        Such a value has no lease, so the key does not become free by itself.
+        """
+        entry = self._registry.system_entry(self._key)
+        if entry is None or self._is_own_value(entry[0]):
+            return False
+        self._registry.refuse_system_entry(self._key, "not the value of a node")
+        return True
+
     def _may_acquire(self) -> bool:
-        return self._registry.configuration is not None and not self._registry.system_entry(
-            self._key
-        )
+        is_free = self._registry.system_entry(self._key) is None or self._is_overwritten()
+        return self._registry.configuration is not None and is_free
 
     async def _acquire(self) -> None:
         sent_at = self._clock()
+        overwritten = self._registry.system_entry(self._key)
+        revision = overwritten[1] if overwritten is not None else 0
         seconds = self._lease_seconds()
         lease = await self._store.grant_lease(seconds)
         put = Put(self._key, self._value, lease)
-        result = await self._store.transact(Transaction({self._key: 0}, (put,)))
+        result = await self._store.transact(Transaction({self._key: revision}, (put,)))
         if not result.succeeded:
             await self._store.revoke_lease(lease)
             # Another node has acquired the key; wait until the watch reports it.
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -6,12 +6,14 @@
 calls to the store but does not make views stale.
 """
 
+import functools
 import random
 from collections.abc import Callable
 
 from wheelslip.forwarding.leased_key import LeasedKey
 from wheelslip.registry.interface import KeyValueStore
 from wheelslip.registry.registry import Registry
+from wheelslip.settings import Address
 
 RELAY_PREFIX = "wheelslip/relay/"
 LEASE_SECONDS = 3.0
@@ -33,6 +35,33 @@
 """Bandwidth in Mbit/s from which a node takes part in an election without delay."""
 
 
+MAX_CACHED_ADDRESSES = 64
+"""Maximum number of decoded addresses in the cache; some times the number of zones."""
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
+def _decode_address(value: bytes) -> str | None:
+    """Return the address in the value of a relay's key, ``None`` if there is none."""
+    text = value.decode("latin-1")
+    try:
+        Address.parse(text)
+    except ValueError:
+        return None
+    return text
+
+
+def relay_addresses(registry: Registry) -> dict[str, str]:
+    """Return the addresses of the relays by key; values that are no addresses are left out."""
+    addresses = {}
+    for key, value in registry.system_entries(RELAY_PREFIX).items():
+        address = _decode_address(value)
+        if address is None:
+            registry.refuse_system_entry(key, "not the address of a relay")
+        else:
+            addresses[key] = address
+    return addresses
+
+
 def election_delay_seconds(link_megabits: float) -> float:
     """Return by how long a node delays its candidacy in favor of nodes with faster links.
 
@@ -71,6 +100,9 @@
         )
         self._address = address
 
+    def _is_own_value(self, value: bytes) -> bool:
+        return _decode_address(value) is not None
+
     def _may_acquire(self) -> bool:
         return super()._may_acquire() and self._registry.age() < MAX_CANDIDATE_VIEW_AGE_SECONDS
 
@@ -78,13 +110,13 @@
         """Return the addresses of the other zones' relays; empty if this node is no relay."""
         if self.token() is None:
             return []
-        relays = self._registry.system_entries(RELAY_PREFIX)
-        return sorted(value.decode("latin-1") for key, value in relays.items() if key != self._key)
+        relays = relay_addresses(self._registry)
+        return sorted(address for key, address in relays.items() if key != self._key)
 
     def other_addresses(self) -> list[str]:
         """Return the addresses of the relays of all zones except this node."""
-        relays = self._registry.system_entries(RELAY_PREFIX).values()
-        return [value.decode("latin-1") for value in relays if value != self._value]
+        relays = relay_addresses(self._registry).values()
+        return [address for address in relays if address != self._address]
 
     def addresses_by_tenure(self) -> list[str]:
         """Return the addresses of the relays of all zones, longest tenure first.
@@ -92,9 +124,9 @@
         The order is that of the revisions at which the keys were created, and so the same on all
         nodes.
         """
-        keys = self._registry.system_entries(RELAY_PREFIX)
-        entries = sorted(self._registry.system_entry(key)[::-1] for key in keys)
-        return [value.decode("latin-1") for _, value in entries]
+        relays = relay_addresses(self._registry)
+        by_revision = sorted(relays, key=lambda key: self._registry.system_entry(key)[1])
+        return [relays[key] for key in by_revision]
 
     def nearest_first(self) -> list[str]:
         """Return the addresses of the relays, that of this node's zone first, and of this node."""
@@ -142,7 +174,7 @@
         Each relay follows only relays whose keys sort before its own, so even nodes with different
         views of the relays do not follow each other in a cycle.
         """
-        relays = self._registry.system_entries(RELAY_PREFIX)
+        relays = relay_addresses(self._registry)
         followed = self._key if self.token() is None else min([self._key, *relays])
-        value = relays.get(followed)
-        return value.decode("latin-1") if value not in (None, self._value) else None
+        address = relays.get(followed)
+        return address if address != self._address else None
--- a/src/wheelslip/forwarding/rollout.py
+++ b/src/wheelslip/forwarding/rollout.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from wheelslip.deployment import Incarnation, Worker, WorkerInfo
+from wheelslip.deployment import Incarnation, UnusableEntry, Worker, WorkerInfo
 from wheelslip.events import LogEvent, log_event
 from wheelslip.forwarding.holder import HOLDER_KEY, ROLLOUT_KEY, HolderLease
 from wheelslip.forwarding.rollout_record import RolloutRecord, RolloutView
@@ -233,6 +233,9 @@
         if restored_at is not None and self._clock() < restored_at + self._handover_seconds():
             # The copy of the store may lack the record of a previous holder.
             return False
+        if self._clock() < self._view.unreadable_at + self._handover_seconds():
+            # A previous holder may have ordered any worker.
+            return False
         return self._clock() >= self._order_allowed_at.get(worker_id, float("-inf"))
 
     def _back_off(self, incarnation: Incarnation) -> None:
@@ -291,6 +294,8 @@
         self._published = record
 
     def _is_published(self, record: RolloutRecord) -> bool:
+        if isinstance(self._registry.system_record(ROLLOUT_KEY, RolloutRecord), UnusableEntry):
+            return False
         if self._published is None:
             return not record.loading and not self._registry.loading
         return self._published.loading == record.loading
--- a/src/wheelslip/forwarding/rollout_record.py
+++ b/src/wheelslip/forwarding/rollout_record.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wheelslip.deployment import Incarnation, worker_id_of
+from wheelslip.deployment import Incarnation, UnusableEntry, worker_id_of
 from wheelslip.forwarding.holder import HOLDER_KEY, ROLLOUT_KEY
 from wheelslip.registry.registry import Registry
 
@@ -38,12 +38,14 @@
     longer names the worker, or the removal of the holder key.
 
     :ivar record: the newest record seen.
+    :ivar unreadable_at: when a record was seen last that cannot be decoded.
     """
 
     def __init__(self, registry: Registry, clock: Callable[[], float]):
         self._registry = registry
         self._clock = clock
         self.record = RolloutRecord()
+        self.unreadable_at = float("-inf")
         self._record_seen_at = float("-inf")
         self._holder_token = 0
         self._ended_at: dict[int, float] = {}
@@ -79,6 +81,9 @@
 
     def _update_record(self) -> None:
         record = self._registry.system_record(ROLLOUT_KEY, RolloutRecord)
+        if isinstance(record, UnusableEntry):
+            self.unreadable_at = self._clock()
+            return
         if record is None or record.fencing_token < self.record.fencing_token:
             # A copy of the store may hold the record of an earlier holder.
             return
--- a/src/wheelslip/registry/registry.py
+++ b/src/wheelslip/registry/registry.py
@@ -19,6 +19,7 @@
     Worker,
     WorkerInfo,
 )
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.events import LogBudget, LogEvent, log_event
 from wheelslip.forwarding_settings import BoundsSection
 from wheelslip.keyvalue.model import era_of
@@ -90,6 +91,9 @@
         self.entry_log = EntryLog()
         self._ignored_prefix = ignored_prefix
         self._system_entries: dict[str, tuple[bytes, int]] = {}
+        self._system_records: dict[
+            str, tuple[tuple[bytes, int], msgspec.Struct | UnusableEntry]
+        ] = {}
         self._named: dict[str, list[_NamedVersion]] = {}
         self.health = StoreHealth()
         self.restored_at: float | None = None
@@ -289,6 +293,7 @@
             versions.append(_NamedVersion(named.version, named_after, named_after))
 
     def _remove(self, key: str) -> None:
+        self._system_records.pop(key, None)
         if self._system_entries.pop(key, None) is not None:
             self.on_system_entry(key)
         self._refused.pop(key, None)
@@ -322,19 +327,30 @@
         """Return value and revision of a key that wheelslip itself writes."""
         return self._system_entries.get(key)
 
-    def system_record(self, key: str, record_type: type[RecordT]) -> RecordT | None:
+    def system_record(self, key: str, record_type: type[RecordT]) -> RecordT | UnusableEntry | None:
         """Return the record under a key that wheelslip itself writes.
 
-        :return: ``None`` when the key does not exist or its value is invalid, which is logged.
+        :return: ``None`` without the key; an unusable entry, which is logged, when the value is no
+            such record.
         """
         entry = self.system_entry(key)
         if entry is None:
             return None
+        known = self._system_records.get(key)
+        if known is not None and known[0] is entry:
+            return known[1]
         try:
-            return msgspec.json.decode(entry[0], type=record_type)
-        except msgspec.MsgspecError as exc:
-            log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason=str(exc))
-            return None
+            record = decode_document(entry[0], record_type)
+        except DocumentError as exc:
+            record = self.refuse_system_entry(key, str(exc))
+        self._system_records[key] = (entry, record)
+        return record
+
+    def refuse_system_entry(self, key: str, reason: str) -> UnusableEntry:
+        """Log that a key that wheelslip itself writes has a value that is not its own."""
+        entry = UnusableEntry.of(key, reason)
+        self._refuse(entry)
+        return entry
 
     def system_entries(self, prefix: str) -> dict[str, bytes]:
         """Return the values that wheelslip itself writes under a prefix, by key."""
--- a/src/wheelslip/streams/saved_records.py
+++ b/src/wheelslip/streams/saved_records.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.events import LogBudget, LogEvent, log_event
-from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
+from wheelslip.keyvalue.model import KeyValueError, KeyValueUnavailable, Put, Transaction
 from wheelslip.registry.interface import KeyValueStore
 from wheelslip.streams.process_names import is_unverified
 from wheelslip.streams.version_records import StreamOrigin
@@ -78,6 +79,7 @@
         self._lease = 0
         self._lease_until = 0.0
         self._reads: dict[str, asyncio.Task] = {}
+        self._unreadable_since: dict[str, float] = {}
         self._log_budget = LogBudget(LOG_LINES_PER_SECOND, clock)
         self.failed_at = float("-inf")
         self.saved = 0
@@ -155,9 +157,12 @@
     async def find(self, key: str) -> StreamOrigin | None:
         """Return the saved origin of a stream; ``None`` if none is saved.
 
-        :raises KeyValueError: if the store does not respond.
+        :raises KeyValueError: if the store does not respond, or the record may be one that cannot be
+            decoded.
         """
         origins = await asyncio.shield(self._next_read(key[0]))
+        if key not in origins and self._may_be_unreadable(key[0]):
+            raise KeyValueUnavailable("a saved record cannot be decoded")
         return origins.get(key)
 
     def _next_read(self, bucket: str) -> asyncio.Task:
@@ -173,26 +178,43 @@
         await asyncio.sleep(READ_COALESCE_SECONDS)
         del self._reads[bucket]
         listing = await self._store.range(_prefix(bucket))
+        self._forget_unreadable(_prefix(bucket), {entry.key for entry in listing.entries})
         origins = {}
         for entry in listing.entries:
-            for batch in _decode(entry.key, entry.value):
+            for batch in self._decode(entry.key, entry.value):
                 origin = StreamOrigin(batch.service, batch.software_version)
                 for key in batch.keys:
                     if key not in origins or is_unverified(origins[key].software_version):
                         origins[key] = origin
         return origins
 
+    def _decode(self, key: str, value: bytes) -> list[SavedBatch]:
+        try:
+            return decode_document(value, list[SavedBatch])
+        except DocumentError as exc:
+            if key not in self._unreadable_since:
+                self._unreadable_since[key] = self._clock()
+                log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason=str(exc))
+            return []
+
+    def _may_be_unreadable(self, bucket: str) -> bool:
+        """Return whether a value that cannot be decoded may have replaced a record still in use."""
+        begun_at = self._clock() - LEASE_SECONDS
+        return any(
+            key.startswith(_prefix(bucket)) and since > begun_at
+            for key, since in self._unreadable_since.items()
+        )
 
-def _prefix(bucket: str) -> str:
-    return f"{STREAMS_PREFIX}{bucket}/"
+    def _forget_unreadable(self, prefix: str, present: set[str]) -> None:
+        self._unreadable_since = {
+            key: since
+            for key, since in self._unreadable_since.items()
+            if key in present or not key.startswith(prefix)
+        }
 
 
-def _decode(key: str, value: bytes) -> list[SavedBatch]:
-    try:
-        return msgspec.json.decode(value, type=list[SavedBatch])
-    except msgspec.MsgspecError as exc:
-        log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason=str(exc))
-        return []
+def _prefix(bucket: str) -> str:
+    return f"{STREAMS_PREFIX}{bucket}/"
 
 
 def _retrieve_exception(task: asyncio.Task) -> None:
--- a/src/wheelslip/streams/version_register.py
+++ b/src/wheelslip/streams/version_register.py
@@ -7,12 +7,13 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import msgspec
 
+from wheelslip.deployment import UnusableEntry
+from wheelslip.documents import DocumentError, decode_document
 from wheelslip.events import LogEvent, log_event
 from wheelslip.keyvalue.model import KeyValueError, Put, Transaction
 from wheelslip.registry.interface import KeyValueStore
@@ -31,6 +32,9 @@
 MAX_OBSERVATION_GAP_SECONDS = 5.0
 """Gap between two current views after which the observed times start anew."""
 
+UNKNOWN_RECORD_DELAY_SECONDS = 2.5
+"""Time for which a node that has never read a record leaves its replacement to nodes that have."""
+
 CHECK_SECONDS = 0.5
 RETRY_SECONDS = 0.2
 
@@ -119,6 +123,17 @@
         self.unchanged_since = now
         self.last_seen: dict[str, float] = {}
         self.outdated_since: float | None = None
+        self.read_at = float("-inf")
+
+    def replacement(self, wanted: VersionRecord, now: float) -> VersionRecord:
+        """Return what replaces a record that cannot be decoded.
+
+        It keeps a base version only if this node has read the record until just before. Otherwise
+        streams that are not saved may have begun at any version.
+        """
+        if now - self.read_at > MAX_OBSERVATION_GAP_SECONDS:
+            return VersionRecord(wanted.versions, "", wanted.era)
+        return wanted
 
 
 class VersionRegister:
@@ -179,11 +194,15 @@
         return version in self._registry.view.software_versions(service)
 
     def _record(self, service: str) -> VersionRecord | None:
-        """Return the record of a service; the last known one if the store has lost it."""
-        entry = self._registry.system_entry(VERSIONS_PREFIX + service)
-        record = _decode(service, entry[0]) if entry is not None else None
+        """Return the record of a service; the last known one if the store has lost it.
+
+        A record that cannot be decoded counts as lost.
+        """
+        record = self._registry.system_record(VERSIONS_PREFIX + service, VersionRecord)
         watched = self._watched.get(service)
         known = watched.record if watched is not None else None
+        if isinstance(record, UnusableEntry):
+            return known
         if known is None or (record is not None and record.era == self._registry.era):
             return record
         # The store has returned from an older copy.
@@ -227,13 +246,21 @@
         seen = self._observe(service, record, watched, now)
         knows_earlier_eras = self._registry.restored_at is not None
         wanted = updated_record(record, seen, self._registry.era, knows_earlier_eras)
-        entry = self._registry.system_entry(VERSIONS_PREFIX + service)
-        if wanted is None or (entry is not None and wanted == _decode(service, entry[0])):
+        key = VERSIONS_PREFIX + service
+        stored = self._registry.system_record(key, VersionRecord)
+        if isinstance(stored, UnusableEntry) and wanted is not None:
+            wanted = watched.replacement(wanted, now)
+        elif stored is not None:
+            watched.read_at = now
+        if wanted is None or wanted == stored:
             watched.outdated_since = None
             return False
         if watched.outdated_since is None:
             watched.outdated_since = now + self._write_delay_seconds()
+            if isinstance(stored, UnusableEntry) and record is None:
+                watched.outdated_since += UNKNOWN_RECORD_DELAY_SECONDS
         if now >= watched.outdated_since:
+            entry = self._registry.system_entry(key)
             await self._write(service, wanted, entry[1] if entry is not None else 0)
         return True
 
@@ -269,10 +296,11 @@
 
 
 def _decode(key: str, value: bytes) -> VersionRecord | None:
-    with contextlib.suppress(msgspec.MsgspecError):
-        return msgspec.json.decode(value, type=VersionRecord)
-    log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason="not a record of versions")
-    return None
+    try:
+        return decode_document(value, VersionRecord)
+    except DocumentError as exc:
+        log_event(LogEvent.REGISTRY_ENTRY_REFUSED, key=key, reason=str(exc))
+        return None
 
 
 def _joined(records: list[VersionRecord | None], era: int) -> RegisteredVersions:
--- a/tests/unit/forwarding/test_relay_order.py
+++ b/tests/unit/forwarding/test_relay_order.py
@@ -13,6 +13,7 @@
 from wheelslip.platform.registry import PlatformRegistry
 from wheelslip.registry.registry import Registry
 
+ADDRESSES = {f"z{number}": f"127.0.0.{number + 1}:1" for number in range(4)}
 ENGINE = {"capacity": 8, "kv_capacity": 1000}
 
 
@@ -22,23 +23,30 @@
     document = {"version": 1, "services": services}
     registry.apply("op/config", json.dumps(document).encode(), 1)
     for zone, revision in relays.items():
-        registry.apply(RELAY_PREFIX + zone, f"{zone}:1".encode(), revision)
+        registry.apply(RELAY_PREFIX + zone, ADDRESSES[zone].encode(), revision)
     return RelayLease(
-        "z1", "z1:1", None, registry, lambda: 1.0, lambda: 0.0, random.Random(1), lambda: 1000.0
+        "z1",
+        ADDRESSES["z1"],
+        None,
+        registry,
+        lambda: 1.0,
+        lambda: 0.0,
+        random.Random(1),
+        lambda: 1000.0,
     )
 
 
 def test_services_are_assigned_by_tenure_and_a_new_relay_takes_over_none():
     before = relay_lease({"z1": 9, "z2": 5, "z3": 7})
-    assert before.dispatchers_of("b-model") == ["z2:1", "z3:1", "z1:1"]
-    assert before.dispatchers_of("a-plain")[0] == "z3:1"
+    assert before.dispatchers_of("b-model") == [ADDRESSES["z2"], ADDRESSES["z3"], ADDRESSES["z1"]]
+    assert before.dispatchers_of("a-plain")[0] == ADDRESSES["z3"]
     after = relay_lease({"z0": 12, "z1": 9, "z2": 5, "z3": 7})
-    assert after.dispatchers_of("b-model")[0] == "z2:1"
-    assert after.dispatchers_of("a-plain")[0] == "z3:1"
+    assert after.dispatchers_of("b-model")[0] == ADDRESSES["z2"]
+    assert after.dispatchers_of("a-plain")[0] == ADDRESSES["z3"]
 
 
 def test_lost_relay_is_replaced_by_the_next():
-    assert relay_lease({"z1": 9, "z3": 7}).dispatchers_of("b-model")[0] == "z3:1"
+    assert relay_lease({"z1": 9, "z3": 7}).dispatchers_of("b-model")[0] == ADDRESSES["z3"]
     assert relay_lease({}).dispatchers_of("b-model") == []
 
 
