--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 forwarding-soak: setup
 	$(RUN) -m bench.forwarding.soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
 		$(if $(OLDER),--older "'$(OLDER)'") $(if $(NOTICES),--notices) $(if $(DEADLY),--deadly) $(if $(LIMITS),--limits) \
-		$(if $(CRESTS),--crests) $(if $(PATHS),--paths) $(if $(VERSIONS),--versions) $(if $(CROWDS),--crowds) $(if $(POWER),--power) $(if $(ENDS),--ends) $(if $(GARBAGE),--garbage) $(if $(REBORN),--reborn) $(if $(HEADS),--heads) $(if $(RETRIES),--retries)
+		$(if $(CRESTS),--crests) $(if $(PATHS),--paths) $(if $(VERSIONS),--versions) $(if $(CROWDS),--crowds) $(if $(POWER),--power) $(if $(ENDS),--ends) $(if $(GARBAGE),--garbage) $(if $(REBORN),--reborn) $(if $(HEADS),--heads) $(if $(RETRIES),--retries) $(if $(ISOLATION),--isolation) $(if $(FOREIGN),--foreign)
 
 replay: setup
 	$(RUN) -m bench.replay
--- a/bench/forwarding/partitioned_node.py
+++ b/bench/forwarding/partitioned_node.py
@@ -1,7 +1,7 @@
-"""Runs a node whose connections to workers a soak can cut.
+"""Runs a node whose connections a soak can cut.
 
-The file named by :data:`CUTS_VARIABLE` holds, as JSON, the addresses of all workers and how this node
-is cut off from them; an empty text for a node that is not.
+The file named by :data:`CUTS_VARIABLE` holds, as JSON, the addresses of all workers, how this node is
+cut off from them, and the same for other peers; an empty text where it is not.
 """
 
 import asyncio
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import sys
+from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "src")]
@@ -27,25 +28,27 @@
 
 
 class CutsFile:
-    """Applies the content of the file to the connections of this process."""
+    """Applies the content of the file to the connections and datagrams of this process."""
 
     def __init__(self, path: pathlib.Path):
         self._path = path
-        self._workers: set[str] = set()
-        self._applied = ""
-        self._partitions = Partitions(lambda: self._workers)
+        self._addresses: set[str] = set()
+        self._applied: list[Any] = []
+        self._partitions = Partitions(lambda: self._addresses)
 
     def apply(self) -> None:
         """Read the file and apply it if it has changed."""
         document = json.loads(self._path.read_text())
-        self._workers = set(document["workers"])
-        how = document["how"]
-        if how == self._applied:
+        workers = set(document["workers"])
+        self._addresses = workers | set(document["peers"])
+        cuts = [document["how"], document["peers_how"], document["cut_peers"]]
+        if cuts == self._applied:
             return
-        self._applied = how
+        self._applied = cuts
         self._partitions.heal("self")
-        if how:
-            self._partitions.cut("self", Cut(how))
+        for how, addresses in ((cuts[0], workers), (cuts[1], set(cuts[2]))):
+            if how and addresses:
+                self._partitions.cut("self", Cut(how), addresses)
 
     async def run(self) -> None:
         """Apply changes of the file until cancelled."""
--- a/bench/forwarding/soak.py
+++ b/bench/forwarding/soak.py
@@ -29,7 +29,9 @@
 from bench.forwarding.endless import EndlessWorkers
 from bench.forwarding.ends import NodeEnds
 from bench.forwarding.faults import FaultInjector
+from bench.forwarding.foreign import ForeignWriter
 from bench.forwarding.heads import HeadCuts
+from bench.forwarding.isolation import IsolatedGroups
 from bench.forwarding.judge import RunChecker
 from bench.forwarding.limits import LimitChecker, LimitFaults
 from bench.forwarding.notices import NoticeChecker, NoticeFaults
@@ -87,6 +89,9 @@
         faults of their reports; implies ``versions``.
     :ivar heads: whether workers and the store end connections inside the heads of responses.
     :ivar retries: whether whole services fail under more load, and nodes end in between.
+    :ivar isolation: whether groups of nodes are out of step with the others while engines join; implies
+        ``versions``.
+    :ivar foreign: whether another writer overwrites keys of the nodes and sends bytes to them.
     """
 
     nodes: int = 0
@@ -105,6 +110,8 @@
     reborn: bool = False
     heads: bool = False
     retries: bool = False
+    isolation: bool = False
+    foreign: bool = False
 
 
 class Soak:
@@ -129,9 +136,8 @@
         rng = random.Random(seed)
         drawn_count, zones = rng.choice(NODE_COUNTS), rng.choice(ZONE_COUNTS)
         self.record = Record()
-        self.world = World(
-            folder, self.record, options.nodes or drawn_count, zones, options.crests, options.paths
-        )
+        nodes, has_cuts = options.nodes or drawn_count, options.paths or options.isolation
+        self.world = World(folder, self.record, nodes, zones, options.crests, has_cuts)
         self.checker = RunChecker(self.record)
         restart_rng = random.Random(f"{seed} restarts") if options.restarts else None
         self.faults = FaultInjector(self.world, rng, restart_rng)
@@ -162,7 +168,7 @@
         path_rng = random.Random(f"{seed} paths")
         self.paths = PathFaults(self.world, path_rng) if options.paths else None
         version_rng = random.Random(f"{seed} versions")
-        has_versions = options.versions or options.ends or options.reborn
+        has_versions = options.versions or options.ends or options.reborn or options.isolation
         self.versions = VersionedStreams(self.world, version_rng) if has_versions else None
         reborn_rng = random.Random(f"{seed} reborn")
         self.reborn = RebornWorkers(self.world, self.faults, reborn_rng) if options.reborn else None
@@ -178,6 +184,14 @@
         self.heads = HeadCuts(self.world, head_rng) if options.heads else None
         retry_rng = random.Random(f"{seed} retries")
         self.retries = RetryFaults(self.world, self.callers, retry_rng) if options.retries else None
+        isolation_rng = random.Random(f"{seed} isolation")
+        self.isolation = (
+            IsolatedGroups(self.world, self.faults, self.versions, isolation_rng)
+            if options.isolation
+            else None
+        )
+        foreign_rng = random.Random(f"{seed} foreign")
+        self.foreign = ForeignWriter(self.world, foreign_rng) if options.foreign else None
         crowd_rng = random.Random(f"{seed} crowds")
         self.crowds = Crowds(self.world, self.callers, crowd_rng) if options.crowds else None
         self._power = options.power
@@ -207,6 +221,8 @@
             self.crowds,
             self.heads,
             self.retries,
+            self.isolation,
+            self.foreign,
             self.upgrade,
         )
         activities = [each.run(ends_at) for each in optional if each is not None]
@@ -354,6 +370,8 @@
     reborn: bool = False,
     heads: bool = False,
     retries: bool = False,
+    isolation: bool = False,
+    foreign: bool = False,
 ) -> None:
     """Perform one run; exit with status 1 when a guarantee was broken.
 
@@ -389,6 +407,8 @@
         ("reborn", soak.reborn),
         ("heads", soak.heads),
         ("retries", soak.retries),
+        ("isolation", soak.isolation),
+        ("foreign", soak.foreign),
     ):
         if part is not None:
             print(f"{name}:", dict(part.counts))
--- a/bench/forwarding/versions.py
+++ b/bench/forwarding/versions.py
@@ -80,14 +80,23 @@
                 worker.server.reset_all()
                 self.counts["resets"] += 1
 
+    def reset_engines(self) -> None:
+        """Break the connections of all engines."""
+        for worker in list(self._world.site.workers.values()):
+            if worker.model:
+                name = self._world.incarnation_name(worker.id)
+                self._world.record.record_moment(Component.WORKER, name)
+                worker.server.reset_all()
+
     async def _stream(self, until: float) -> None:
         while time.monotonic() < until:
             await self._send_until_complete()
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
 
-    async def hold_streams(self) -> asyncio.Task:
+    async def hold_streams(self, seconds: float = BEGIN_SECONDS) -> asyncio.Task:
         """Begin streams that stop after some events.
 
+        :param seconds: time for them to begin.
         :return: task that takes the streams up once their connections are closed.
         """
         engines = [worker for worker in self._world.site.workers.values() if worker.model]
@@ -95,7 +104,7 @@
             worker.hold_after = HELD_AFTER
         streams = [self._send_until_complete() for _ in range(HELD_STREAMS)]
         task = asyncio.ensure_future(asyncio.gather(*streams))
-        await asyncio.sleep(BEGIN_SECONDS)
+        await asyncio.sleep(seconds)
         for worker in engines:
             worker.hold_after = None
         return task
--- a/bench/forwarding/world.py
+++ b/bench/forwarding/world.py
@@ -106,6 +106,16 @@
 """Time within which a resumed process responds again."""
 
 
+class IsolatedNode(NamedTuple):
+    """How a node is cut off from the store and the nodes outside its group.
+
+    :ivar how: value of a :class:`standins.partitions.Cut`.
+    """
+
+    group: frozenset[str]
+    how: str
+
+
 class PreviousIncarnation(NamedTuple):
     """Previous process of a restarted worker, which may continue to serve for a while.
 
@@ -172,6 +182,7 @@
         self._crests = crests
         self._cuts = cuts
         self._cut_nodes: dict[str, str] = {}
+        self._isolated: dict[str, IsolatedNode] = {}
         if crests:
             self.site.routing["queue"] = True
         self._capacity = CREST_CAPACITY if crests else DEFAULT_CAPACITY
@@ -454,7 +465,8 @@
             "WHEELSLIP_NODE_FILE": str(path),
             CUTS_VARIABLE: str(self._cuts_path(name)),
         }
-        self.cut_paths(name, "")
+        self._cut_nodes[name] = ""
+        self._write_all_cuts()
 
     def _cuts_path(self, name: str) -> pathlib.Path:
         return self._folder / f"{name}.cuts.json"
@@ -465,8 +477,55 @@
         :param how: value of a :class:`standins.partitions.Cut`; empty to end the cut.
         """
         self._cut_nodes[name] = how
+        self._write_cuts(name)
+
+    def isolate(self, names: list[str], how: str) -> None:
+        """Cut nodes off from the store and from all other nodes, but not from each other.
+
+        :param how: value of a :class:`standins.partitions.Cut`.
+        """
+        for name in names:
+            self._isolated[name] = IsolatedNode(frozenset(names), how)
+        self._write_all_cuts()
+
+    def rejoin(self, names: list[str]) -> None:
+        """End the isolation of nodes."""
+        for name in names:
+            del self._isolated[name]
+        self._write_all_cuts()
+
+    def peer_address(self, name: str) -> str:
+        """Return the address at which a node listens for other nodes."""
+        return next(address for address, node in self._node_by_peer_address.items() if node == name)
+
+    def _write_all_cuts(self) -> None:
+        for name in self._cut_nodes:
+            self._write_cuts(name)
+
+    def _cut_peers(self, name: str) -> list[str]:
+        """Return the addresses of the store and of the nodes from which a node is cut off."""
+        own = self._isolated.get(name)
+        cut = [self.store_proxies[name].address] if own is not None else []
+        for address, other in self._node_by_peer_address.items():
+            if (
+                own is not None
+                and other not in own.group
+                or own is None
+                and other in self._isolated
+            ):
+                cut.append(address)
+        return cut
+
+    def _write_cuts(self, name: str) -> None:
         proxies = [*self.worker_proxies.values(), *(previous.proxy for previous in self._previous)]
-        document = {"workers": sorted(proxy.address for proxy in proxies), "how": how}
+        isolated = self._isolated.get(name) or next(iter(self._isolated.values()), None)
+        document = {
+            "workers": sorted(proxy.address for proxy in proxies),
+            "how": self._cut_nodes.get(name, ""),
+            "peers": [*self._node_by_peer_address, self.store_proxies[name].address],
+            "cut_peers": self._cut_peers(name),
+            "peers_how": isolated.how if isolated is not None else "",
+        }
         path = self._cuts_path(name)
         new_path = path.with_suffix(".new")
         new_path.write_text(json.dumps(document))
--- a/tests/probe/forwarding/test_soak.py
+++ b/tests/probe/forwarding/test_soak.py
@@ -129,3 +129,19 @@
     assert soak.record.violations == [], soak.failure_report()
     assert soak.crashing_caller.crashes["dead"] >= 3
     assert soak.checker.checked["calls while most go to one node"] > 0
+
+
+def test_nodes_out_of_step_while_versions_join_break_no_guarantee(tmp_path):
+    """Guards against streams that go on at the only version that isolated nodes know."""
+    soak = asyncio.run(run_seed(2701, SECONDS, tmp_path, isolation=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.isolation.counts.total() > 0
+    assert soak.versions.counts["versions 1"] > 20
+
+
+def test_values_and_bytes_of_other_writers_break_no_guarantee(tmp_path):
+    """Guards against nodes that end, or serve no more, by what another writer put or sent."""
+    soak = asyncio.run(run_seed(2801, SECONDS, tmp_path, foreign=True))
+    assert soak.record.violations == [], soak.failure_report()
+    assert soak.foreign.counts["overwrite_key"] > 0
+    assert soak.checker.checked["calls at nodes in touch"] > 0
