A cut-off node begins no stream that others would take for one of the base version

Cause: the version of such a stream is not known when it begins, so it is recorded under its process and saved. A node that could not save it forwarded the first event all the same, as nodes ask each other for unknown streams after an outage. Nodes that had no outage themselves don't ask: without a record they infer the base version.

Change: saving has three outcomes. Relays that have no answer of the store say so with a message of its own (stream_unsaved; older builds ignore it), and only if all nodes that were asked do, the stream begins.

--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -30,7 +30,7 @@
     is_unverified,
     worker_version,
 )
-from wheelslip.streams.version_link import StreamVersionLink
+from wheelslip.streams.version_link import SaveOutcome, StreamVersionLink
 from wheelslip.streams.version_records import StreamOrigin, stream_key
 from wheelslip.streams.version_register import RegisteredVersions
 
@@ -315,12 +315,12 @@
         if version in registered.versions and not self._saves_before_event(registered, services):
             await self._wait_briefly(saving)
             return
-        if is_process_name(version) and not self._store_is_available():
-            # Other nodes ask for streams that could not be saved.
-            return
         await asyncio.wait([saving], timeout=SAVE_SECONDS)
-        saved = saving.done() and saving.result()
-        if not saved and (not is_process_name(version) or self._store_is_available()):
+        outcome = saving.result() if saving.done() else SaveOutcome.UNKNOWN
+        if is_process_name(version) and outcome is SaveOutcome.STORE_AWAY:
+            # Nodes ask each other for streams that could not be saved during an outage.
+            return
+        if outcome is not SaveOutcome.SAVED:
             raise WheelslipError(
                 ErrorKind.ENGINE_LOST, "the software version of the stream cannot be saved"
             )
@@ -333,7 +333,7 @@
         self._link.back_up(stream.keys, origin, seconds)
         self._link.save_soon(stream.keys, origin)
 
-    async def _wait_briefly(self, saving: asyncio.Task[bool]) -> None:
+    async def _wait_briefly(self, saving: asyncio.Task[SaveOutcome]) -> None:
         """Wait for a save, unless the store is unavailable or was slow just before."""
         if self._clock() < self._saves_slow_until or not self._store_is_available():
             return
--- a/src/wheelslip/streams/messages.py
+++ b/src/wheelslip/streams/messages.py
@@ -11,6 +11,7 @@
 BACKUP_REPLY = "backup_reply"
 SAVE = "stream_save"
 SAVED = "stream_saved"
+UNSAVED = "stream_unsaved"
 
 KEYS_PER_BATCH = 48
 KEYS_PER_QUERY = 16
@@ -84,3 +85,10 @@
     """Tells that the records of a :class:`SaveRequest` are in the store."""
 
     number: int
+
+
+class SaveFailure(NamedTuple):
+    """Tells that the store does not respond to the sender, which so has not saved the records of a
+    :class:`SaveRequest`."""
+
+    number: int
--- a/src/wheelslip/streams/version_link.py
+++ b/src/wheelslip/streams/version_link.py
@@ -8,10 +8,11 @@
 """
 
 import asyncio
+import enum
 import itertools
 import random
-from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import NamedTuple, TypeVar
 
 from wheelslip.keyvalue.model import KeyValueError
 from wheelslip.peers.datagrams import DatagramSocket
@@ -26,12 +27,14 @@
     REPLY,
     SAVE,
     SAVED,
+    UNSAVED,
     BackupQuery,
     BackupReply,
     OriginQuery,
     OriginReply,
     RecordBatch,
     SaveConfirmation,
+    SaveFailure,
     SaveRequest,
 )
 from wheelslip.streams.process_names import is_unverified
@@ -39,6 +42,8 @@
 from wheelslip.streams.version_records import StreamOrigin, StreamRecords
 from wheelslip.streams.version_register import RegisteredVersions, VersionRegister
 
+ResultT = TypeVar("ResultT")
+
 BACKUPS = 2
 """Number of other nodes that hold the records of a node's streams."""
 
@@ -77,6 +82,18 @@
 are treated as unknown. A worker that ends breaks at most some 50 streams of one node."""
 
 
+class SaveOutcome(enum.Enum):
+    """Whether records are in the store.
+
+    ``STORE_AWAY``: not, as the store responds to none of the nodes that save records. ``UNKNOWN``: not
+    confirmed, and this node may be the only one that does not reach the store.
+    """
+
+    SAVED = "saved"
+    STORE_AWAY = "store away"
+    UNKNOWN = "unknown"
+
+
 class KnownOrigin(NamedTuple):
     """Origin of a stream, and how it is known, as described for event 210."""
 
@@ -163,7 +180,7 @@
         self._unsent: dict[tuple[StreamOrigin, int], list[str]] = {}
         self._has_unsent = asyncio.Event()
         self._save_numbers = itertools.count(1)
-        self._unconfirmed: dict[int, asyncio.Future[bool]] = {}
+        self._unconfirmed: dict[int, asyncio.Future[SaveOutcome]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._queries: dict[str, _Query] = {}
         self._unasked: dict[str, list[str]] = {}
@@ -177,6 +194,7 @@
         socket.register(BACKUP_REPLY, BackupReply, self._handle_backup_reply)
         socket.register(SAVE, SaveRequest, self._handle_save)
         socket.register(SAVED, SaveConfirmation, self._handle_confirmation)
+        socket.register(UNSAVED, SaveFailure, self._handle_failure)
 
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Return the gauges by name."""
@@ -249,26 +267,47 @@
 
     # Records in the store
 
-    async def save(self, keys: Sequence[str], origin: StreamOrigin) -> bool:
-        """Have records saved in the store, and return whether that was confirmed."""
+    async def save(self, keys: Sequence[str], origin: StreamOrigin) -> SaveOutcome:
+        """Have records saved in the store."""
         writers = self._writers()
+        asked, away = set(), set()
         for writer, _ in zip(itertools.cycle(writers), range(MAX_SAVE_ATTEMPTS), strict=False):
             if writer == self._address:
-                confirmed = await self.saved.save(keys, origin)
+                outcome = await self._save_locally(keys, origin)
             else:
-                confirmed = await self._request_save(writer, keys, origin)
-            if confirmed:
-                return True
-        return False
+                outcome = await self._request_save(writer, keys, origin)
+            if outcome is SaveOutcome.SAVED:
+                return outcome
+            asked.add(writer)
+            if outcome is SaveOutcome.STORE_AWAY:
+                away.add(writer)
+            if away.issuperset(writers):
+                break
+        return SaveOutcome.STORE_AWAY if away == asked else SaveOutcome.UNKNOWN
 
-    def save_soon(self, keys: Sequence[str], origin: StreamOrigin) -> asyncio.Task[bool]:
+    def save_soon(self, keys: Sequence[str], origin: StreamOrigin) -> asyncio.Task[SaveOutcome]:
         """Have records saved without waiting for it."""
-        task = asyncio.create_task(self.save(keys, origin))
+        return self._run_in_background(self.save(keys, origin))
+
+    def _run_in_background(self, work: Coroutine[None, None, ResultT]) -> asyncio.Task[ResultT]:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _request_save(self, writer: str, keys: Sequence[str], origin: StreamOrigin) -> bool:
+    async def _save_locally(self, keys: Sequence[str], origin: StreamOrigin) -> SaveOutcome:
+        began_at = self._clock()
+        saving = self._run_in_background(self.saved.save(keys, origin))
+        if self.register.store_is_failing():
+            return SaveOutcome.STORE_AWAY
+        if await asyncio.shield(saving):
+            return SaveOutcome.SAVED
+        has_failed = self.saved.failed_at >= began_at
+        return SaveOutcome.STORE_AWAY if has_failed else SaveOutcome.UNKNOWN
+
+    async def _request_save(
+        self, writer: str, keys: Sequence[str], origin: StreamOrigin
+    ) -> SaveOutcome:
         number = next(self._save_numbers)
         confirmed = self._unconfirmed[number] = asyncio.get_running_loop().create_future()
         self._socket.send(writer, SAVE, SaveRequest(self._address, number, origin, list(keys)))
@@ -276,23 +315,30 @@
             async with asyncio.timeout(SAVE_ATTEMPT_SECONDS):
                 return await confirmed
         except TimeoutError:
-            return False
+            return SaveOutcome.UNKNOWN
         finally:
             del self._unconfirmed[number]
 
     def _handle_save(self, message: SaveRequest, sender: str) -> None:
-        task = asyncio.create_task(self._save_for(message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._run_in_background(self._save_for(message))
 
     async def _save_for(self, message: SaveRequest) -> None:
-        if await self.saved.save(message.keys, message.origin):
-            self._socket.send(message.address, SAVED, SaveConfirmation(message.number))
+        match await self._save_locally(message.keys, message.origin):
+            case SaveOutcome.SAVED:
+                self._socket.send(message.address, SAVED, SaveConfirmation(message.number))
+            case SaveOutcome.STORE_AWAY:
+                self._socket.send(message.address, UNSAVED, SaveFailure(message.number))
 
     def _handle_confirmation(self, message: SaveConfirmation, sender: str) -> None:
-        confirmed = self._unconfirmed.get(message.number)
+        self._end_request(message.number, SaveOutcome.SAVED)
+
+    def _handle_failure(self, message: SaveFailure, sender: str) -> None:
+        self._end_request(message.number, SaveOutcome.STORE_AWAY)
+
+    def _end_request(self, number: int, outcome: SaveOutcome) -> None:
+        confirmed = self._unconfirmed.get(number)
         if confirmed is not None and not confirmed.done():
-            confirmed.set_result(True)
+            confirmed.set_result(outcome)
 
     # Streams that this node continues
 
--- a/src/wheelslip/streams/version_register.py
+++ b/src/wheelslip/streams/version_register.py
@@ -184,6 +184,10 @@
         unavailable_at = max(health.interrupted_at, health.failed_sent_at)
         return self._clock() - unavailable_at < RETENTION_SECONDS
 
+    def store_is_failing(self) -> bool:
+        """Return whether the store has not responded to the last calls of this node."""
+        return self._registry.health.failing_age(self._clock()) is not None
+
     def is_current_since(self, moment: float) -> bool:
         """Return whether the view contains all that was registered until a moment."""
         confirmed_at = self._registry.health.confirmed_at
--- a/tests/probe/forwarding/test_streams_at_nodes_out_of_step.py
+++ b/tests/probe/forwarding/test_streams_at_nodes_out_of_step.py
@@ -6,16 +6,22 @@
 
 from standins.partitions import Cut, Partitions
 from standins.platform_site import Site, configuration
+from standins.platform_worker import PlatformWorker
 from tests.probe.forwarding.test_streams_after_all_nodes_end import wait_until_registered
 from tests.probe.forwarding.test_streams_keep_software_version import (
+    BORN,
+    EVENTS,
+    HELD_AFTER,
     NO_RETRY,
     ZONES,
     Stream,
     add_workers,
     begin_streams,
     break_streams,
+    continue_streams,
     hold_streams,
     take_up,
+    wait_until_streams_begin,
 )
 
 CUT_OFF = ("z2", "z3")
@@ -70,3 +76,37 @@
     for name in ZONES:
         partitions.heal(name)
     hold_streams(site, None)
+
+
+@pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE], ids=lambda how: how.value)
+async def test_streams_begun_at_cut_off_node_at_a_restarted_worker_are_not_mixed(site, how):
+    """The node cannot save that it does not know the version of the process."""
+    site.configure(configuration(routes=[NO_RETRY]))
+    for number in range(WORKERS):
+        worker = PlatformWorker(
+            f"i-{number}", "m", events=EVENTS, seconds=0.03, software_version="v1", born=BORN
+        )
+        await site.add_worker(worker, "engines")
+    partitions = Partitions(lambda: peer_addresses(site, ZONES) | {site.store.server.address})
+    await site.add_relays(ZONES)
+    await wait_until_registered(site, "v1")
+    for name in ZONES:
+        await wait_until_streams_begin(site, name)
+    cut_off(site, partitions, ("z2",), how)
+    restarted = site.workers["i-0"]
+    port = int(restarted.server.address.rpartition(":")[2])
+    await restarted.terminate()
+    restarted.software_version, restarted.born = "v2", BORN + 1000
+    await restarted.server.start(port)
+    site.write_entry(restarted, "engines")
+    await wait_until_registered(site, "v2")
+    hold_streams(site, HELD_AFTER)
+    begun = await continue_streams([Stream(site) for _ in range(40)], ("z2",))
+    for worker in site.workers.values():
+        worker.server.reset_all()
+    await asyncio.gather(*(task for _, task in begun))
+    hold_streams(site, None)
+    streams = [stream for stream, _ in begun if stream.events]
+    assert len(streams) >= STREAMS, "streams begin at the processes that are known"
+    await take_up(streams, ("z1", "z3"))
+    assert not [stream for stream in streams if stream.mixed]
--- a/tests/unit/forwarding/messages.py
+++ b/tests/unit/forwarding/messages.py
@@ -48,6 +48,7 @@
     OriginReply,
     RecordBatch,
     SaveConfirmation,
+    SaveFailure,
     SaveRequest,
 )
 from wheelslip.streams.saved_records import SavedBatch
@@ -139,6 +140,7 @@
         Sample("backup reply", BackupReply(["10.0.0.4:7300"])),
         Sample("stream save", SaveRequest("10.0.0.3:7300", 7, origin, ["9f86d081884c7d65"])),
         Sample("stream saved", SaveConfirmation(7)),
+        Sample("stream unsaved", SaveFailure(7)),
         Sample("saved streams", [SavedBatch(*origin, ["9f86d081884c7d65"])]),
         Sample("registered versions", VersionRecord(("v1", "v1.2"), "v1", 2)),
         Sample("brittle", BrittleReport("engines")),
--- a/tests/unit/forwarding/test_stream_continuation.py
+++ b/tests/unit/forwarding/test_stream_continuation.py
@@ -9,6 +9,7 @@
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.forwarding import stream_continuation
 from wheelslip.forwarding.stream_continuation import StreamContinuation
+from wheelslip.streams.version_link import SaveOutcome
 from wheelslip.streams.version_register import RegisteredVersions
 
 ONE = RegisteredVersions(frozenset({"v1"}), "v1")
@@ -53,7 +54,7 @@
             if self._saves is None:
                 await asyncio.sleep(60.0)
             self.saved.append(origin.software_version)
-            return self._saves
+            return SaveOutcome.SAVED if self._saves else SaveOutcome.UNKNOWN
 
         return asyncio.create_task(save())
 
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -12,7 +12,7 @@
 from wheelslip.keyvalue.model import KeyValueUnavailable
 from wheelslip.routing.placement import PlacementQuery
 from wheelslip.streams import messages, version_link
-from wheelslip.streams.version_link import KnownOrigin, StreamVersionLink
+from wheelslip.streams.version_link import KnownOrigin, SaveOutcome, StreamVersionLink
 from wheelslip.streams.version_records import MAX_RECORDS, StreamOrigin, StreamRecords, stream_key
 from wheelslip.streams.version_register import RegisteredVersions
 from wheelslip.wire import encode_frame
@@ -75,6 +75,7 @@
     """
 
     confirmed_at = float("-inf")
+    is_failing = False
 
     def __init__(self, versions, store_versions=None):
         self._versions = _registered(versions)
@@ -86,6 +87,9 @@
     def may_miss_records(self):
         return False
 
+    def store_is_failing(self):
+        return self.is_failing
+
     def is_current_since(self, moment):
         return self.confirmed_at >= moment
 
@@ -98,6 +102,8 @@
 class Saved:
     """Saved records, none of which is confirmed while the store is away."""
 
+    failed_at = float("-inf")
+
     def __init__(self, store):
         self.store = store
 
@@ -367,17 +373,30 @@
         for relay in ("r1", "r2"):
             make_link(network, relay, ("r1", "r2"), store=store)
         network.dead.add("r1")
-        assert await link.save(["k"], V2)
+        assert await link.save(["k"], V2) is SaveOutcome.SAVED
         assert store == {"k": V2}
 
     asyncio.run(play())
 
 
-def test_save_is_not_confirmed_while_the_store_is_away():
+@pytest.mark.parametrize(
+    ("dead", "failing", "expected"),
+    [
+        ((), ("f", "r1", "r2"), SaveOutcome.STORE_AWAY),
+        ((), ("f", "r1"), SaveOutcome.UNKNOWN),
+        (("r2",), ("f", "r1", "r2"), SaveOutcome.UNKNOWN),
+        (("r1", "r2"), ("f", "r1", "r2"), SaveOutcome.UNKNOWN),
+    ],
+    ids=["away for all", "away for some", "a relay is silent", "node alone"],
+)
+def test_store_is_away_only_if_all_nodes_that_save_records_say_so(dead, failing, expected):
     async def play():
         network = Network()
-        link = make_link(network, "f", ("r1",), writers=("r1", "f"))
-        make_link(network, "r1", ("r1",))
-        assert not await link.save(["k"], V2)
+        link = make_link(network, "f", ("r1", "r2"), writers=("r1", "r2", "f"))
+        links = [link, *(make_link(network, relay, ("r1", "r2")) for relay in ("r1", "r2"))]
+        for each in links:
+            each.register.is_failing = each._address in failing
+        network.dead.update(dead)
+        assert await link.save(["k"], V2) is expected
 
     asyncio.run(play())
