Review of the change: replacement of an unread record, the era's header, log of odd keys

Unit test of the replacement. - A header of the store that is no number ended the task that reads the store; it is an invalid response now. - A relay's key was refused for two reasons in turn, each counted and logged anew.

--- a/src/wheelslip/forwarding/leased_key.py
+++ b/src/wheelslip/forwarding/leased_key.py
@@ -18,6 +18,9 @@
 """A renewal that is not answered within one interval is sent again in parallel, so that a single
 lost response does not end the lease."""
 
+FOREIGN_VALUE = "not a value that nodes write"
+"""Reason for refusing the value of a leased key."""
+
 POLL_SECONDS = 0.1
 ELECTION_JITTER_SECONDS = 0.3
 
@@ -104,7 +107,7 @@
         entry = self._registry.system_entry(self._key)
         if entry is None or self._is_own_value(entry[0]):
             return False
-        self._registry.refuse_system_entry(self._key, "not the value of a node")
+        self._registry.refuse_system_entry(self._key, FOREIGN_VALUE)
         return True
 
     def _may_acquire(self) -> bool:
--- a/src/wheelslip/forwarding/relay.py
+++ b/src/wheelslip/forwarding/relay.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable
 
-from wheelslip.forwarding.leased_key import LeasedKey
+from wheelslip.forwarding.leased_key import FOREIGN_VALUE, LeasedKey
 from wheelslip.registry.interface import KeyValueStore
 from wheelslip.registry.registry import Registry
 from wheelslip.settings import Address
@@ -56,7 +56,7 @@
     for key, value in registry.system_entries(RELAY_PREFIX).items():
         address = _decode_address(value)
         if address is None:
-            registry.refuse_system_entry(key, "not the address of a relay")
+            registry.refuse_system_entry(key, FOREIGN_VALUE)
         else:
             addresses[key] = address
     return addresses
--- a/src/wheelslip/peers/datagrams.py
+++ b/src/wheelslip/peers/datagrams.py
@@ -77,16 +77,16 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a message to its handler; invalid datagrams are counted, logged and dropped."""
+        sender = f"{addr[0]}:{addr[1]}"
         try:
             envelope = decode_frame(data, _Envelope)
             receiver = self._receivers[envelope.kind]
             message = decode_document(envelope.content, receiver.message_type)
         except (DocumentError, KeyError) as exc:
             self.refused += 1
-            sender = f"{addr[0]}:{addr[1]}"
             self._log.log(LogEvent.PEER_MESSAGE_REFUSED, peer=sender, reason=str(exc))
             return
-        receiver.handle(message, f"{addr[0]}:{addr[1]}")
+        receiver.handle(message, sender)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error: senders that expect a reply use timeouts."""
--- a/src/wheelslip/platform/store.py
+++ b/src/wheelslip/platform/store.py
@@ -193,7 +193,7 @@
                 self._idle.append((address, connection))
             else:
                 connection.close()
-        self.era = int(dict(response.headers).get(ERA_HEADER, 0))
+        self.era = _decode(dict(response.headers).get(ERA_HEADER, b"0"), int)
         return response.status_code, response_body
 
     async def _connection(self, address: str) -> HttpConnection:
--- a/src/wheelslip/streams/version_register.py
+++ b/src/wheelslip/streams/version_register.py
@@ -252,16 +252,17 @@
         wanted = updated_record(record, seen, self._registry.era, knows_earlier_eras)
         key = VERSIONS_PREFIX + service
         stored = self._registry.system_record(key, VersionRecord)
-        if isinstance(stored, UnusableEntry) and wanted is not None:
-            wanted = watched.replacement(wanted, now)
-        elif stored is not None:
+        is_unreadable = isinstance(stored, UnusableEntry)
+        if stored is not None and not is_unreadable:
             watched.read_at = now
+        if is_unreadable and wanted is not None:
+            wanted = watched.replacement(wanted, now)
         if wanted is None or wanted == stored:
             watched.outdated_since = None
             return False
         if watched.outdated_since is None:
             watched.outdated_since = now + self._write_delay_seconds()
-            if isinstance(stored, UnusableEntry) and record is None:
+            if is_unreadable and record is None:
                 watched.outdated_since += UNKNOWN_RECORD_DELAY_SECONDS
         if now >= watched.outdated_since:
             entry = self._registry.system_entry(key)
--- a/tests/unit/forwarding/test_version_register.py
+++ b/tests/unit/forwarding/test_version_register.py
@@ -10,9 +10,11 @@
 from wheelslip.streams.version_records import StreamOrigin
 from wheelslip.streams.version_register import (
     BASE_ABSENCE_SECONDS,
+    MAX_OBSERVATION_GAP_SECONDS,
     RETENTION_SECONDS,
     Observation,
     VersionRecord,
+    _Watched,
     updated_record,
 )
 
@@ -128,3 +130,11 @@
     leases = [put.lease for transaction in store.sent for put in transaction.changes]
     assert leases[0] != leases[1]
     assert leases == sorted(leases) and 3 <= len(set(leases)) < 8
+
+
+def test_unreadable_record_is_replaced_without_a_base_version_by_a_node_that_never_read_it():
+    watched = _Watched(0.0)
+    assert watched.replacement(ONE, 1.0) == VersionRecord(("v1",), "")
+    watched.read_at = 1.0
+    assert watched.replacement(ONE, 2.0) == ONE
+    assert watched.replacement(ONE, 2.0 + MAX_OBSERVATION_GAP_SECONDS).base == ""
