--- a/bench/forwarding/world.py
+++ b/bench/forwarding/world.py
@@ -422,7 +422,10 @@
             item for key, item in self.site.model.items.items() if key.startswith(RELAY_PREFIX)
         ]
         leases.sort(key=lambda lease: lease.created_revision)
-        return [self._node_by_peer_address[lease.value.decode()] for lease in leases]
+        # Another writer may have overwritten some.
+        addresses = [lease.value.decode("latin-1") for lease in leases]
+        known = self._node_by_peer_address
+        return [known[address] for address in addresses if address in known]
 
     def relay_node(self) -> str | None:
         """Return the node that holds the oldest relay lease, or ``None`` if there is none."""
