--- a/src/wheelslip/callers/answer.py
+++ b/src/wheelslip/callers/answer.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from wheelslip.callers.schema import CompletionRequest
+from wheelslip.documents import decode_document
 from wheelslip.errors import WheelslipError
 from wheelslip.keyvalue.claims import StoredResponse
 
@@ -58,15 +59,12 @@
     usage: Usage | None = None
 
 
-_decode_chunk = msgspec.json.Decoder(_EngineChunk).decode
-
-
 def parse_chunk(data: bytes) -> CompletionChunk:
     """Parse the JSON of an engine's completion chunk.
 
-    :raises msgspec.MsgspecError: when the data is not a completion chunk.
+    :raises DocumentError: when the data is not a completion chunk.
     """
-    chunk = _decode_chunk(data)
+    chunk = decode_document(data, _EngineChunk)
     if not chunk.choices:
         return CompletionChunk(data, usage=chunk.usage)
     choice = chunk.choices[0]
--- a/src/wheelslip/callers/attempt.py
+++ b/src/wheelslip/callers/attempt.py
@@ -8,9 +8,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-import msgspec
-
 from wheelslip.callers.answer import CompletionChunk, parse_chunk
+from wheelslip.documents import DocumentError
 from wheelslip.engines.client import (
     DONE_DATA,
     GONE,
@@ -143,7 +142,7 @@
                     if event.data == DONE_DATA:
                         return
                     yield parse_chunk(event.data.replace(self._attempt_bytes, self._request_bytes))
-            except (EngineStreamLost, msgspec.MsgspecError) as error:
+            except (EngineStreamLost, DocumentError) as error:
                 idle_resumes = 0 if self._last_event_id > previous_event_id else idle_resumes + 1
                 limit = (
                     MAX_RESUMES_WITHOUT_PROGRESS
--- a/src/wheelslip/operators/api.py
+++ b/src/wheelslip/operators/api.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wheelslip import __version__
+from wheelslip.documents import decode_document
 from wheelslip.engines.directory import EngineDirectory
 from wheelslip.errors import ErrorKind, WheelslipError
 from wheelslip.events import LogEvent, log_event
@@ -97,9 +98,9 @@
 
     def _apply(self, request: ServiceRequest) -> ServiceResponse:
         try:
-            apply = msgspec.json.decode(request.body, type=ApplyRequest)
+            apply = decode_document(request.body, ApplyRequest)
             keys = {text: ObjectKey.parse(text) for text in apply.objects}
-        except (msgspec.MsgspecError, ValueError) as error:
+        except ValueError as error:
             raise WheelslipError(ErrorKind.CONFIGURATION_INVALID, f"body: {error}") from error
         base = self._base_state(apply.expected_revision)
         if self._is_retry(apply, base):
