The version of a process that becomes known while a stream waits is used

What callers saw: streams of a worker that had restarted were refused with 503 stream_version_unknown, "the process that began the stream is not in use", in the moment in which the worker's new entry arrived.

Cause: the name of the process was looked up before its report was awaited, and compared with the workers afterwards, when the view names the version in its place.

Change: the name is looked up again after the wait, and whenever the version is compared.

--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -124,7 +124,7 @@
 
         :raises WheelslipError: if there is none, so that waiting is useless.
         """
-        version = job.required_version
+        version = job.required_version = self._current_version(job.required_version)
         if not version or any(
             worker_version(worker) == version for worker in self._registry.workers_of(service)
         ):
@@ -222,7 +222,15 @@
         if not born or incarnation_of(worker.info.worker_id, born) != name.incarnation:
             return ""
         self._registry.record_process(worker.info.id, born)
-        return encode_process_name(ProcessName(name.incarnation)) if known is None else known
+        return self._current_version(encode_process_name(ProcessName(name.incarnation)))
+
+    def _current_version(self, version: str) -> str:
+        """Return the software version of a verified process if its entry has been seen by now."""
+        name = decode_process_name(version)
+        if name is None or not name.verified:
+            return version
+        known = self._registry.view.version_of(name.incarnation)
+        return version if known is None else known
 
     def accept_unverified(self, job: Job, service: str) -> bool:
         """Let a request use workers that were avoided, if there are any.
