--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -209,12 +209,10 @@
         :param version: a software version, which is returned, or the name of a process.
         :return: empty if neither is the case.
         """
+        version = self._current_version(version)
         name = decode_process_name(version)
         if name is None:
             return version
-        known = self._registry.view.version_of(name.incarnation)
-        if name.verified and known is not None:
-            return known
         worker = self._registry.view.by_id(worker_id_of(name.incarnation))
         if worker is None:
             return ""
