Contents that several suspected ones explain are proven by a third crash alone

Cause: the content was lost beside each of two deadly ones, at two engines each, and twice in a trial. No deadly content had been lost without it by then, so none explained all its crashes, and two crashes alone convicted it.

Change: a content each of whose crashes was beside one of several suspected contents, none of which had all of them, is proven by its third crash alone. A third trial beside a deadly content still convicts it.

Measured: test_content_lost_beside_two_deadly_ones_is_not_refused fails without the change; the mutation is noticed.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -857,6 +857,24 @@
         "forwarding/test_prompt_parts_that_crash_workers.py"
         "::test_several_deadly_parts_stop_reaching_workers",
     ),
+    _single_edit(
+        "content convicted though several others explain its crashes",
+        FORWARDING,
+        "crashes/ledger.py",
+        "return frozenset().union(*suspected) == own",
+        "return False",
+        "../unit/forwarding/test_crash_ledger.py"
+        "::test_content_lost_beside_two_deadly_ones_is_not_refused",
+    ),
+    _single_edit(
+        "isolated node without requests does not look for its paths",
+        FORWARDING,
+        "tunnels/direct_paths.py",
+        "if not self.isolated or self._clock() < self._probe_at:",
+        "if True:",
+        "forwarding/test_node_without_worker_paths.py"
+        "::test_node_without_requests_notices_that_its_paths_have_returned",
+    ),
     _single_edit(
         "prompt part proven by trials of one request",
         FORWARDING,
--- a/src/wheelslip/crashes/ledger.py
+++ b/src/wheelslip/crashes/ledger.py
@@ -25,8 +25,8 @@
 
 ALONE_REFUSAL_THRESHOLD = 2
 """Number of crashes while running alone that prove the cause if nothing that was lost there explains
-other crashes too. With 1, a harmless content that ran beside three deadly ones at two engines was
-refused."""
+other crashes too, and no group of suspected contents explains all of them. With 1, a harmless content
+that ran beside three deadly ones at two engines was refused."""
 
 AMBIGUOUS_REFUSAL_THRESHOLD = 3
 """The same whatever else was lost there. Another node may send a request that is not suspected yet to the
@@ -150,7 +150,9 @@
         if len(alone) >= AMBIGUOUS_REFUSAL_THRESHOLD:
             return True
         unambiguous = [each for each in alone if not self._has_other_cause(fingerprint, each)]
-        if len(unambiguous) >= ALONE_REFUSAL_THRESHOLD:
+        if len(unambiguous) >= ALONE_REFUSAL_THRESHOLD and not self._is_explained_by_several(
+            fingerprint
+        ):
             return True
         return any(
             not self._has_other_suspects(fingerprint, incarnation)
@@ -201,6 +203,17 @@
         others = self._others_lost_at(fingerprint, incarnation)
         return any(not self._uncleared(other).keys() <= own for other in others)
 
+    def _is_explained_by_several(self, fingerprint: str) -> bool:
+        """Return whether each crash is beside another suspected fingerprint, of which none had all.
+
+        A popular content is lost beside each of several deadly ones.
+        """
+        own = self._uncleared(fingerprint).keys()
+        lost_beside = {other for each in own for other in self._others_lost_at(fingerprint, each)}
+        crashes = [self._uncleared(other).keys() & own for other in lost_beside]
+        suspected = [each for each in crashes if TRIAL_THRESHOLD <= len(each) < len(own)]
+        return frozenset().union(*suspected) == own
+
     def _others_lost_at(self, fingerprint: str, incarnation: Incarnation) -> list[str]:
         """Return the other fingerprints with an uncleared crash at an incarnation."""
         others = self._fingerprints.get(incarnation, set()) - {fingerprint}
--- a/tests/unit/forwarding/test_crash_ledger.py
+++ b/tests/unit/forwarding/test_crash_ledger.py
@@ -129,6 +129,28 @@
     assert ledger.status("deadly") is FingerprintStatus.REFUSED
 
 
+def test_content_lost_beside_two_deadly_ones_is_not_refused(ledger, clock):
+    """Each of its crashes was beside one of them, and they had not been lost without it yet."""
+    for number, deadly in ((1, "first"), (2, "second"), (3, "second"), (4, "first")):
+        ledger.record(crash(number, "popular", alone=number in (3, 4)))
+        ledger.record(crash(number, deadly, alone=False))
+    clock.now += REPORT_WAIT_SECONDS
+    assert ledger.status("popular") is FingerprintStatus.TRIAL
+
+
+def test_deadly_content_beside_two_popular_ones_is_refused_at_its_third_crash_alone(ledger, clock):
+    """Its history until the second one is also that of a popular content beside two deadly ones."""
+    for number, popular in ((1, "first"), (2, "second"), (3, "second"), (4, "first")):
+        ledger.record(crash(number, alone=number in (3, 4)))
+        ledger.record(crash(number, popular, alone=False))
+    clock.now += REPORT_WAIT_SECONDS
+    assert ledger.status("c") is FingerprintStatus.TRIAL
+    ledger.record(crash(5))
+    ledger.record(crash(5, "first", alone=False))
+    assert ledger.status("c") is FingerprintStatus.REFUSED
+    assert ledger.status("first") is FingerprintStatus.TRIAL
+
+
 def test_third_crash_alone_refuses_whatever_else_was_lost(ledger):
     """The crashing content reaches workers a limited number of times beside a popular one."""
     ledger.record(crash(1, "popular", alone=False))
