Isolated nodes try to reach a worker every second, also without requests

Cause: only requests tried a lost path again. The only relay of the fleet got none, so it took itself for isolated, left the lease of the holder free, and others may not take that while there is a relay. Nobody ordered new weights.

Change: a node that takes itself for isolated tries to reach one worker a second itself. While the only relay is isolated there is still no holder.

--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -519,6 +519,7 @@
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
+            ("paths", self._connector.probe_while_isolated),
             ("rollout", self._rollout.run),
             ("software versions", self._stream_versions.register.run),
             ("saved streams", self._stream_versions.saved.run),
--- a/src/wheelslip/tunnels/connector.py
+++ b/src/wheelslip/tunnels/connector.py
@@ -18,7 +18,7 @@
 from wheelslip.events import LogBudget, LogEvent
 from wheelslip.tunnels.client import TunnelConnection, TunnelRefused, connect_to_peer
 from wheelslip.tunnels.direct_connection import connect_directly
-from wheelslip.tunnels.direct_paths import DirectPaths
+from wheelslip.tunnels.direct_paths import RETRY_SECONDS, DirectPaths
 from wheelslip.tunnels.messages import TunnelStatus
 from wheelslip.tunnels.peers import PeerFailure, TunnelPeers
 
@@ -109,6 +109,19 @@
         connection.close()
         return True
 
+    async def probe_while_isolated(self) -> None:
+        """Try to reach a worker from time to time while this node is isolated, until cancelled.
+
+        An isolated node may receive no requests, and gives up duties that others may not take.
+        """
+        while True:
+            await asyncio.sleep(RETRY_SECONDS)
+            worker = self._paths.due_probe()
+            if worker is None:
+                continue
+            self._paths.begin_retry(worker.id)
+            await self._reached_directly(worker)
+
     def check_path(self, worker: WorkerInfo) -> None:
         """Find out in the background whether this node or the worker failed."""
         task = asyncio.get_running_loop().create_task(self._check_path(worker))
@@ -116,12 +129,16 @@
         task.add_done_callback(self._close_abandoned)
 
     async def _check_path(self, worker: WorkerInfo) -> None:
-        connection = await self._open_directly(_Race(worker, ""))
-        if connection is not None:
-            connection.close()
-        else:
+        if not await self._reached_directly(worker):
             await self.reached_by_peer(worker)
 
+    async def _reached_directly(self, worker: WorkerInfo) -> bool:
+        connection = await self._open_directly(_Race(worker, ""))
+        if connection is None:
+            return False
+        connection.close()
+        return True
+
     def _ways(self, race: _Race) -> Iterator[_Way]:
         paths, incarnation = self._paths, race.worker.id
         if not paths.lacks(incarnation):
--- a/src/wheelslip/tunnels/direct_paths.py
+++ b/src/wheelslip/tunnels/direct_paths.py
@@ -26,6 +26,7 @@
 class _LostPath:
     """A worker to which no connection could be opened.
 
+    :ivar worker: the worker.
     :ivar since: when the first attempt failed.
     :ivar failed_at: when the last attempt failed.
     :ivar retry_at: when to try again to connect directly.
@@ -33,6 +34,7 @@
     :ivar confirmed: another node reached the worker meanwhile.
     """
 
+    worker: WorkerInfo
     since: float
     failed_at: float
     retry_at: float
@@ -98,6 +100,12 @@
         if incarnation in self._lost:
             self._lost[incarnation].retry_at = self._probe_at
 
+    def due_probe(self) -> WorkerInfo | None:
+        """Return a worker to which an isolated node should try to connect now, if any."""
+        if not self.isolated or self._clock() < self._probe_at:
+            return None
+        return min(self._isolating(), key=lambda path: path.failed_at).worker
+
     def record_connected(self, worker: WorkerInfo) -> None:
         """Record that a connection to a worker was opened."""
         now = self._clock()
@@ -126,7 +134,7 @@
         confirmed = now - reached_at < CONFIRMATION_SECONDS
         if path is None:
             log_event(LogEvent.ENGINE_PATH_LOST, **_fields(worker), reason=reason)
-            path = _LostPath(now, now, now + RETRY_SECONDS, hangs, confirmed)
+            path = _LostPath(worker, now, now, now + RETRY_SECONDS, hangs, confirmed)
             self._lost[worker.id] = path
         path.failed_at, path.hangs = now, hangs
         path.confirmed = path.confirmed or confirmed
--- a/tests/probe/forwarding/test_node_without_worker_paths.py
+++ b/tests/probe/forwarding/test_node_without_worker_paths.py
@@ -134,6 +134,18 @@
     assert_served(site, traffic)
 
 
+async def test_node_without_requests_notices_that_its_paths_have_returned(site):
+    """The only relay of a fleet stayed isolated, so that no node ordered new weights for 40 s."""
+    partitions = await start_site(site)
+    traffic = await isolate(site, partitions, "z1", Cut.REFUSE)
+    await traffic.finish()
+    partitions.heal("z1")
+    node = site.nodes["z1"]
+    async with asyncio.timeout(CONTACT_SECONDS):
+        while node.gauge("isolated_from_workers"):
+            await asyncio.sleep(0.1)
+
+
 @pytest.mark.parametrize("how", Cut, ids=lambda how: how.value)
 async def test_single_worker_without_a_path_is_used_through_another_node(site, how):
     partitions = await start_site(site)
