Idle time does not count in the expected wait on the OpenAI path

After a quiet minute the OpenAI path refused what an engine could serve.

Cause: the mean time between completions counted the time in which no request was at an engine.

Change: only time with requests at engines counts.

Measured: test_idle_time_does_not_count_as_time_that_requests_need fails without the change (0 completed); tests/replay passes.

--- a/src/wheelslip/routing/scheduler.py
+++ b/src/wheelslip/routing/scheduler.py
@@ -56,18 +56,29 @@
 
 @dataclass
 class _DepartureRate:
-    """Exponentially smoothed time between request completions, to predict queueing time."""
+    """Exponentially smoothed time between request completions, to predict queueing time.
+
+    Only time with requests at engines counts: an idle time says nothing about the next requests.
+    """
 
     mean_seconds: float | None = None
-    last_at: float | None = None
+    busy_since: float = 0.0
+
+    def record_send(self, is_idle: bool, now: float) -> None:
+        """Record that a request is sent.
+
+        :param is_idle: no other request was at an engine.
+        """
+        if is_idle:
+            self.busy_since = now
 
     def record(self, now: float) -> None:
-        if self.last_at is not None:
-            interval = now - self.last_at
-            if self.mean_seconds is None:
-                self.mean_seconds = interval
-            self.mean_seconds += _DEPARTURE_SMOOTHING * (interval - self.mean_seconds)
-        self.last_at = now
+        """Record that a request has left its engine."""
+        interval = now - self.busy_since
+        if self.mean_seconds is None:
+            self.mean_seconds = interval
+        self.mean_seconds += _DEPARTURE_SMOOTHING * (interval - self.mean_seconds)
+        self.busy_since = now
 
 
 class Scheduler:
@@ -312,6 +323,7 @@
         is_home_estimate = choice.is_home and choice.indexed_blocks == 0
         first_block_age = self._index.first_block_age(view.info.name, keys, now)
         in_flight = _InFlightRequest(request, view.info, keys, is_home_estimate, first_block_age)
+        self._departures.record_send(not self._in_flight, now)
         self._in_flight[request.request_id] = in_flight
         updates: list[Decision] = []
         if uncached >= FOLLOW_MIN_TOKENS:
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -117,6 +117,16 @@
     assert refusal.request_id == "f1" and refusal.kind is ErrorKind.DEADLINE_UNREACHABLE
 
 
+def test_idle_time_does_not_count_as_time_that_requests_need(scheduler):
+    """After a quiet minute, requests that engines could serve were refused as too late."""
+    for number in range(3):
+        scheduler.submit(request(f"r{number}", now=60.0 * number), 60.0 * number)
+        scheduler.finished(f"r{number}", None, 60.0 * number + 0.1)
+    scheduler.submit(request("lead", LONG, 121.0), 121.0)
+    assert scheduler.submit(request("f1", LONG, 121.1, deadline=4.0), 121.1) == []
+    assert scheduler.waiting_count == 1
+
+
 def test_requests_are_spread_evenly_over_equal_engines(scheduler):
     names = []
     for number in range(30):
