--- a/bench/dispatch_cost.py
+++ b/bench/dispatch_cost.py
@@ -75,7 +75,7 @@
         PromptPart(f"{session:08x}", 3800),
         PromptPart(f"{number:08x}", 2900),
     )
-    return PlacementQuery(SERVICE, SERVICE, "m", 9200, 50, parts, target_seconds=60.0, zone="z")
+    return PlacementQuery(SERVICE, SERVICE, "m", 9200, 50, parts, patience_seconds=60.0, zone="z")
 
 
 def microseconds_per_request(workers: int) -> float:
--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -280,7 +280,7 @@
         "registry/entry_log.py",
         "if revision <= self.revision_of(key):",
         "if False:",
-        "../unit/forwarding/test_registry.py::test_older_change_of_a_key_is_ignored",
+        "../unit/forwarding/test_entry_log.py::test_latest_change_of_each_key_is_returned_in_revision_order",
     ),
     _single_edit(
         "vanished entries removed at once during a store outage",
@@ -910,6 +910,95 @@
         "../unit/forwarding/test_queue_link.py"
         "::test_request_for_brittle_workers_waits_for_a_slow_dispatcher",
     ),
+    _single_edit(
+        "idle engine refuses a prompt whose prefill is estimated too long",
+        FORWARDING,
+        "routing/fleet_choice.py",
+        "return max(0.0, query.patience_seconds - work_seconds)",
+        "return query.patience_seconds - work_seconds",
+        "../unit/forwarding/test_dispatcher.py"
+        "::test_idle_engine_takes_a_prompt_however_long_it_seems",
+    ),
+    _single_edit(
+        "callers that will not wait for their retry time delay others",
+        FORWARDING,
+        "routing/overload.py",
+        "if retry_at - now <= RETRY_SHARE * seconds_left:",
+        "if True:",
+        "../unit/forwarding/test_dispatcher.py"
+        "::test_callers_that_do_not_wait_for_their_time_delay_no_others",
+    ),
+    _single_edit(
+        "latency target of an earlier build taken for the caller's time",
+        FORWARDING,
+        "peers/dispatch_messages.py",
+        "query = query._replace(patience_seconds=self.deadline_seconds)",
+        "pass",
+        "../unit/forwarding/test_dispatch_messages.py"
+        "::test_objective_of_an_earlier_build_is_not_taken_for_the_time_of_its_caller",
+    ),
+    _single_edit(
+        "nothing waits at a node without a dispatcher",
+        FORWARDING,
+        "forwarding/assignment.py",
+        "if not self._uses_queue():\n                return await self._assign_locally",
+        "if True:\n                return await self._assign_locally",
+        "forwarding/test_load_limit.py"
+        "::test_burst_above_the_capacity_is_served_while_its_callers_wait",
+    ),
+    _single_edit(
+        "node without a dispatcher counts all slots as its own",
+        FORWARDING,
+        "routing/worker_choice.py",
+        "return capacity * own / total",
+        "return capacity",
+        "../unit/forwarding/test_worker_room.py"
+        "::test_node_alone_expects_other_nodes_to_keep_their_share",
+    ),
+    _single_edit(
+        "end of a backoff not waited for",
+        FORWARDING,
+        "forwarding/forwarder.py",
+        "if backoff_end <= self._assigner.latest_start(job, service):",
+        "if False:",
+        "forwarding/test_said_in_answers.py"
+        "::test_request_waits_for_end_of_backoff_as_long_as_its_caller_does",
+    ),
+    _single_edit(
+        "idle time counts towards the expected wait on the OpenAI path",
+        FORWARDING,
+        "routing/scheduler.py",
+        "        if is_idle:\n            self.busy_since = now",
+        "        pass",
+        "../unit/test_scheduler.py::test_idle_time_does_not_count_as_time_that_requests_need",
+    ),
+    _single_edit(
+        "newcomers rejected by urgent arrivals that did not last",
+        FORWARDING,
+        "routing/queue/lasting_arrivals.py",
+        "if len(self._counts) <= WINDOWS:\n            return 0.0\n        *complete, _ = self._counts",
+        "complete = [self._counts[-1]]",
+        "../unit/forwarding/test_queue_under_load.py"
+        "::test_burst_of_two_priorities_is_served_if_the_workers_can",
+    ),
+    _single_edit(
+        "waiting requests of the node do not postpone rollouts",
+        FORWARDING,
+        "forwarding/local_queue.py",
+        "self.recent_waits.record(request.query.service)",
+        "pass",
+        "../unit/forwarding/test_local_queue.py"
+        "::test_service_whose_requests_wait_at_their_node_is_short_of_workers",
+    ),
+    _single_edit(
+        "streams waited for until their deadline, not their callers' patience",
+        FORWARDING,
+        "platform/registry.py",
+        "return max(_PATIENCE_MS, objectives_ms, _PATIENCE_PAUSES * route.gap_aim_ms) / 1000",
+        "return math.inf",
+        "../unit/forwarding/test_caller_time.py"
+        "::test_streams_depend_on_their_objective_by_the_patience_of_their_callers",
+    ),
 )
 
 
--- a/src/wheelslip/deployment.py
+++ b/src/wheelslip/deployment.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import math
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import NamedTuple, NewType
@@ -52,12 +53,13 @@
     """How requests of one host and path prefix are handled.
 
     :ivar timeout_seconds: maximum time from a request's arrival to its end.
-    :ivar target_seconds: latency target, counted from arrival.
+    :ivar patience_seconds: time from a request's arrival after which its caller gives up if the
+        response has not begun; infinite if it waits until its deadline.
     :ivar priority: used for tenants without a priority of their own; 0 is the most urgent.
     :ivar max_attempts: maximum number of attempts that may have run at a worker.
     :ivar resumable: an interrupted stream may continue at another worker after its last complete
         event.
-    :ivar pause_seconds: longest pause between events of a response that meets its target.
+    :ivar pause_seconds: longest pause between events of a response that its callers accept.
     """
 
     name: str
@@ -65,7 +67,6 @@
     path_prefix: str
     kind: RouteKind
     timeout_seconds: float
-    target_seconds: float
     priority: int
     split: tuple[SplitPart, ...]
     max_attempts: int
@@ -73,6 +74,7 @@
     session_affinity: bool
     resumable: bool
     pause_seconds: float = 0.5
+    patience_seconds: float = math.inf
 
     @property
     def repeatable(self) -> bool:
--- a/src/wheelslip/forwarding/assignment.py
+++ b/src/wheelslip/forwarding/assignment.py
@@ -1,9 +1,11 @@
 """Assignment of workers to requests, by the dispatcher of the service or by this node alone."""
 
+import contextlib
 from collections.abc import Callable
 
 from wheelslip.connections.worker_pool import WorkerPool
 from wheelslip.deployment import Incarnation
+from wheelslip.forwarding.local_queue import LocalQueue, StillWaiting
 from wheelslip.job import Job
 from wheelslip.peers.dispatch_link import DispatchLink
 from wheelslip.peers.dispatcher_health import DispatcherUnavailable
@@ -14,6 +16,8 @@
 from wheelslip.routing.limits.tenant_limits import TenantLimits
 from wheelslip.routing.limits.worker_allowance import RateLimitedChoice, WorkerAllowance
 from wheelslip.routing.placement import Placement, PlacementQuery
+from wheelslip.routing.queue.service_times import ServiceTimes, TimesByService
+from wheelslip.routing.queue.waiting_request import QueuedQuery
 from wheelslip.routing.worker_choice import WorkerPlacement
 
 
@@ -24,6 +28,7 @@
     :param allowance: charged for the worker's rate limit if this node chose the worker itself.
     :param link: used to report the progress of a granted request.
     :param grant: the dispatcher's grant, or ``None`` if this node chose the worker itself.
+    :param times: informed of the times that the worker needs.
     :ivar queued: the request may have waited in the queue of a dispatcher.
     """
 
@@ -34,6 +39,8 @@
         allowance: WorkerAllowance,
         link: DispatchLink | None,
         grant: Grant | None,
+        times: ServiceTimes,
+        clock: Callable[[], float],
         queued: bool = False,
     ):
         self.placement = placement
@@ -41,6 +48,8 @@
         self._allowance = allowance
         self._link = link
         self._grant = grant
+        self._times = times
+        self._clock = clock
         self.queued = queued
         self._started_at = 0.0
         self._failed = False
@@ -68,6 +77,7 @@
     def record_first_token(self) -> None:
         """Record that the worker produced the first token."""
         self._records.first_token(self.placement, self._started_at)
+        self._times.record_response(self.placement.priority, self._elapsed())
         self._report(Progress.FIRST_TOKEN)
 
     def record_outcome(self, failed: bool) -> None:
@@ -118,9 +128,13 @@
         completed = progress is Progress.ENDED
         self._records.end(self.placement, self._started_at, had_first_token, completed)
         if completed:
-            self._records.record_served(self.placement, self._started_at)
+            priority = self.placement.priority
+            self._times.record_request(priority, self._elapsed(), had_first_token)
         self._report(progress)
 
+    def _elapsed(self) -> float:
+        return self._clock() - self._started_at
+
     def _final_progress(self) -> Progress:
         if self._not_run:
             return Progress.NOT_RUN if self._failed else Progress.UNUSED
@@ -144,6 +158,7 @@
     :param link: link to dispatchers, or ``None`` if the node has no peer address.
     :param limits: rate limits of tenants, applied if the node has no link.
     :param allowance: this node's share of the rate limits of workers.
+    :param times: how long the workers of each service need for requests.
     :param uses_dispatcher: returns whether the dispatcher chooses workers.
     :param uses_queue: returns whether requests wait in the queue of the dispatcher.
     :param excluded_by_version: returns the workers of a service at which a request may not run
@@ -160,6 +175,7 @@
         link: DispatchLink | None,
         limits: TenantLimits,
         allowance: WorkerAllowance,
+        times: TimesByService,
         uses_dispatcher: Callable[[], bool],
         uses_queue: Callable[[], bool],
         excluded_by_version: Callable[[Job, str], frozenset[Incarnation]],
@@ -173,6 +189,8 @@
         self._limits = limits
         self._allowance = allowance
         self._local_choice = RateLimitedChoice(records, allowance)
+        self._times = times
+        self.local_queue = LocalQueue(records, times, clock)
         self._uses_dispatcher = uses_dispatcher
         self._uses_queue = uses_queue
         self._excluded_by_version = excluded_by_version
@@ -185,25 +203,58 @@
         :raises TenantLimited: if the tenant has exceeded its rate limit.
         :raises NoAuthority: if no node can check the tenant's rate limit at present.
         """
-        query = self._query(job, service)
-        if self._link is not None and self._uses_dispatcher():
-            try:
-                grant = await self._link.request_grant(query, self._queue_terms(job, service))
-            except DispatcherUnavailable:
-                pass
-            else:
-                return grant and self._assignment(job, grant.placement, grant)
-        return await self._assign_locally(job, service)
+        while True:
+            if self._link is not None and self._uses_dispatcher():
+                query = self._query(job, service)
+                try:
+                    grant = await self._link.request_grant(query, self._queue_terms(job, service))
+                except DispatcherUnavailable:
+                    pass
+                else:
+                    return grant and self._assignment(job, grant.placement, grant)
+            if not self._uses_queue():
+                return await self._assign_locally(job, service)
+            with contextlib.suppress(StillWaiting):
+                return await self._wait_locally(job, service)
+
+    def latest_start(self, job: Job, service: str) -> float:
+        """Return the latest start of a request whose caller still receives the response."""
+        work = self._times[service].expected(job.priority)
+        return work.latest_start(job.response_deadline, job.deadline)
+
+    async def _wait_locally(self, job: Job, service: str) -> Assignment | None:
+        """Assign a worker when it is the request's turn among those that wait at this node.
+
+        :raises StillWaiting: if a dispatcher should be asked again.
+        """
+        now = self._clock()
+        queued = QueuedQuery(
+            self._query_with_tenant(job, service), now - job.request.arrived, job.deadline - now
+        )
+
+        def record_wait() -> None:
+            job.has_waited = True
+
+        return await self.local_queue.start(
+            queued, lambda: self._assign_locally(job, service), record_wait
+        )
 
     async def _assign_locally(self, job: Job, service: str) -> Assignment | None:
-        query = self._query(job, service)
+        query = self._query(job, service)._replace(must_start_soon=self._uses_queue())
         await self._charge_quota(job, query)
         placement = self._local_choice.choose(query, self._clock())
         return placement and self._assignment(job, placement, None)
 
     def _assignment(self, job: Job, placement: Placement, grant: Grant | None) -> Assignment:
         return Assignment(
-            placement, self._records, self._allowance, self._link, grant, job.has_waited
+            placement,
+            self._records,
+            self._allowance,
+            self._link,
+            grant,
+            self._times[placement.worker.info.service],
+            self._clock,
+            job.has_waited,
         )
 
     async def _charge_quota(self, job: Job, query: PlacementQuery) -> None:
@@ -231,15 +282,15 @@
             job.request.arrived,
             job.deadline,
             lambda: self._queue_query(job, service),
-            lambda: job.fingerprint,
         )
 
     def _queue_query(self, job: Job, service: str) -> PlacementQuery:
-        """Return the query with the tenant, by whose share the queue orders, even without a limit.
-
-        It is needed only when the request is about to wait, so this also records that it waits.
-        """
+        """Return the query of a request that is about to wait, and record that it waits."""
         job.has_waited = True
+        return self._query_with_tenant(job, service)
+
+    def _query_with_tenant(self, job: Job, service: str) -> PlacementQuery:
+        """Return the query with the tenant, by whose share a queue orders, even without a limit."""
         tenant = job.tenant.name if job.tenant is not None else ""
         return self._query(job, service)._replace(tenant=tenant)
 
@@ -257,7 +308,7 @@
             metadata.prompt,
             job.cache_namespace,
             job.route.pause_seconds,
-            job.request.arrived + job.route.target_seconds - self._clock(),
+            job.response_deadline - self._clock(),
             job.priority,
             self._zone,
             self._pool.idle_workers(),
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -49,8 +49,6 @@
 """Interval between the retry times of callers rejected during a backoff, after which a worker is
 first sent one request at a time."""
 
-MIN_RETRY_SECONDS = 0.05
-
 ANSWER_GRACE_SECONDS = 0.1
 """Time after the deadline during which a worker may still return its own timeout response."""
 
@@ -277,7 +275,7 @@
         """Return the time at which the first worker in backoff accepts requests again.
 
         :return: ``None`` if no worker of the service is in backoff.
-        :raises WheelslipError: if that time is later than the target of the request. The request
+        :raises WheelslipError: if the caller would not receive the response by then. The request
             fails immediately, as a worker may still accept it from another node; callers are
             given successively later retry times.
         """
@@ -286,13 +284,13 @@
             return None
         now = self._clock()
         backoff_end = max(now, first_end)
-        if backoff_end <= job.request.arrived + job.route.target_seconds:
+        if backoff_end <= self._assigner.latest_start(job, service):
             return backoff_end
         schedule = self._retry_schedules.setdefault(service, RetrySchedule())
-        seconds = schedule.retry_seconds(now, backoff_end - now, BACKOFF_RETRY_SPACING_SECONDS)
-        raise unserved_error(
-            job, "no engine leaves backoff in time", max(seconds, MIN_RETRY_SECONDS)
+        seconds = schedule.retry_seconds(
+            now, backoff_end - now, BACKOFF_RETRY_SPACING_SECONDS, job.deadline - now
         )
+        raise unserved_error(job, "no engine leaves backoff in time", seconds)
 
     def _record_failed_attempt(
         self, job: Job, assignment: Assignment, outcome: AttemptOutcome
--- a/src/wheelslip/forwarding/node.py
+++ b/src/wheelslip/forwarding/node.py
@@ -22,6 +22,7 @@
 from wheelslip.forwarding.process_checks import ProcessChecks
 from wheelslip.forwarding.registry_sync import RegistrySync
 from wheelslip.forwarding.relay import RelayLease
+from wheelslip.forwarding.relay_addresses import RelayAddresses
 from wheelslip.forwarding.relay_link import RelayLink
 from wheelslip.forwarding.rollout import WeightsRollout
 from wheelslip.forwarding.rollout_record import RolloutView
@@ -56,6 +57,7 @@
 from wheelslip.routing.dispatcher import Dispatcher
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.load_table import LoadTable
+from wheelslip.routing.queue.service_times import TimesByService
 from wheelslip.routing.speeds.worker_speed import SpeedEstimates
 from wheelslip.routing.worker_choice import WorkerPlacement
 from wheelslip.streams.saved_records import STREAMS_PREFIX, SavedStreamRecords
@@ -138,6 +140,7 @@
         )
         self._registry.on_system_entry = self._system_entry_changed
         self._relay = self._make_relay(store, random_source) if section.peers else None
+        relays = RelayAddresses(self._relay, section.peers)
         self._feed = FeedServer(self._registry, table, own_loads, clock)
         self._datagrams = DatagramSocket()
         self._relay_link = RelayLink(
@@ -145,7 +148,7 @@
             self._datagrams,
             table,
             own_loads,
-            self._other_relays,
+            relays.in_other_zones,
             clock,
             random_source,
         )
@@ -159,8 +162,9 @@
             self.bounds,
             clock,
         )
+        times = TimesByService()
         self._dispatcher = Dispatcher(
-            self._fleet, self._meter.limits, self._meter.allowance, clock, self._uses_queue
+            self._fleet, self._meter.limits, self._meter.allowance, clock, self._uses_queue, times
         )
         notices = self._registry.notices
         self._limit_reports = LimitReporter(
@@ -168,7 +172,7 @@
             self._datagrams,
             notices.limits,
             notices.apply_report,
-            lambda: self._relay.addresses_by_tenure() if self._relay else [],
+            relays.by_tenure,
             self._feed.recent_followers,
         )
         notices.report_limit = self._limit_reports.report_observation
@@ -193,7 +197,7 @@
             section.peers,
             self._datagrams,
             queue_server,
-            self._dispatchers_of,
+            relays.dispatchers_of,
             health,
             self._metrics.record_queue_wait,
             clock,
@@ -204,7 +208,7 @@
             self._datagrams,
             self._dispatcher,
             self._placement,
-            self._dispatchers_of,
+            relays.dispatchers_of,
             health,
             self._meter.available_meters,
             notices.limits,
@@ -237,12 +241,12 @@
             StreamRecords(clock),
             SavedStreamRecords(store, incarnation, clock),
             VersionRegister(
-                store, self._registry, self._streaming_services, self._register_delay, clock
+                store, self._registry, self._streaming_services, relays.update_delay_seconds, clock
             ),
             self._peer_addresses,
-            lambda: self._relay.addresses_by_tenure() if self._relay else [],
+            relays.by_tenure,
             self._feed.recent_followers,
-            self._stream_writers,
+            relays.nearest_first,
             clock,
             random_source,
         )
@@ -253,7 +257,7 @@
             self.bounds,
             clock,
         )
-        assigner = WorkerAssigner(
+        self._assigner = WorkerAssigner(
             section.zone,
             self._registry,
             self._placement,
@@ -261,6 +265,7 @@
             self._dispatch_link if section.peers else None,
             self._meter.limits,
             self._meter.allowance,
+            times,
             lambda: self.settings.routing.dispatch,
             self._uses_queue,
             self._streams.excluded_workers,
@@ -269,7 +274,7 @@
         self._forwarder = Forwarder(
             requests,
             self._registry,
-            assigner,
+            self._assigner,
             self._pool,
             self._crash_guard,
             self._streams,
@@ -285,7 +290,7 @@
             self._min_lease_seconds,
             clock,
             random_source,
-            self._is_relay,
+            relays.is_relay,
             lambda: self._paths.isolated,
         )
         self._rollout = WeightsRollout(
@@ -296,7 +301,7 @@
             self._placement,
             self._lease,
             self.bounds,
-            self._queue_link.has_waited,
+            self._has_waited,
             clock,
         )
         self._rollout.on_unreachable = self._connector.check_path
@@ -388,9 +393,6 @@
     def _learns_speeds(self) -> bool:
         return self.settings.learns_speeds
 
-    def _learned_rate(self) -> float:
-        return self._speeds.mean_rate() if self._learns_speeds() else 0.0
-
     def _min_lease_seconds(self) -> float:
         return self.settings.store.min_lease_ms / 1000
 
@@ -407,18 +409,13 @@
             lambda: self.settings.limits.link_megabits,
         )
 
+    def _has_waited(self, service: str) -> bool:
+        queues = (self._queue_link, self._assigner.local_queue)
+        return any(service in queue.recent_waits for queue in queues)
+
     def _uses_queue(self) -> bool:
         return self.settings.queues_requests
 
-    def _dispatchers_of(self, service: str) -> list[str]:
-        return self._relay.dispatchers_of(service) if self._relay else []
-
-    def _other_relays(self) -> list[str]:
-        return self._relay.other_zone_addresses() if self._relay is not None else []
-
-    def _is_relay(self) -> bool:
-        return self._relay is None or self._relay.token() is not None
-
     def _peer_addresses(self) -> list[str]:
         section = self.settings.node
         others = {
@@ -432,18 +429,13 @@
         cfg = self._registry.configuration
         return cfg.streaming_services if cfg is not None else set()
 
-    def _register_delay(self) -> float:
-        return self._relay.update_delay_seconds() if self._relay else 0.0
-
-    def _stream_writers(self) -> list[str]:
-        return self._relay.nearest_first() if self._relay else [self.settings.node.peers]
-
     def _referrals(self) -> list[str]:
         """Return some other nodes that may serve tunnels."""
         addresses = self._peer_addresses()
         return self._random.sample(addresses, min(MAX_REFERRALS, len(addresses)))
 
     def _gauges(self) -> dict[str, Callable[[], float]]:
+        local_queue = self._assigner.local_queue
         return {
             "ready": lambda: float(self.is_ready()),
             "running_requests": lambda: float(self._callers.busy),
@@ -452,9 +444,11 @@
             "relay": lambda: float(self._relay is not None and self._relay.token() is not None),
             "followers": lambda: float(len(self._feed.connections)),
             "saved_prompts": lambda: float(len(self._table.saved)),
-            "waiting_requests": lambda: float(self._queue_link.waiting),
-            "queue_rejected_alone": lambda: float(self._placement.room.rejected),
-            "learned_prefill_rate": self._learned_rate,
+            "waiting_requests": lambda: float(self._queue_link.waiting + local_queue.waiting),
+            "queue_rejected_alone": lambda: float(local_queue.rejected),
+            "learned_prefill_rate": lambda: (
+                self._speeds.mean_rate() if self._learns_speeds() else 0.0
+            ),
             "worker_connections_opened": lambda: float(self._connector.opened),
             "tunnels_open": lambda: float(self._tunnel_peers.open_tunnels),
             **self._meter.gauges(),
@@ -519,13 +513,13 @@
         for name, work in (
             ("registry", self._sync.run),
             ("lease", self._lease.run),
-            ("paths", self._connector.probe_while_isolated),
             ("rollout", self._rollout.run),
             ("software versions", self._stream_versions.register.run),
             ("saved streams", self._stream_versions.saved.run),
             ("crashes", self._crash_guard.reports.run),
             ("part crashes", self._crash_guard.part_reports.run),
             ("pool", self._pool.sweep),
+            ("paths", self._connector.probe_while_isolated),
             ("callers", self._callers.sweep),
             ("settings", self._settings_file.watch),
         ):
--- a/src/wheelslip/job.py
+++ b/src/wheelslip/job.py
@@ -85,6 +85,13 @@
     attempt_began_answer_at: float = 0.0
     first_event_at: float = 0.0
 
+    @property
+    def response_deadline(self) -> float:
+        """Time after which the caller does not wait for the response to begin."""
+        if self.first_event_at:
+            return self.deadline
+        return min(self.deadline, self.request.arrived + self.route.patience_seconds)
+
     @property
     def on_trial(self) -> bool:
         """Whether the request holds the trial lock of its service."""
--- a/src/wheelslip/peers/dispatch_messages.py
+++ b/src/wheelslip/peers/dispatch_messages.py
@@ -43,6 +43,8 @@
     """Requests a worker. A repeated query with the same id returns the same grant.
 
     :ivar query_number: number of the query at the node.
+    :ivar target_seconds: time left until the caller gives up if the response has not begun. Earlier
+        builds send the time left until the latency target of the route.
     :ivar sent_before: the request was sent to a worker before.
     :ivar charge_only: the node chooses the worker itself; the request is only charged to the
         rate limit of its tenant.
@@ -83,7 +85,7 @@
             [(part.id, part.tokens) for part in query.prompt],
             query.cache_namespace,
             query.pause_seconds,
-            query.target_seconds,
+            query.patience_seconds,
             query.priority,
             query.zone,
             sorted(query.connected)[:MAX_CONNECTED],
@@ -185,7 +187,7 @@
     :ivar query: its ``target_seconds`` is the time left when the message is sent.
     :ivar waited_seconds: time since the request arrived at its node.
     :ivar deadline_seconds: time left until the deadline of the request.
-    :ivar content: fingerprint of method, target, tenant and body.
+    :ivar content: empty. Earlier builds send a fingerprint of the request.
     """
 
     query: WorkerQuery
@@ -200,14 +202,16 @@
             WorkerQuery.of(query_id, queued.query),
             round(queued.waited_seconds, TIME_DIGITS),
             round(queued.deadline_seconds, TIME_DIGITS),
-            queued.content,
+            "",
         )
 
     def queued_query(self) -> QueuedQuery:
         """Return the query to be queued."""
-        return QueuedQuery(
-            self.query.placement_query(), self.waited_seconds, self.deadline_seconds, self.content
-        )
+        query = self.query.placement_query()
+        if self.content:
+            # An earlier build, which sends the time left until the latency target of the route.
+            query = query._replace(patience_seconds=self.deadline_seconds)
+        return QueuedQuery(query, self.waited_seconds, self.deadline_seconds)
 
 
 class QueuedNotice(NamedTuple):
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -26,8 +26,9 @@
 from wheelslip.peers.queue_server import QueueServer
 from wheelslip.routing.dispatcher import Decision, NoWorker, QueryId
 from wheelslip.routing.limits.tenant_limits import TenantLimited
-from wheelslip.routing.overload import Overloaded
+from wheelslip.routing.overload import MIN_RETRY_SECONDS, Overloaded
 from wheelslip.routing.placement import PlacementQuery
+from wheelslip.routing.queue.recent_waits import RecentWaits
 from wheelslip.routing.queue.request_queue import QueuedQuery
 
 RENEWAL_SECONDS = 0.25
@@ -45,22 +46,13 @@
 """Time for which nothing is enqueued at a dispatcher that ignored a request to enqueue. It is
 limited, since the messages may have been lost."""
 
-EXPIRED_RETRY_SECONDS = 0.4
-"""``Retry-After`` of a request whose deadline passed while it waited."""
-
 QUEUED_LOG_LINES_PER_SECOND = 10.0
 
 
-PRESSURE_SECONDS = 1.0
-"""Time after a request was enqueued for which its service counts as short of workers. A node of a
-large fleet sends only a few requests per second."""
-
-
 class QueueTerms(NamedTuple):
     """What a queue needs to know of a request; computed only if the request waits.
 
     :ivar query: returns the query with the time left at present.
-    :ivar content: returns the fingerprint of the request.
     :ivar arrived_at: in seconds of the steady clock, as ``deadline``.
     """
 
@@ -68,7 +60,6 @@
     arrived_at: float
     deadline: float
     query: Callable[[], PlacementQuery]
-    content: Callable[[], str]
 
 
 class QueueUnavailable(Exception):
@@ -122,6 +113,7 @@
         preference.
     :param record_wait: called with the priority and the seconds of each wait that has ended with
         a decision.
+    :ivar recent_waits: services to which requests of this node were enqueued recently.
     :ivar follow: called with service, address and incarnation of a dispatcher that has replied.
     """
 
@@ -146,7 +138,7 @@
         self._waiters: dict[int, _Waiter] = {}
         self._replied_at: dict[str, float] = {}
         self._without_queue: dict[str, float] = {}
-        self._enqueued_at: dict[str, float] = {}
+        self.recent_waits = RecentWaits(clock)
         self.follow: Callable[[str, str, str], None] = lambda service, address, incarnation: None
         server.deliver_local = self._deliver
         socket.register(QUEUED, QueuedNotice, self._handle_queued)
@@ -156,15 +148,10 @@
         """Number of requests of this node that wait."""
         return len(self._waiters)
 
-    def has_waited(self, service: str) -> bool:
-        """Return whether a request of this node to a service was enqueued recently."""
-        enqueued_at = self._enqueued_at.get(service)
-        return enqueued_at is not None and self._clock() - enqueued_at < PRESSURE_SECONDS
-
     def services(self) -> set[str]:
         """Return the services for which requests of this node wait or were enqueued recently."""
         waiting = {waiter.query.service for waiter in self._waiters.values()}
-        return waiting | {service for service in self._enqueued_at if self.has_waited(service)}
+        return waiting | self.recent_waits.services()
 
     def has_queue(self, address: str) -> bool:
         """Return whether a dispatcher is expected to have a queue."""
@@ -199,7 +186,8 @@
         query = terms.query()
         waiter = _Waiter(address, query_id, terms, query, new_future(), new_future())
         self._waiters[query_id.number] = waiter
-        began_at = self._enqueued_at[query.service] = self._clock()
+        began_at = self._clock()
+        self.recent_waits.record(query.service)
         try:
             await self._enqueue(waiter)
             if not waiter.outcome.done():
@@ -235,7 +223,7 @@
             if waiter.outcome.done():
                 return
             if self._clock() >= waiter.terms.deadline:
-                raise Overloaded(EXPIRED_RETRY_SECONDS)
+                raise Overloaded(MIN_RETRY_SECONDS)
             if self._is_replaced(waiter):
                 raise QueueUnavailable(ever_replied=True)
             if waiter.replied.done():
@@ -277,7 +265,6 @@
             waiter.query,
             now - waiter.terms.arrived_at,
             waiter.terms.deadline - now,
-            waiter.terms.content(),
         )
         if waiter.address == self._address:
             self._enqueue_locally(waiter, queued)
--- a/src/wheelslip/peers/queue_server.py
+++ b/src/wheelslip/peers/queue_server.py
@@ -69,15 +69,11 @@
         :raises TenantLimited: if its tenant has exceeded its rate limit.
         :raises NoWorker: if no worker may take the request now.
         """
-        returned = self._dispatcher.returned
         try:
             placement = self._dispatcher.enqueue(query_id, queued)
         except QueueRejected as exc:
             self._log_rejection(query_id, exc)
             raise
-        finally:
-            if self._dispatcher.returned > returned:
-                self._log_decision(LogEvent.QUEUE_RETURNED, query_id, content=queued.content)
         if placement is None:
             self._start_advancing()
         return placement
@@ -172,7 +168,6 @@
             expected_seconds=round(rejection.wait_seconds, 4),
             waiting=rejection.waiting,
             retry_seconds=round(rejection.retry_seconds, 4),
-            reserved=rejection.has_reservation,
         )
 
     def _log_decision(self, event: LogEvent, query_id: QueryId, **fields: object) -> None:
--- a/src/wheelslip/platform/headers.py
+++ b/src/wheelslip/platform/headers.py
@@ -70,17 +70,8 @@
 """Headers that only the system sets; they are removed from callers' requests."""
 
 _HOP_BY_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade".split()
+    + [b"content-length", b"expect"]
 )
 
 
--- a/src/wheelslip/platform/registry.py
+++ b/src/wheelslip/platform/registry.py
@@ -1,5 +1,6 @@
 """Decoder of the store's documents (PROTOCOL, "Service discovery" and "The operator's API")."""
 
+import math
 import re
 from typing import Annotated, Literal
 
@@ -39,6 +40,10 @@
 }
 
 
+_PATIENCE_MS, _PATIENCE_OBJECTIVES, _PATIENCE_PAUSES = 2000.0, 4.0, 8.0
+"""Callers give a stream up after a gap of this time, this many times its objective or this many
+times the pause that they accept, whichever is longest; also before its first event."""
+
 _MISSING_FIELD_PATTERN = re.compile(r"missing required field `([^`]+)`")
 _FIELD_PATH_PATTERN = re.compile(r"at `\$\.([^`]+)`")
 
@@ -245,7 +250,6 @@
         path_prefix=route.path_prefix,
         kind=_ROUTE_KINDS[route.kind],
         timeout_seconds=route.timeout_ms / 1000,
-        target_seconds=route.target_latency_ms / 1000,
         priority=route.priority,
         split=tuple(SplitPart(part.service, part.weight) for part in parts),
         max_attempts=route.max_attempts,
@@ -253,19 +257,24 @@
         session_affinity=route.session_affinity,
         resumable=route.resumable,
         pause_seconds=route.gap_aim_ms / 1000,
+        patience_seconds=_patience_seconds(route),
     )
 
 
+def _patience_seconds(route: _Route) -> float:
+    """Return after how long callers give up a response that has not begun."""
+    if _ROUTE_KINDS[route.kind] is not RouteKind.STREAM:
+        return math.inf
+    objectives_ms = _PATIENCE_OBJECTIVES * route.target_latency_ms
+    return max(_PATIENCE_MS, objectives_ms, _PATIENCE_PAUSES * route.gap_aim_ms) / 1000
+
+
 def _service(service: _Service) -> Service:
     engine = service.backend_engine
     if engine is None:
         return Service(service.name, service.max_conns)
-    profile = EngineProfile(
-        engine.capacity,
-        engine.kv_capacity,
-        engine.kv_token_bytes,
-        engine.link_mbps * 1e6 / 8,
-    )
+    bandwidth = engine.link_mbps * 1e6 / 8
+    profile = EngineProfile(engine.capacity, engine.kv_capacity, engine.kv_token_bytes, bandwidth)
     return Service(service.name, service.max_conns, profile)
 
 
--- a/src/wheelslip/routing/caches/offers.py
+++ b/src/wheelslip/routing/caches/offers.py
@@ -39,6 +39,7 @@
 
     :ivar cost: in seconds.
     :ivar wait_seconds: time until the worker starts the request.
+    :ivar slot_wait_seconds: part of it until a slot and memory are free.
     :ivar prefill_seconds: time to fetch and compute the prompt after that.
     """
 
@@ -47,6 +48,7 @@
     prefill_tokens: int
     fetched_tokens: int
     wait_seconds: float
+    slot_wait_seconds: float
     prefill_seconds: float
 
 
--- a/src/wheelslip/routing/dispatcher.py
+++ b/src/wheelslip/routing/dispatcher.py
@@ -23,6 +23,7 @@
 from wheelslip.routing.overload import Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.queue.dispatch_queues import Decision, DispatchQueues, NoWorker
+from wheelslip.routing.queue.service_times import TimesByService
 from wheelslip.routing.queue.waiting_request import QueryId, QueuedQuery
 
 UNLISTED_GRACE_SECONDS = 1.0
@@ -86,6 +87,7 @@
     :param limits: tenant rate limits.
     :param allowance: this node's share of the rate limits that workers announce.
     :param queue_enabled: returns whether requests wait here when no worker can start them soon.
+    :param times: how long the workers of each service need for the requests of this node.
     :ivar grants_issued: number of grants since the start.
     :ivar overload_refusals: number of queries refused since the start because of overload.
     """
@@ -97,6 +99,7 @@
         allowance: WorkerAllowance,
         clock: Callable[[], float],
         queue_enabled: Callable[[], bool] = lambda: False,
+        times: TimesByService | None = None,
     ):
         self.placement = placement
         self._queue_enabled = queue_enabled
@@ -112,7 +115,8 @@
         self._log = LogBudget(SUSPICION_LOG_LINES_PER_SECOND, clock)
         self.grants_issued = 0
         self.overload_refusals = 0
-        self._queues = DispatchQueues(placement, limits, clock, self._start_soon)
+        self._times = TimesByService(times)
+        self._queues = DispatchQueues(placement, limits, clock, self._start_soon, self._times)
 
     @property
     def active_grants(self) -> int:
@@ -134,16 +138,6 @@
         """Number of requests rejected by a queue for other reasons."""
         return self._queues.rejected
 
-    @property
-    def reserved(self) -> int:
-        """Number of open reservations for callers that were told when to return."""
-        return self._queues.reserved
-
-    @property
-    def returned(self) -> int:
-        """Number of callers that have returned at their reserved time."""
-        return self._queues.returned
-
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Return the gauges by name."""
         return {
@@ -154,8 +148,6 @@
             "queue_queued": lambda: float(self.queued),
             "queue_displaced": lambda: float(self.displaced),
             "queue_rejected": lambda: float(self.rejected),
-            "queue_reserved": lambda: float(self.reserved),
-            "queue_returned": lambda: float(self.returned),
         }
 
     def grant(self, query_id: QueryId, query: PlacementQuery) -> Placement | None:
@@ -365,11 +357,8 @@
             grant.had_first_token = True
             self.placement.first_token(grant.placement, grant.began_at)
             if grant.priority is not None:
-                self._queues.record_response(
-                    grant.placement.worker.info.service,
-                    grant.priority,
-                    self._clock() - grant.began_at,
-                )
+                times = self._times[grant.placement.worker.info.service]
+                times.record_response(grant.priority, self._clock() - grant.began_at)
 
     def _record_served(self, grant: _Grant) -> None:
         """Update what the queue measures from a request that its worker has served."""
@@ -378,10 +367,9 @@
         if grant.priority is None:
             return
         seconds = self._clock() - grant.began_at
-        self._queues.record_duration(worker.info.service, seconds)
+        times = self._times[worker.info.service]
+        times.record_request(grant.priority, seconds, grant.had_first_token)
         self.placement.record_duration(worker.info.service, seconds)
-        if not grant.had_first_token:
-            self._queues.record_response(worker.info.service, grant.priority, seconds)
 
     def _end(self, query_id: QueryId, completed: bool = False) -> None:
         grant = self._grants.pop(query_id)
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -23,7 +23,7 @@
     worker_endpoint,
 )
 from wheelslip.routing.load_table import LoadAtWorker, LoadTable
-from wheelslip.routing.overload import AdmissionLimits, Overloaded, RetrySchedule
+from wheelslip.routing.overload import Overloaded, RetrySchedule
 from wheelslip.routing.placement import Placement, PlacementQuery
 from wheelslip.routing.speeds.worker_speed import SpeedEstimates
 from wheelslip.routing.worker_choice import (
@@ -48,12 +48,8 @@
 """Upper bound of the number of requests that one prefill is assumed to delay."""
 
 MAX_WORKER_WAIT_SECONDS = 0.06
-"""Longest wait at a model engine of a request that must start soon: a quarter of the shortest
-target in use (0.265 s), and twice the longest round trip of 30 ms, so that no engine idles."""
-
-MAX_LONG_WAIT_SECONDS = 0.3
-"""The same for a long prompt at an engine that is set aside for long prompts: half of a target of
-0.6 s. Urgent short requests are placed elsewhere, so they do not wait behind it."""
+"""Longest wait at a model engine of a request that must start soon: twice the longest round trip, so
+that no engine idles until the next request arrives."""
 
 RECENT_CONTACT_SECONDS = 0.5
 """A worker that another node reached within this time is not suspected when one node fails to
@@ -98,7 +94,6 @@
         self.limits_admission = limits_admission
         self._slots = WorkerSlots(clock)
         self._mean_durations: dict[str, float] = {}
-        self._admission: dict[str, AdmissionLimits] = {}
         self._retry_schedule = RetrySchedule()
         self._cache_index = FleetCacheIndex(clock)
         self._transfers = TransferSchedule()
@@ -121,7 +116,7 @@
         self._last_contact.pop(worker_id, None)
         self._slots.forget(worker_id)
 
-    def start_capacity(self, service: str) -> int:
+    def start_capacity(self, service: str) -> float:
         """Return how many requests the workers of a service may hold that can be chosen now."""
         engine = self._engine(service)
         workers = self._prefer_reachable(self._registry.workers_of(service))
@@ -136,42 +131,18 @@
         if engine is None:
             free = [worker for worker in workers if self._has_free_slot(worker)]
         else:
-            longest = MAX_LONG_WAIT_SECONDS
-            free = [worker for worker in workers if self._may_start_at(worker, engine, longest)]
+            free = [worker for worker in workers if self._may_start_at(worker, engine)]
         if any(not self.load(worker.info.id).is_avoided(now) for worker in free):
             return True
         # Unreachable workers are used if there are no others.
         return bool(free) and self._prefer_reachable(workers) == workers
 
-    def _may_start_at(self, worker: Worker, engine: EngineProfile, longest_wait: float) -> bool:
+    def _may_start_at(self, worker: Worker, engine: EngineProfile) -> bool:
         """Return whether an engine has a free slot and a short backlog."""
         load = self.load(worker.info.id)
-        most_tokens = longest_wait * self.prefill_rate(worker)
+        most_tokens = MAX_WORKER_WAIT_SECONDS * self.prefill_rate(worker)
         return load.running < engine.capacity and load.prefill_tokens <= most_tokens
 
-    def _most_wait(
-        self,
-        worker: Worker,
-        engine: EngineProfile,
-        is_long: bool,
-        other_length: bool,
-        is_separated: bool,
-    ) -> float | None:
-        """Return the longest wait at an engine of a request that must start soon.
-
-        :param is_long: the prompt is long.
-        :param other_length: the engine is set aside for requests of the other length.
-        :param is_separated: engines are set aside for long and for short requests.
-        :return: ``None`` when the engine must not take the request.
-        """
-        if is_long and other_length and self.load(worker.info.id).running:
-            # Under overload one long prompt after the other would stall the streams there, and
-            # all of them would be late by their pauses.
-            return None
-        is_set_aside = is_separated and is_long and not other_length
-        most_wait = MAX_LONG_WAIT_SECONDS if is_set_aside else MAX_WORKER_WAIT_SECONDS
-        return most_wait if self._may_start_at(worker, engine, most_wait) else None
-
     def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
         """Return whether a service has a worker that is not excluded."""
         workers = self._registry.workers_of(service)
@@ -211,26 +182,17 @@
                 raise Overloaded(self._mean_durations.get(query.service, 0.0))
         return super()._choose_without_engine(query, candidates)
 
-    def _longest_wait(
-        self,
-        query: PlacementQuery,
-        target_seconds: float,
-        estimate: WorkerEstimate,
-        engine: EngineProfile,
-        limits: AdmissionLimits,
-    ) -> float:
-        """Return the longest acceptable wait of a request at a worker; negative without a slot.
+    def _longest_wait(self, query: PlacementQuery, estimate: WorkerEstimate) -> float:
+        """Return how long a request may wait at a worker; negative without a slot.
 
-        :param target_seconds: time left until the target, less the overhead of a first token.
+        A worker at which it need not wait is used whatever the estimate of its prefill.
         """
-        longest = limits.longest_wait(query.priority, target_seconds, estimate.prefill_seconds)
-        if not query.must_start_soon:
-            return longest
-        load = self.load(estimate.worker.info.id)
-        held = load.held_tokens + query.prompt_tokens + query.output_tokens
-        if self._slot_wait_seconds(estimate.worker, load.running, held, engine) and load.running:
+        worker = estimate.worker
+        needs_slot = query.must_start_soon and self.load(worker.info.id).running > 0
+        if needs_slot and estimate.slot_wait_seconds:
             return -1.0
-        return longest
+        work_seconds = estimate.prefill_seconds + self._first_token_overhead(worker)
+        return max(0.0, query.patience_seconds - work_seconds)
 
     def _choose_engine(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile
@@ -240,9 +202,7 @@
         :raises Overloaded: when no worker can.
         """
         now = self._clock()
-        is_long = self._is_long(query)
         preferred = self._preferred(query, candidates)
-        is_separated = len(preferred) < len(candidates)
         preferred_ids = {candidate.info.id for candidate in preferred}
         home = self._home(query, preferred)
         store = self._store(query)
@@ -250,7 +210,6 @@
         by_version: dict[int | None, list[Worker]] = defaultdict(list)
         for worker in candidates:
             by_version[worker.weights.get(query.model)].append(worker)
-        limits = self._admission.setdefault(query.service, AdmissionLimits())
         is_limited = self.limits_admission() and not query.sent_before
         must_start_soon = is_limited and query.must_start_soon
         best, best_state, lowest_cost, least_excess = None, None, float("inf"), float("inf")
@@ -259,10 +218,7 @@
             outdated = self._is_outdated(query.model, version)
             for worker in workers:
                 other_length = worker.info.id not in preferred_ids
-                most_wait = float("inf")
-                if must_start_soon:
-                    most_wait = self._most_wait(worker, engine, is_long, other_length, is_separated)
-                if most_wait is None:
+                if must_start_soon and not self._may_start_at(worker, engine):
                     continue
                 cost = self._extra_cost(query, worker, other_length, outdated)
                 if worker is home:
@@ -270,9 +226,7 @@
                 if cost >= lowest_cost:
                     continue
                 estimate = self._estimate(query, worker, state, engine, now, delayed_requests)
-                target_seconds = query.target_seconds - self._first_token_overhead(worker)
-                longest = self._longest_wait(query, target_seconds, estimate, engine, limits)
-                longest = min(longest, most_wait)
+                longest = self._longest_wait(query, estimate)
                 least_excess = min(least_excess, estimate.wait_seconds - longest)
                 is_late = is_limited and estimate.wait_seconds > longest
                 if not is_late and estimate.cost + cost < lowest_cost:
@@ -291,7 +245,7 @@
         work_seconds = query.prompt_tokens / self._service_rate(query.service)
         work_seconds += self._mean_request_seconds(query.service) / max(1, engine.capacity)
         return self._retry_schedule.retry_seconds(
-            self._clock(), wait_seconds, work_seconds / workers
+            self._clock(), wait_seconds, work_seconds / workers, query.patience_seconds
         )
 
     def _cache_state(
@@ -362,7 +316,8 @@
             worker,
             prefill,
             fetched,
-            backlog_seconds + slot_wait_seconds,
+            load.prefill_ahead(query.priority) / rate + slot_wait_seconds,
+            slot_wait_seconds,
             prefill_seconds + fetch_seconds,
         )
 
--- a/src/wheelslip/routing/limits/worker_allowance.py
+++ b/src/wheelslip/routing/limits/worker_allowance.py
@@ -29,8 +29,6 @@
 """Minimum rate at which the fleet sends requests to a worker, in requests per second. Only
 responses show that a limit has been lifted."""
 
-MIN_RETRY_SECONDS = 0.05
-
 
 class WorkerAllowance:
     """The token buckets of limited workers at one node.
@@ -180,6 +178,6 @@
             # The queue sets the retry times of its requests and tries them repeatedly.
             raise Overloaded(wait)
         schedule = self._retry_schedules.setdefault(query.service, RetrySchedule())
-        seconds = schedule.retry_seconds(now, wait, 1.0 / self._allowance.rate(exhausted))
+        spacing = 1.0 / self._allowance.rate(exhausted)
         self._allowance.refused += 1
-        raise Overloaded(max(MIN_RETRY_SECONDS, seconds))
+        raise Overloaded(schedule.retry_seconds(now, wait, spacing, query.patience_seconds))
--- a/src/wheelslip/routing/placement.py
+++ b/src/wheelslip/routing/placement.py
@@ -15,8 +15,9 @@
     :ivar stream_group: key under which long and short requests are counted, see
         :mod:`wheelslip.routing.separation`.
     :ivar cache_namespace: separates the cached state of isolated tenants.
-    :ivar pause_seconds: longest pause between events of the response that meets its target.
-    :ivar target_seconds: time left until the target for the first token; negative afterwards.
+    :ivar pause_seconds: longest pause between events of the response that the caller accepts.
+    :ivar patience_seconds: time left until the caller gives up if the response has not begun;
+        negative afterwards.
     :ivar priority: 0 is the most urgent.
     :ivar zone: zone of the node that received the request.
     :ivar connected: workers to which that node has an idle connection.
@@ -37,7 +38,7 @@
     prompt: tuple[PromptPart, ...] = ()
     cache_namespace: str = ""
     pause_seconds: float = 0.5
-    target_seconds: float = 1.0
+    patience_seconds: float = 10.0
     priority: int = 0
     zone: str = ""
     connected: frozenset[Incarnation] = frozenset()
--- a/src/wheelslip/routing/queue/dispatch_queues.py
+++ b/src/wheelslip/routing/queue/dispatch_queues.py
@@ -8,10 +8,11 @@
 
 from wheelslip.routing.fleet_choice import FleetPlacement
 from wheelslip.routing.limits.tenant_limits import NoAuthority, TenantLimited, TenantLimits
-from wheelslip.routing.overload import Overloaded
+from wheelslip.routing.overload import MIN_RETRY_SECONDS, Overloaded
 from wheelslip.routing.placement import Placement, PlacementQuery
-from wheelslip.routing.queue.service_queue import MIN_RETRY_SECONDS, ServiceQueue
-from wheelslip.routing.queue.waiting_request import Group, QueryId, QueuedQuery, WaitingRequest
+from wheelslip.routing.queue.service_queue import ServiceQueue, ServiceQueues
+from wheelslip.routing.queue.service_times import TimesByService
+from wheelslip.routing.queue.waiting_request import QueryId, QueuedQuery, WaitingRequest
 
 DECISION_MEMORY_SECONDS = 1.5
 """How long a rejection or withdrawal is repeated to a node that still renews its request, longer
@@ -39,6 +40,7 @@
     :param limits: tenant rate limits.
     :param grant: grants a worker that can start a request soon. Returns ``None`` when none may
         take it; raises ``Overloaded``, ``TenantLimited`` or ``NoAuthority``.
+    :param times: how long the workers of each service need for requests.
     """
 
     def __init__(
@@ -47,12 +49,13 @@
         limits: TenantLimits,
         clock: Callable[[], float],
         grant: Callable[[QueryId, PlacementQuery], Placement | None],
+        times: TimesByService,
     ):
         self._placement = placement
         self._limits = limits
         self._clock = clock
         self._grant = grant
-        self._queues: dict[str, ServiceQueue] = {}
+        self._queues = ServiceQueues(clock, placement, times)
         self._decided: dict[QueryId, tuple[float, Overloaded | TenantLimited]] = {}
         self._undelivered: list[tuple[QueryId, Decision]] = []
 
@@ -71,16 +74,6 @@
         """Number of requests rejected for other reasons."""
         return sum(queue.rejected for queue in self._queues.values())
 
-    @property
-    def reserved(self) -> int:
-        """Number of open reservations for callers that were told when to return."""
-        return sum(queue.reserved for queue in self._queues.values())
-
-    @property
-    def returned(self) -> int:
-        """Number of callers that have returned at their reserved time."""
-        return sum(queue.returned for queue in self._queues.values())
-
     def depth(self) -> int:
         """Return the number of waiting requests."""
         return sum(len(queue.requests) for queue in self._queues.values())
@@ -99,7 +92,7 @@
         :raises Overloaded: when a waiting request starts before it, or no worker can start it soon.
         :raises TenantLimited: when the tenant exceeds its rate limit.
         """
-        queue = self._queue(query.service)
+        queue = self._queues[query.service]
         request = queue.submit(query_id, QueuedQuery(query))
         try:
             if self._may_start(queue, request):
@@ -108,7 +101,7 @@
             return None
         except Overloaded:
             pass
-        # Builds without a queue tell callers this time; it is no reservation.
+        # Builds without a queue tell callers this time.
         raise Overloaded(max(MIN_RETRY_SECONDS, queue.requests.wait_seconds(request)))
 
     def enqueue(self, query_id: QueryId, queued: QueuedQuery) -> Placement | None:
@@ -118,7 +111,7 @@
         :raises TenantLimited: when the tenant exceeds its rate limit.
         :raises NoWorker: when no worker may take the request now.
         """
-        queue = self._queue(queued.query.service)
+        queue = self._queues[queued.query.service]
         if queue.requests.renew(query_id):
             return None
         if query_id in self._decided:
@@ -156,22 +149,6 @@
             query_id: decided for query_id, decided in self._decided.items() if now < decided[0]
         }
 
-    def record_response(self, service: str, priority: int, seconds: float) -> None:
-        """Record the time from a start to the first response."""
-        self._queue(service).record_response(priority, seconds)
-
-    def record_duration(self, service: str, seconds: float) -> None:
-        """Record how long a request was at its worker."""
-        self._queue(service).rate.record_duration(seconds)
-
-    def _queue(self, service: str) -> ServiceQueue:
-        queue = self._queues.get(service)
-        if queue is None:
-            queue = self._queues[service] = ServiceQueue(
-                self._clock, lambda: self._placement.start_capacity(service)
-            )
-        return queue
-
     def _start_or_wait(
         self, queue: ServiceQueue, query_id: QueryId, queued: QueuedQuery
     ) -> Placement | None:
@@ -199,7 +176,7 @@
 
     def _may_start(self, queue: ServiceQueue, request: WaitingRequest) -> bool:
         """Return whether a new request is to be placed before all waiting ones."""
-        if request.group is Group.RESENT:
+        if request.query.sent_before:
             return True
         service = request.query.service
         if not self._placement.may_start_soon(service) and self._placement.has_worker(service):
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -27,8 +27,8 @@
 from wheelslip.routing.worker_room import WorkerRoom
 
 LONG_PROMPT_PAUSE_SHARE = 0.125
-"""A prompt is long when its prefill exceeds this share of the longest pause that the route
-allows in a stream."""
+"""A prompt is long when its prefill exceeds this share of the longest pause that callers accept in a
+stream: a worker may compute several prompts between two events."""
 
 SAMPLED_WORKERS = 8
 """Number of randomly drawn workers that are compared with the home."""
@@ -190,9 +190,7 @@
         return [worker for worker in workers if self._has_free_capacity(worker)]
 
     def _has_free_capacity(self, worker: Worker) -> bool:
-        engine = self._engine(worker.info.service)
-        capacity = worker.info.capacity if engine is None else engine.capacity
-        return self.total_load(worker.info.id).running < capacity
+        return self.total_load(worker.info.id).running < self._capacity(worker)
 
     def _with_room(
         self, query: PlacementQuery, candidates: list[Worker], engine: EngineProfile | None
@@ -210,12 +208,26 @@
         ]
         if with_room:
             return with_room
-        own_running = {worker.info.id: self.load(worker.info.id).running for worker in candidates}
-        raise Overloaded(self.room.retry_seconds(query.service, own_running, self._clock()))
+        raise Overloaded(0.0)
+
+    def start_capacity(self, service: str) -> float:
+        """Return how many requests of this node the workers may hold that can be chosen now.
+
+        Other nodes are expected to keep the share of the workers that they have now.
+        """
+        workers = self._prefer_reachable(self._registry.workers_of(service))
+        capacity = sum(self._capacity(worker) for worker in workers)
+        own = 1 + sum(self.load(worker.info.id).running for worker in workers)
+        total = 1 + sum(self.total_load(worker.info.id).running for worker in workers)
+        return capacity * own / total
+
+    def is_limited_by_slots(self, service: str) -> bool:
+        """Return whether the slots of workers, not their prefill, limit the rate of starts."""
+        return self._engine(service) is None
 
-    def record_served(self, placement: Placement, began_at: float) -> None:
-        """Record that a worker has served a request."""
-        self.room.record_duration(placement.worker.info.service, self._clock() - began_at)
+    def _capacity(self, worker: Worker) -> int:
+        engine = self._engine(worker.info.service)
+        return worker.info.capacity if engine is None else engine.capacity
 
     def _engine(self, service: str) -> EngineProfile | None:
         """Return the profile of a service's model engines, ``None`` for other services."""
--- a/src/wheelslip/routing/worker_load.py
+++ b/src/wheelslip/routing/worker_load.py
@@ -1,6 +1,7 @@
 """Load and failure statistics of one worker, recorded from one node's requests."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 
 from wheelslip.routing.speeds.prefill_window import PrefillWindow
@@ -37,6 +38,23 @@
     longest_wait_at: float = 0.0
     waiting: set[float] = field(default_factory=set)
     window: PrefillWindow = field(default_factory=PrefillWindow)
+    _tokens_by_priority: Counter[int] = field(default_factory=Counter)
+
+    def add_prefill(self, tokens: int, priority: int | None) -> None:
+        """Add prompt tokens to be computed; an unknown priority counts as the most urgent."""
+        self.prefill_tokens += tokens
+        self._tokens_by_priority[priority or 0] += tokens
+
+    def remove_prefill(self, tokens: int, priority: int | None) -> None:
+        """Remove prompt tokens that are computed, or whose request has left."""
+        self.prefill_tokens = max(0, self.prefill_tokens - tokens)
+        self._tokens_by_priority[priority or 0] -= tokens
+
+    def prefill_ahead(self, priority: int) -> int:
+        """Return the prompt tokens computed before those of a new request: workers admit by priority."""
+        return sum(
+            tokens for other, tokens in self._tokens_by_priority.items() if other <= priority
+        )
 
     def is_avoided(self, now: float) -> bool:
         """Return whether requests should go elsewhere because the worker was unreachable."""
--- a/src/wheelslip/routing/worker_records.py
+++ b/src/wheelslip/routing/worker_records.py
@@ -147,7 +147,7 @@
         """
         load = self.load(placement.worker.info.id)
         load.running += 1
-        load.prefill_tokens += placement.prefill_tokens
+        load.add_prefill(placement.prefill_tokens, placement.priority)
         load.held_tokens += placement.held_tokens
         began_at = self._clock()
         load.waiting.add(began_at)
@@ -158,7 +158,7 @@
     def first_token(self, placement: Placement, began_at: float) -> None:
         """Record that a worker has computed a prompt and has it cached."""
         load = self.load(placement.worker.info.id)
-        load.prefill_tokens = max(0, load.prefill_tokens - placement.prefill_tokens)
+        load.remove_prefill(placement.prefill_tokens, placement.priority)
         load.waiting.discard(began_at)
         load.needs_probe = False
         load.record_wait(began_at, self._clock())
@@ -215,7 +215,7 @@
             self._request_seconds += REQUEST_SMOOTHING * (duration - self._request_seconds)
         else:
             load.window.abandon()
-            load.prefill_tokens = max(0, load.prefill_tokens - placement.prefill_tokens)
+            load.remove_prefill(placement.prefill_tokens, placement.priority)
 
     def record_outcome(self, worker_id: Incarnation, failed: bool) -> None:
         """Update the failure rate of a worker."""
--- a/tests/probe/forwarding/test_queue.py
+++ b/tests/probe/forwarding/test_queue.py
@@ -110,6 +110,24 @@
     await wait_until(lambda: total(site, "granted_requests") == 0, "all grants released")
 
 
+async def test_caller_that_returns_after_a_rejection_waits_in_its_turn(site):
+    """Callers who came back went before others; they have the same content, not the same id."""
+    worker, _, others = await start_fleet(site)
+    callers = await occupy(site, others[0])
+    refused = await site.connect(others[0])
+    refused.send("/lower/x", "first", body=b"same", Wheelslip_Deadline_Ms=300)
+    response = await asyncio.wait_for(refused.read_response(), 20)
+    assert response.status == 503 and float(response.headers["retry-after"]) > 0
+    ids = ["new-0", "new-1"]
+    callers += await send_waiting(site, "/lower/x", ids, (others[1],))
+    waiting = waiting_or_started(site)
+    refused.send("/lower/x", "second", body=b"same")
+    await wait_until(lambda: waiting_or_started(site) == waiting + 1, "the caller waits again")
+    worker.release.set()
+    await assert_served([*callers, refused])
+    assert [run for run in started(worker) if run in [*ids, "second"]] == [*ids, "second"]
+
+
 async def test_waiting_requests_move_to_the_next_dispatcher_and_run_once(site):
     worker, name, others = await start_fleet(site)
     callers = await occupy(site, others[0])
