New streams wait while their version is being registered

Callers saw: new streams got 503 no_engine after 0.2 s, though they wait for 5 s, while all workers had joined with a new software version.

Cause: a new stream may begin only at a registered version, and the node waited 0.2 s for any worker.

Change: if a version's registration is all that keeps a stream from a worker and the store is available, it waits as long as its caller. This is asked before the attempt: the version may be registered during it.

Measured: with a store that holds registrations back for 1 s, 0 of 12 streams were served, now 12.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -964,6 +964,15 @@
         "forwarding/test_said_in_answers.py"
         "::test_request_waits_for_end_of_backoff_as_long_as_its_caller_does",
     ),
+    _single_edit(
+        "registration of a version not waited for",
+        FORWARDING,
+        "forwarding/forwarder.py",
+        "awaits_registration = self._streams.awaits_registration(job, service)",
+        "awaits_registration = False",
+        "forwarding/test_streams_keep_software_version.py"
+        "::test_streams_wait_while_the_version_of_all_workers_is_registered",
+    ),
     _single_edit(
         "idle time counts towards the expected wait on the OpenAI path",
         FORWARDING,
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -222,6 +222,8 @@
         while True:
             self._streams.require_version_in_use(job, service)
             reason = "no worker is available"
+            # Asked before, as the version may be registered during the attempt.
+            awaits_registration = self._streams.awaits_registration(job, service)
             try:
                 assignment = await self._assign_verified(job, service)
             except TenantLimited as exc:
@@ -238,6 +240,11 @@
             backoff_end = self._backoff_end(job, service)
             if backoff_end is not None:
                 wait_deadline = max(wait_deadline, backoff_end + ASSIGN_RETRY_SECONDS)
+            if awaits_registration:
+                latest_start = self._assigner.latest_start(job, service)
+                wait_deadline = max(
+                    wait_deadline, min(self._clock() + WORKER_WAIT_SECONDS, latest_start)
+                )
             remaining = wait_deadline - self._clock()
             if remaining <= 0:
                 raise unserved_error(job, reason)
--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -272,6 +272,13 @@
             if not _is_allowed(job, allowed, worker_version(worker))
         )
 
+    def awaits_registration(self, job: Job, service: str) -> bool:
+        """Return whether a worker may accept a new stream once its version is registered."""
+        if job.required_version or not self._store_is_available():
+            return False
+        excluded = self.excluded_workers(job, service) - job.excluded - job.unverified
+        return bool(excluded) and not excluded <= self._registry.withheld(service)
+
     def may_begin_at(self, job: Job, info: WorkerInfo) -> bool:
         """Return whether a request may be sent to a worker of this version now."""
         allowed = self._allowed_versions(job)
--- a/tests/probe/forwarding/test_streams_keep_software_version.py
+++ b/tests/probe/forwarding/test_streams_keep_software_version.py
@@ -16,12 +16,14 @@
     configuration,
     wait_until,
 )
+from standins.platform_store import PlatformStoreServer
 from standins.platform_worker import PlatformWorker
 from tests.probe.forwarding.test_path import PROMPT
 
 ZONES = ("z1", "z2", "z3")
 SERVED_SHARE = 0.95
 REFUSAL_SECONDS = 0.5
+REGISTRATION_SECONDS = 1.0
 VERSION_LEFT = b"stream_version_gone"
 VERSION_UNKNOWN = b"stream_version_unknown"
 EVENT = re.compile(rb"id: (\d+)\ndata: token \d+\n: (\w+)\n\n")
@@ -272,6 +274,59 @@
     assert_taken_up(streams)
 
 
+def delay_registration(site: Site, monkeypatch, seconds: float) -> None:
+    """Let the store hold back the registration of software versions."""
+    answer = PlatformStoreServer._handle
+
+    async def answer_late(store, request, connection):
+        if request.path.startswith("/kv-txn") and b"wheelslip/versions/" in request.body:
+            await asyncio.sleep(seconds)
+        await answer(store, request, connection)
+
+    monkeypatch.setattr(PlatformStoreServer, "_handle", answer_late)
+    site.store.server._handler = site.store._handle
+
+
+async def test_streams_wait_while_the_version_of_all_workers_is_registered(site, monkeypatch):
+    """They were refused after 0.2 s, though their callers waited for several seconds."""
+    await start_site(site)
+    for node in ZONES:
+        await wait_until_streams_begin(site, node)
+    delay_registration(site, monkeypatch, REGISTRATION_SECONDS)
+    for name in list(site.workers):
+        site.model.remove(f"servers/{name}")
+        del site.workers[name]
+    await add_workers(site, "v3", 4)
+    for node in ZONES:
+        await site.wait_until_ready(node)
+    streams = [Stream(site) for _ in range(12)]
+    await take_up(streams, ZONES)
+    assert_taken_up(streams)
+
+
+async def test_streams_are_refused_at_once_while_no_version_can_be_registered(site, monkeypatch):
+    await start_site(site)
+    for node in ZONES:
+        await wait_until_streams_begin(site, node)
+    delay_registration(site, monkeypatch, 60)
+    await add_workers(site, "v3", 4)
+    for node in ZONES:
+        await site.wait_until_ready(node)
+    for name in [name for name in site.workers if not name.startswith("v3")]:
+        site.model.remove(f"servers/{name}")
+    for node in site.nodes.values():
+        await wait_until(lambda node=node: len(node.worker_ids()) == 4, "v1, v2 have left")
+    site.store.error_status = 503
+    site.store.server.reset_all()
+    await asyncio.sleep(1.5)
+    streams = [Stream(site) for _ in range(12)]
+    await take_up(streams, ZONES)
+    refusals = [refusal for stream in streams for refusal in stream.refusals]
+    assert len(refusals) == len(streams)
+    assert {status for status, _, _ in refusals} == {503}
+    assert max(seconds for _, _, seconds in refusals) < REFUSAL_SECONDS
+
+
 async def test_stream_of_unknown_version_is_refused_while_versions_differ(site):
     await start_site(site)
     stream = Stream(site, first_id="never-seen", events=[3])
