A dispatcher that does not reply to a request to enqueue is queried again

Callers saw: the first requests of a burst got 503 no_engine at once, though the workers could serve all within 1.3 s of the 8 s that callers wait.

Cause: the dispatcher refused the query, as the request had to wait, and was then busy with the burst for longer than twice the time-out of the request to enqueue (0.02 s each). The node took it for a dispatcher without a queue, whose refusal stands.

Change: the node queries the dispatcher again. Only one that refuses again and again ignores the request to enqueue is taken for one without a queue, and not if it has replied about its queue recently; then the node lets the request wait in its own queue.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -964,6 +964,15 @@
         "forwarding/test_said_in_answers.py"
         "::test_request_waits_for_end_of_backoff_as_long_as_its_caller_does",
     ),
+    _single_edit(
+        "late reply to a request to enqueue taken for a refusal",
+        FORWARDING,
+        "peers/dispatch_link.py",
+        "if refusal is None:\n                        return",
+        "if False:\n                        return",
+        "../unit/forwarding/test_queue_link.py"
+        "::test_request_waits_although_a_stalled_dispatcher_did_not_reply_to_it_in_time",
+    ),
     _single_edit(
         "registration of a version not waited for",
         FORWARDING,
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -175,8 +175,16 @@
         return QueryId(self.incarnation, self._last_query_number)
 
     async def _request_grant(
-        self, query: PlacementQuery, terms: QueueTerms | None, is_required: bool = False
+        self,
+        query: PlacementQuery,
+        terms: QueueTerms | None,
+        is_required: bool = False,
+        is_repeated: bool = False,
     ) -> Grant | None:
+        """Return a grant of the dispatcher to query, as :meth:`request_grant`.
+
+        :param is_repeated: an earlier request to enqueue the same got no reply.
+        """
         address = self._health.choose(self._dispatchers_of(query.service), is_required)
         query_id = self._next_query_id()
         sends = 0
@@ -201,7 +209,9 @@
                 # The second refusal of a query that was sent twice may still arrive. It must not
                 # be taken for the queue's decision.
                 query_id = self._next_query_id()
-            return await self._wait_for_grant(address, query_id, terms, refusal)
+            return await self._wait_for_grant(
+                address, query_id, terms, refusal if is_repeated else None
+            )
 
     def _ask_locally(self, query_id: QueryId, query: PlacementQuery) -> Grant | None:
         placement = self._dispatcher.grant(query_id, query)
@@ -230,11 +240,15 @@
         return query._replace(excluded=query.excluded | self._rate_limited_workers(query.service))
 
     async def _wait_for_grant(
-        self, address: str, query_id: QueryId, terms: QueueTerms, refusal: Overloaded
+        self, address: str, query_id: QueryId, terms: QueueTerms, refusal: Overloaded | None
     ) -> Grant | None:
         """Wait in the queue of a dispatcher, and of the next ones if it no longer replies.
 
-        :param refusal: raised if the first dispatcher does not reply to the request to enqueue.
+        A dispatcher that does not reply to the request to enqueue may have stalled, so it is queried
+        again. One that replies to that query only is taken for one without a queue, whose refusal
+        stands.
+
+        :param refusal: reply to the repeated query.
         """
         while True:
             try:
@@ -242,10 +256,11 @@
                 return self._process_outcome(query_id, address, outcome)
             except QueueUnavailable as exc:
                 if not exc.ever_replied:
-                    if refusal is not None:
+                    if refusal is None:
+                        return await self._request_grant(terms.query(), terms, is_repeated=True)
+                    if self._queue.record_ignored(address):
                         raise refusal from exc
-                    # A dispatcher without a queue still grants or refuses.
-                    return await self._request_grant(terms.query(), None)
+                    raise DispatcherSilent from exc
             refusal = None
             address = self._health.choose(self._dispatchers_of(terms.query().service))
             query_id = self._next_query_id()
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -157,6 +157,16 @@
         """Return whether a dispatcher is expected to have a queue."""
         return self._without_queue.get(address, 0.0) <= self._clock()
 
+    def record_ignored(self, address: str) -> bool:
+        """Record that a dispatcher replies to queries but ignores requests to enqueue.
+
+        :return: whether it is taken for one without a queue.
+        """
+        if self._knows_queue_of(address):
+            return False
+        self._without_queue[address] = self._clock() + WITHOUT_QUEUE_SECONDS
+        return True
+
     def deliver_reply(self, reply: WorkerGrant) -> bool:
         """Deliver a dispatcher's decision.
 
@@ -205,8 +215,6 @@
         for _ in range(MAX_TIMEOUTS):
             if await self._send_and_wait(waiter):
                 return
-        if not self._knows_queue_of(waiter.address):
-            self._without_queue[waiter.address] = self._clock() + WITHOUT_QUEUE_SECONDS
         raise QueueUnavailable(ever_replied=False)
 
     def _knows_queue_of(self, address: str) -> bool:
