Requests wait for workers that are away as long as their callers do

Callers saw: 503 no_engine 0.2 s after their request, or at once if it waited in the queue, whenever no worker accepted requests for a moment, though they wait for seconds and the workers were back in time.

Cause: a node without an available worker waited 0.2 s (WORKER_WAIT_SECONDS), whatever time the caller had; only streams whose version was being registered waited longer. The queue rejected all waiting requests.

Change: while workers are registered at which the request has not failed, it waits until its latest start. The pause between two attempts grows to 0.5 s; a change of the registry ends it. The queue returns its requests to their nodes, which wait. Without such workers, and while the store is away and no worker may accept a new stream before it is back, 0.2 s remain, as nothing suggests that a worker comes. This takes the place of the separate wait for a registration.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -974,14 +974,23 @@
         "::test_request_waits_although_a_stalled_dispatcher_did_not_reply_to_it_in_time",
     ),
     _single_edit(
-        "registration of a version not waited for",
+        "workers that are away not waited for",
         FORWARDING,
         "forwarding/forwarder.py",
-        "awaits_registration = self._streams.awaits_registration(job, service)",
-        "awaits_registration = False",
+        "return max(deadline, self._assigner.latest_start(job, service))",
+        "return deadline",
         "forwarding/test_streams_keep_software_version.py"
         "::test_streams_wait_while_the_version_of_all_workers_is_registered",
     ),
+    _single_edit(
+        "waiting requests rejected when all workers are away",
+        FORWARDING,
+        "routing/queue/dispatch_queues.py",
+        "decisions += [\n                    (request.query_id, self._return_to_node(queue, request))",
+        "decisions += [\n                    (request.query_id, self._reject(queue, request))",
+        "forwarding/test_caller_time.py"
+        "::test_waiting_requests_are_served_although_all_workers_go_for_a_while",
+    ),
     _single_edit(
         "idle time counts towards the expected wait on the OpenAI path",
         FORWARDING,
--- a/src/wheelslip/forwarding/forwarder.py
+++ b/src/wheelslip/forwarding/forwarder.py
@@ -39,11 +39,13 @@
 from wheelslip.tunnels.connector import PathMissing
 
 WORKER_WAIT_SECONDS = 0.2
-"""Longest time a request waits for a worker to become available; covers the propagation of store
-changes and the takeover by a new dispatcher."""
+"""Longest time a request waits while no worker is registered at which it has not failed; covers the
+propagation of store changes and the takeover by a new dispatcher."""
 
 ASSIGN_RETRY_SECONDS = 0.08
-"""Pause between two attempts to assign a worker, unless the registry changes earlier."""
+MAX_ASSIGN_RETRY_SECONDS = 0.5
+"""Range of the pause between two attempts to assign a worker, unless the registry changes earlier. It
+grows, so that requests which wait for a worker's return do not occupy dispatchers."""
 
 BACKOFF_RETRY_SPACING_SECONDS = 0.05
 """Interval between the retry times of callers rejected during a backoff, after which a worker is
@@ -217,13 +219,12 @@
         :raises WheelslipError: if no worker can start the request in time, or if the tenant has
             exceeded its rate limit.
         """
-        wait_deadline = self._clock() + WORKER_WAIT_SECONDS
+        began_at = self._clock()
+        retry_seconds = ASSIGN_RETRY_SECONDS
         await self._streams.resolve_required_version(job)
         while True:
             self._streams.require_version_in_use(job, service)
             reason = "no worker is available"
-            # Asked before, as the version may be registered during the attempt.
-            awaits_registration = self._streams.awaits_registration(job, service)
             try:
                 assignment = await self._assign_verified(job, service)
             except TenantLimited as exc:
@@ -237,22 +238,30 @@
             if assignment is not None:
                 self._confirm(job, assignment)
                 return assignment
+            wait_deadline = self._wait_deadline(job, service, began_at)
             backoff_end = self._backoff_end(job, service)
             if backoff_end is not None:
                 wait_deadline = max(wait_deadline, backoff_end + ASSIGN_RETRY_SECONDS)
-            if awaits_registration:
-                latest_start = self._assigner.latest_start(job, service)
-                wait_deadline = max(
-                    wait_deadline, min(self._clock() + WORKER_WAIT_SECONDS, latest_start)
-                )
             remaining = wait_deadline - self._clock()
             if remaining <= 0:
                 raise unserved_error(job, reason)
-            pause = max(ASSIGN_RETRY_SECONDS, (backoff_end or 0.0) - self._clock())
+            pause = max(retry_seconds, (backoff_end or 0.0) - self._clock())
+            retry_seconds = min(2 * retry_seconds, MAX_ASSIGN_RETRY_SECONDS)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(remaining, pause)):
                     await self._registry.changed()
 
+    def _wait_deadline(self, job: Job, service: str, began_at: float) -> float:
+        """Return until when a request waits for a worker to become available.
+
+        :param began_at: when the request began to wait.
+        """
+        deadline = began_at + WORKER_WAIT_SECONDS
+        has_others = self._registry.has_others(service, job.excluded)
+        if not has_others or self._streams.awaits_store(job, service):
+            return deadline
+        return max(deadline, self._assigner.latest_start(job, service))
+
     async def _assign_verified(self, job: Job, service: str) -> Assignment | None:
         """Assign a worker, if possible one whose software version is verified."""
         while True:
--- a/src/wheelslip/forwarding/stream_continuation.py
+++ b/src/wheelslip/forwarding/stream_continuation.py
@@ -272,12 +272,12 @@
             if not _is_allowed(job, allowed, worker_version(worker))
         )
 
-    def awaits_registration(self, job: Job, service: str) -> bool:
-        """Return whether a worker may accept a new stream once its version is registered."""
-        if job.required_version or not self._store_is_available():
+    def awaits_store(self, job: Job, service: str) -> bool:
+        """Return whether no worker accepts a new stream before the store is available again."""
+        if job.required_version or self._store_is_available():
             return False
-        excluded = self.excluded_workers(job, service) - job.excluded - job.unverified
-        return bool(excluded) and not excluded <= self._registry.withheld(service)
+        workers = {worker.info.id for worker in self._registry.workers_of(service)}
+        return bool(workers) and workers <= self.excluded_workers(job, service)
 
     def may_begin_at(self, job: Job, info: WorkerInfo) -> bool:
         """Return whether a request may be sent to a worker of this version now."""
--- a/src/wheelslip/peers/dispatch_link.py
+++ b/src/wheelslip/peers/dispatch_link.py
@@ -43,7 +43,7 @@
 
 TAKEOVER_SECONDS = 0.15
 """Time after the first reply of a new dispatcher in which a node uses no grant for brittle workers.
-The other nodes have reported what runs there by then; requests wait for a worker for 0.2 s."""
+The other nodes have reported what runs there by then; requests wait for a worker meanwhile."""
 
 MAX_METERS_QUERIED = 2
 """Maximum number of other meters that are queried to charge a request."""
--- a/src/wheelslip/peers/queue_link.py
+++ b/src/wheelslip/peers/queue_link.py
@@ -302,7 +302,7 @@
         waiter = self._waiters.get(query_number)
         if waiter is None or waiter.outcome.done():
             return False
-        waiter.outcome.set_result(decision)
+        waiter.outcome.set_result(None if isinstance(decision, NoWorker) else decision)
         self._record_reply(waiter)
         return True
 
--- a/src/wheelslip/registry/registry.py
+++ b/src/wheelslip/registry/registry.py
@@ -369,6 +369,16 @@
         """Return the workers of a service that accept new requests."""
         return self.view.in_use(service)
 
+    def has_others(self, service: str, excluded: set[Incarnation]) -> bool:
+        """Return whether a service has registered workers that are not excluded.
+
+        They may not accept requests now.
+        """
+        return any(
+            worker.info.service == service and incarnation not in excluded
+            for incarnation, worker in self.workers.items()
+        )
+
     def accepts_requests(self, incarnation: Incarnation) -> bool:
         """Return whether a worker accepts new requests."""
         worker = self.workers.get(incarnation)
--- a/src/wheelslip/routing/queue/dispatch_queues.py
+++ b/src/wheelslip/routing/queue/dispatch_queues.py
@@ -25,14 +25,15 @@
 MAX_PASSED_REQUESTS = 64
 """Number of waiting requests that one pass looks at to find another kind."""
 
-Decision = Placement | Overloaded | TenantLimited
-"""Decision on a waiting request: its worker, or the exception that rejects it."""
-
 
 class NoWorker(Exception):
     """Raised when no worker may take a request now, whatever its load."""
 
 
+Decision = Placement | Overloaded | TenantLimited | NoWorker
+"""Decision on a waiting request: its worker, or the exception that ends its wait."""
+
+
 class DispatchQueues:
     """The queues of all services, and the decisions that their nodes may not have received yet.
 
@@ -56,7 +57,7 @@
         self._clock = clock
         self._grant = grant
         self._queues = ServiceQueues(clock, placement, times)
-        self._decided: dict[QueryId, tuple[float, Overloaded | TenantLimited]] = {}
+        self._decided: dict[QueryId, tuple[float, Overloaded | TenantLimited | NoWorker]] = {}
         self._undelivered: list[tuple[QueryId, Decision]] = []
 
     @property
@@ -134,10 +135,12 @@
         for service, queue in self._queues.items():
             if not queue.requests:
                 continue
-            rejected = queue.sweep()
             if not self._placement.has_worker(service):
-                rejected += list(queue.requests.in_order())
-            for request in rejected:
+                decisions += [
+                    (request.query_id, self._return_to_node(queue, request))
+                    for request in list(queue.requests.in_order())
+                ]
+            for request in queue.sweep():
                 decisions.append((request.query_id, self._reject(queue, request)))
             decisions += self._start_waiting(service, queue)
         return decisions
@@ -224,16 +227,23 @@
         if placement is None and not self._placement.has_worker(
             request.query.service, request.query.excluded
         ):
-            return self._reject(queue, request)
+            return self._return_to_node(queue, request)
         return placement
 
+    def _return_to_node(self, queue: ServiceQueue, request: WaitingRequest) -> NoWorker:
+        """End the wait of a request at this dispatcher; its node waits for a worker."""
+        queue.requests.remove(request.query_id)
+        decision = NoWorker()
+        self._remember(request.query_id, decision)
+        return decision
+
     def _reject(self, queue: ServiceQueue, request: WaitingRequest) -> Overloaded:
         queue.requests.remove(request.query_id)
         rejection = queue.reject(request)
         self._remember(request.query_id, rejection)
         return rejection
 
-    def _remember(self, query_id: QueryId, decision: Overloaded | TenantLimited) -> None:
+    def _remember(self, query_id: QueryId, decision: Overloaded | TenantLimited | NoWorker) -> None:
         """Repeat a decision if a renewal crosses it, as the node does not hold the request."""
         self._decided[query_id] = (self._clock() + DECISION_MEMORY_SECONDS, decision)
 
--- a/tests/probe/forwarding/test_caller_time.py
+++ b/tests/probe/forwarding/test_caller_time.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins.platform_site import PLAIN, STREAM, Site, configuration
+from standins.platform_site import PLAIN, STREAM, Site, configuration, wait_until
 from standins.platform_worker import PlatformWorker
 
 ZONES = ("z1", "z2", "z3")
@@ -67,3 +67,54 @@
     await start_site(site, route, "m", events=2, seconds=0.5)
     answers = await burst(site, 60, "m")
     assert [answer.status for answer in answers] == [200] * 60
+
+
+async def no_worker_accepts(site: Site) -> None:
+    def unusable():
+        return not any(
+            node.accepts_new_requests(name) for node in site.nodes.values() for name in site.workers
+        )
+
+    await wait_until(unusable, "no worker accepts requests")
+
+
+@pytest.mark.parametrize("dispatch", [True, False])
+async def test_requests_wait_while_all_workers_are_away(site, dispatch):
+    """They were refused after 0.2 s, though their callers wait for 8 s."""
+    site.routing |= {"dispatch": dispatch}
+    await start_site(site, PLAIN)
+    for worker in site.workers.values():
+        site.write_entry(worker, "plain", "draining")
+    await no_worker_accepts(site)
+    requests = asyncio.create_task(burst(site, 30))
+    await asyncio.sleep(1.0)
+    for worker in site.workers.values():
+        site.write_entry(worker, "plain")
+    assert [answer.status for answer in await requests] == [200] * 30
+
+
+async def test_waiting_requests_are_served_although_all_workers_go_for_a_while(site):
+    """The queue rejected them all, though the workers were back long before their deadlines."""
+    await start_site(site, PLAIN)
+    requests = asyncio.create_task(burst(site, 100))
+    await wait_until(
+        lambda: sum(node.gauge("waiting_requests") for node in site.nodes.values()) > 30, "wait"
+    )
+    for worker in site.workers.values():
+        site.write_entry(worker, "plain", "draining")
+    await no_worker_accepts(site)
+    await asyncio.sleep(0.5)
+    for worker in site.workers.values():
+        site.write_entry(worker, "plain")
+    assert [answer.status for answer in await requests] == [200] * 100
+
+
+async def test_requests_are_refused_at_once_while_no_worker_is_registered(site):
+    await start_site(site, PLAIN)
+    for name in site.workers:
+        site.model.remove(f"servers/{name}")
+    await no_worker_accepts(site)
+    began_at = asyncio.get_running_loop().time()
+    answers = await burst(site, 3)
+    assert {answer.status for answer in answers} == {503}
+    assert asyncio.get_running_loop().time() - began_at < 1.0
--- a/tests/unit/forwarding/test_queue_under_load.py
+++ b/tests/unit/forwarding/test_queue_under_load.py
@@ -238,6 +238,8 @@
     def _advance(self) -> None:
         for query_id, decision in self.dispatcher.advance_queues():
             caller = self.waiting.pop(query_id)
+            if isinstance(decision, NoWorker):
+                decision = Overloaded(1.0)
             self.after(self.delay, self._decided, caller, query_id, decision)
 
     def _tick(self) -> None:
