Requests are not judged by the rate of a service without workers

Callers saw: 503 no_engine with times of 2.2 to 10 s as all workers stopped accepting requests for half a second, though they wait for 8 s.

Cause: a service without slots has a rate of one start in 10 s. A node's own queue judged its waiting requests by it, and the dispatcher those that arrived before the waiting ones had returned to their nodes.

Change: a node ends the waits in its queue when no worker accepts requests, and the dispatcher lets no further request wait; they wait at their nodes for a worker, as other requests do.

The two new unit tests fail without the change.

--- a/scripts/prove_failing.py
+++ b/scripts/prove_failing.py
@@ -991,6 +991,15 @@
         "forwarding/test_caller_time.py"
         "::test_waiting_requests_are_served_although_all_workers_go_for_a_while",
     ),
+    _single_edit(
+        "requests that wait at their node rejected when all workers leave",
+        FORWARDING,
+        "forwarding/local_queue.py",
+        "if self._records.has_worker(service):\n                        self._advance(queue)",
+        "if True:\n                        self._advance(queue)",
+        "../unit/forwarding/test_local_queue.py"
+        "::test_requests_that_wait_at_their_node_are_not_rejected_when_all_workers_leave",
+    ),
     _single_edit(
         "requests of a silent dispatcher rejected by the share of their node",
         FORWARDING,
--- a/src/wheelslip/forwarding/local_queue.py
+++ b/src/wheelslip/forwarding/local_queue.py
@@ -36,12 +36,15 @@
 class _Waiter:
     """A waiting request.
 
-    :ivar turn: set when the request may try to start, or when it is rejected.
+    :ivar turn: set when the request may try to start, or when its wait ends otherwise.
+    :ivar rejection: set when the request is rejected.
+    :ivar without_worker: set when no worker accepts requests any more.
     """
 
     request: WaitingRequest
     turn: asyncio.Event = field(default_factory=asyncio.Event)
     rejection: QueueRejected | None = None
+    without_worker: bool = False
 
 
 class LocalQueue:
@@ -89,12 +92,12 @@
         queued: QueuedQuery,
         attempt: Callable[[], Awaitable[Result]],
         on_wait: Callable[[], None],
-    ) -> Result:
+    ) -> Result | None:
         """Wait until no other request starts before this one and a worker has room for it.
 
         :param attempt: assigns a worker; raises ``Overloaded`` if none has room.
         :param on_wait: called when the request is about to wait.
-        :return: the result of the attempt.
+        :return: the result of the attempt, ``None`` also if no worker accepts requests.
         :raises QueueRejected: if the caller would not receive the response.
         :raises StillWaiting: after :data:`RECHECK_SECONDS`.
         """
@@ -105,6 +108,8 @@
                 return await self._attempt(queue, request, attempt)
             except Overloaded:
                 pass
+        if not self._records.has_worker(queued.query.service):
+            return None
         on_wait()
         waiter = self._enqueue(queue, request)
         try:
@@ -130,7 +135,7 @@
 
     async def _take_turns(
         self, queue: ServiceQueue, waiter: _Waiter, attempt: Callable[[], Awaitable[Result]]
-    ) -> Result:
+    ) -> Result | None:
         recheck_at = self._clock() + RECHECK_SECONDS
         while True:
             try:
@@ -138,6 +143,8 @@
                     await waiter.turn.wait()
             except TimeoutError as exc:
                 raise StillWaiting from exc
+            if waiter.without_worker:
+                return None
             if waiter.rejection is not None:
                 raise waiter.rejection
             try:
@@ -161,8 +168,11 @@
         try:
             while self._waiters:
                 await asyncio.sleep(ADVANCE_SECONDS)
-                for queue in self._queues.values():
-                    self._advance(queue)
+                for service, queue in self._queues.items():
+                    if self._records.has_worker(service):
+                        self._advance(queue)
+                    else:
+                        self._end_waits(queue)
         finally:
             self._advancing = None
 
@@ -171,6 +181,12 @@
             self._reject(queue, request)
         self._give_turn(queue)
 
+    def _end_waits(self, queue: ServiceQueue) -> None:
+        for request in queue.requests.in_order():
+            waiter = self._waiters[request.query_id]
+            waiter.without_worker = True
+            waiter.turn.set()
+
     def _give_turn(self, queue: ServiceQueue) -> None:
         """Let the first waiting request try to start."""
         request = next(queue.requests.in_order(), None)
--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -143,11 +143,6 @@
         most_tokens = MAX_WORKER_WAIT_SECONDS * self.prefill_rate(worker)
         return load.running < engine.capacity and load.prefill_tokens <= most_tokens
 
-    def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
-        """Return whether a service has a worker that is not excluded."""
-        workers = self._registry.workers_of(service)
-        return any(worker.info.id not in excluded for worker in workers)
-
     def record_duration(self, service: str, seconds: float) -> None:
         """Update the mean duration of the requests of a service."""
         mean = self._mean_durations.get(service, seconds)
--- a/src/wheelslip/routing/queue/dispatch_queues.py
+++ b/src/wheelslip/routing/queue/dispatch_queues.py
@@ -168,6 +168,8 @@
                 if placement is None:
                     raise NoWorker
                 return placement
+        if not self._placement.has_worker(queued.query.service):
+            raise NoWorker
         try:
             displaced = queue.offer(request)
         except Overloaded as exc:
--- a/src/wheelslip/routing/worker_choice.py
+++ b/src/wheelslip/routing/worker_choice.py
@@ -210,6 +210,11 @@
             return with_room
         raise Overloaded(0.0)
 
+    def has_worker(self, service: str, excluded: frozenset[Incarnation] = frozenset()) -> bool:
+        """Return whether a service has a worker that is not excluded."""
+        workers = self._registry.workers_of(service)
+        return any(worker.info.id not in excluded for worker in workers)
+
     def start_capacity(self, service: str) -> float:
         """Return how many requests of this node the workers may hold that can be chosen now.
 
--- a/tests/unit/forwarding/test_local_queue.py
+++ b/tests/unit/forwarding/test_local_queue.py
@@ -52,3 +52,22 @@
         return await asyncio.gather(*starts, return_exceptions=True)
 
     assert {type(outcome) for outcome in asyncio.run(run())} == ends
+
+
+def test_requests_that_wait_at_their_node_are_not_rejected_when_all_workers_leave():
+    """They were rejected by a rate without slots; their node waits for a worker instead."""
+    records = Mock(start_capacity=Mock(return_value=4), has_worker=Mock(return_value=True))
+
+    async def run():
+        queue = LocalQueue(records, TimesByService(), asyncio.get_running_loop().time)
+        attempt = AsyncMock(side_effect=Overloaded(0.0))
+        starts = [queue.start(QUEUED, attempt, lambda: None) for _ in range(20)]
+        waiting = asyncio.gather(*starts, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        assert queue.waiting == 20
+        records.has_worker.return_value = False
+        records.start_capacity.return_value = 0
+        outcomes = await waiting
+        return outcomes, await queue.start(QUEUED, attempt, lambda: None)
+
+    assert asyncio.run(run()) == ([None] * 20, None)
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -351,6 +351,17 @@
         dispatcher.enqueue(QueryId("n", 3), queued())
 
 
+def test_request_that_arrives_as_all_workers_are_lost_does_not_wait_at_the_dispatcher(clock):
+    """It was judged by a rate without slots, before the others had returned to their nodes."""
+    view = View()
+    dispatcher = make_dispatcher(clock, view)
+    for number in range(20):
+        ask(dispatcher, number)
+    view.away.add("w0")
+    with pytest.raises(NoWorker):
+        dispatcher.enqueue(QueryId("n", 30), queued(priority=1))
+
+
 def test_renewal_after_the_queue_was_switched_off_grants_once(clock):
     """Guards against a second grant that replaces the first, whose load then stays for ever."""
     dispatcher = make_dispatcher(clock, View())
