The test of callers that return allows for requests that overtake on the way

Cause: two granted requests may be on their way to the worker at once and arrive in either order, as the neighbouring test of priorities allows for. The test asserted the order of all three.

Change: four new requests wait before the caller returns, instead of two, and at most one of them may arrive after it. Callers that returned went first, so the fault that the test guards against fails it by three places.

--- a/tests/probe/forwarding/test_queue.py
+++ b/tests/probe/forwarding/test_queue.py
@@ -118,14 +118,16 @@
     refused.send("/lower/x", "first", body=b"same", Wheelslip_Deadline_Ms=300)
     response = await asyncio.wait_for(refused.read_response(), 20)
     assert response.status == 503 and float(response.headers["retry-after"]) > 0
-    ids = ["new-0", "new-1"]
+    ids = [f"new-{number}" for number in range(4)]
     callers += await send_waiting(site, "/lower/x", ids, (others[1],))
     waiting = waiting_or_started(site)
     refused.send("/lower/x", "second", body=b"same")
     await wait_until(lambda: waiting_or_started(site) == waiting + 1, "the caller waits again")
     worker.release.set()
     await assert_served([*callers, refused])
-    assert [run for run in started(worker) if run in [*ids, "second"]] == [*ids, "second"]
+    order = [run for run in started(worker) if run in [*ids, "second"]]
+    # Two requests may be on their way to the worker at once and arrive in either order.
+    assert order.index("second") >= len(ids) - 1
 
 
 async def test_waiting_requests_move_to_the_next_dispatcher_and_run_once(site):
