A worker that pauses after rejections counts as one slot

Callers saw: all waiting requests of a service with one worker were refused when it had rejected a few, though they wait for 5 s and the pause lasts 0.5 s.

Cause: a pausing worker has no usable slot, and the expected wait of a service without slots is 10 s for each request ahead.

Change: the expected wait counts at least one slot for each worker.

Measured: test_requests_wait_while_the_only_worker_pauses_after_rejections fails without the change.

--- a/src/wheelslip/routing/fleet_choice.py
+++ b/src/wheelslip/routing/fleet_choice.py
@@ -122,7 +122,8 @@
         workers = self._prefer_reachable(self._registry.workers_of(service))
         if engine is not None:
             return engine.capacity * len(workers)
-        return sum(self._slots.usable(worker.info) for worker in workers)
+        # A worker that pauses after rejections accepts a request at the end of the pause.
+        return sum(max(1, self._slots.usable(worker.info)) for worker in workers)
 
     def may_start_soon(self, service: str) -> bool:
         """Return whether any worker of a service has a free slot and a short backlog."""
--- a/tests/unit/forwarding/test_request_queue.py
+++ b/tests/unit/forwarding/test_request_queue.py
@@ -362,6 +362,22 @@
         dispatcher.enqueue(QueryId("n", 30), queued(priority=1))
 
 
+def test_requests_wait_while_the_only_worker_pauses_after_rejections(clock):
+    """All were rejected by a rate without slots, though the pause lasts half a second."""
+    dispatcher = make_dispatcher(clock, View())
+    for number in range(10):
+        ask(dispatcher, number, patience=5.0)
+    for number in (0, 1):
+        end(dispatcher, number, Progress.NOT_RUN)
+    for _ in range(5):
+        clock.now += 0.06
+        assert not decided(dispatcher)
+        for number in range(2, 10):
+            dispatcher.enqueue(QueryId("n", number), queued())
+    clock.now += 0.3
+    assert isinstance(decided(dispatcher)[2], Placement)
+
+
 def test_renewal_after_the_queue_was_switched_off_grants_once(clock):
     """Guards against a second grant that replaces the first, whose load then stays for ever."""
     dispatcher = make_dispatcher(clock, View())
