--- a/tests/probe/forwarding/test_caller_time.py
+++ b/tests/probe/forwarding/test_caller_time.py
@@ -78,18 +78,21 @@
     await wait_until(unusable, "no worker accepts requests")
 
 
+def write_entries(site: Site, state: str) -> None:
+    for worker in site.workers.values():
+        site.write_entry(worker, "plain", state)
+
+
 @pytest.mark.parametrize("dispatch", [True, False])
 async def test_requests_wait_while_all_workers_are_away(site, dispatch):
     """They were refused after 0.2 s, though their callers wait for 8 s."""
     site.routing |= {"dispatch": dispatch}
     await start_site(site, PLAIN)
-    for worker in site.workers.values():
-        site.write_entry(worker, "plain", "draining")
+    write_entries(site, "draining")
     await no_worker_accepts(site)
     requests = asyncio.create_task(burst(site, 30))
     await asyncio.sleep(1.0)
-    for worker in site.workers.values():
-        site.write_entry(worker, "plain")
+    write_entries(site, "ready")
     assert [answer.status for answer in await requests] == [200] * 30
 
 
@@ -100,12 +103,10 @@
     await wait_until(
         lambda: sum(node.gauge("waiting_requests") for node in site.nodes.values()) > 30, "wait"
     )
-    for worker in site.workers.values():
-        site.write_entry(worker, "plain", "draining")
+    write_entries(site, "draining")
     await no_worker_accepts(site)
     await asyncio.sleep(0.5)
-    for worker in site.workers.values():
-        site.write_entry(worker, "plain")
+    write_entries(site, "ready")
     assert [answer.status for answer in await requests] == [200] * 100
 
 
